--- /dev/null
+++ b/jest.config.cjs
@@ -0,0 +1,17 @@
+/** Jest runs the TypeScript sources through SWC; the `.js` endings of ESM imports are mapped back to the sources. */
+module.exports = {
+  testEnvironment: 'node',
+  roots: ['<rootDir>/packages'],
+  testMatch: ['**/__tests__/**/*.test.ts'],
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      { jsc: { target: 'es2022', parser: { syntax: 'typescript' } }, module: { type: 'commonjs' } },
+    ],
+  },
+  moduleNameMapper: {
+    '^(\\.{1,2}/.*)\\.js$': '$1',
+    '^@hazelwalk/([a-z]+)$': '<rootDir>/packages/$1/src/index.ts',
+  },
+  testTimeout: 60_000,
+};
--- /dev/null
+++ b/packages/config/src/boxSettings.ts
@@ -0,0 +1,106 @@
+/**
+ * The settings of one box: a TOML file, with command-line flags over it. Checked whole before anything starts.
+ */
+import { readFileSync } from 'node:fs';
+import { DEFAULT_CORE_SETTINGS, Err, Ok, POLICY_NAMES, createPolicy } from '@hazelwalk/core';
+import type { CoreSettings, Problem, Result } from '@hazelwalk/core';
+import { z } from 'zod';
+import { listProblems } from './problems.js';
+import { readToml } from './readToml.js';
+
+const MAX_PORT = 65_535;
+
+const address = z.string().refine(isAddress, 'must be host:port with a port from 0 to 65535');
+
+function isAddress(value: string): boolean {
+  const match = /^([^\s:]+):(\d{1,5})$/.exec(value);
+  return match !== null && Number(match[2]) <= MAX_PORT;
+}
+
+const boxSettingsSchema = z.strictObject({
+  boxId: z.string().regex(/^[a-z0-9][a-z0-9-]{0,30}$/, 'must be lower-case letters, digits and dashes'),
+  hall: z.string().min(1),
+  /** Where callers connect. */
+  callerAddress: address,
+  /** Where other boxes connect. */
+  peerAddress: address,
+  /** Where operators' tools connect. */
+  adminAddress: address,
+  platformUrl: z.url({ protocol: /^https?$/, error: 'must be an http or https URL' }),
+  /** Boxes to ask when the platform is down at start. */
+  seedAddresses: z.array(address).default([]),
+  statsdAddress: address.optional(),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  policy: z.enum(POLICY_NAMES).default('steward'),
+  maxBodyBytes: z.number().int().positive().max(3_000_000).default(1_000_000),
+  maxHeaderBytes: z.number().int().min(1_024).max(262_144).default(16_384),
+  heartbeatMs: z.number().int().min(50).default(DEFAULT_CORE_SETTINGS.heartbeatMs),
+  leaseMs: z.number().int().min(100).default(DEFAULT_CORE_SETTINGS.leaseMs),
+  drainTimeoutMs: z.number().int().positive().default(DEFAULT_CORE_SETTINGS.drainTimeoutMs),
+});
+
+/** The settings of one box once checked. Addresses are `host:port`; port 0 lets the system choose. */
+export type BoxSettings = z.infer<typeof boxSettingsSchema>;
+
+function checkAddresses(settings: BoxSettings): Problem[] {
+  const fields = ['callerAddress', 'peerAddress', 'adminAddress'] as const;
+  return fields.flatMap((field, index) => {
+    const earlier = fields.slice(0, index).find((other) => settings[other] === settings[field]);
+    if (earlier === undefined || settings[field].endsWith(':0')) return [];
+    return [{ code: 'addressClash' as const, at: field, detail: `${settings[field]} is also ${earlier}` }];
+  });
+}
+
+/** A lease shorter than two heartbeats would take live peers for dead. */
+function checkTimes(settings: BoxSettings): Problem[] {
+  if (settings.leaseMs >= 2 * settings.heartbeatMs) return [];
+  const detail = `must be at least twice heartbeatMs (${settings.heartbeatMs})`;
+  return [{ code: 'settingsInvalid', at: 'leaseMs', detail }];
+}
+
+/**
+ * Checks the settings of a box, or lists everything that is wrong.
+ *
+ * @example validateBoxSettings({ boxId: 'b1', hall: 'mixco', ...addresses })
+ */
+export function validateBoxSettings(value: unknown): Result<BoxSettings, readonly Problem[]> {
+  const parsed = boxSettingsSchema.safeParse(value);
+  if (!parsed.success) return Err(listProblems('settingsInvalid', parsed.error));
+  const problems = [...checkAddresses(parsed.data), ...checkTimes(parsed.data)];
+  return problems.length > 0 ? Err(problems) : Ok(parsed.data);
+}
+
+function readSettingsFile(path: string): Result<Record<string, unknown>, Problem> {
+  try {
+    return readToml(readFileSync(path, 'utf8'));
+  } catch (error) {
+    return Err({ code: 'settingsUnreadable', at: path, detail: (error as Error).message });
+  }
+}
+
+/**
+ * Loads a box's settings from its file, with flags taking precedence.
+ *
+ * @example loadBoxSettings('/etc/hazelwalk/box.toml', { logLevel: 'debug' })
+ */
+export function loadBoxSettings(
+  path: string | undefined,
+  flags: Readonly<Record<string, unknown>>,
+): Result<BoxSettings, readonly Problem[]> {
+  const file = path === undefined ? Ok({}) : readSettingsFile(path);
+  if (file.err) return Err([file.val]);
+  const given = Object.entries(flags).filter(([, value]) => value !== undefined);
+  return validateBoxSettings({ ...file.val, ...Object.fromEntries(given) });
+}
+
+/** The core's settings for a box: the defaults with what the box's file sets. */
+export function createCoreSettings(settings: BoxSettings): CoreSettings {
+  const { heartbeatMs, leaseMs, drainTimeoutMs } = settings;
+  return {
+    ...DEFAULT_CORE_SETTINGS,
+    heartbeatMs,
+    leaseMs,
+    drainTimeoutMs,
+    policy: createPolicy(settings.policy),
+  };
+}
--- /dev/null
+++ b/packages/config/src/declarationSchema.ts
@@ -0,0 +1,61 @@
+/**
+ * The schema of the operators' declared file: the one place that says what may stand in it.
+ */
+import { z } from 'zod';
+
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const name = z
+  .string()
+  .regex(NAME_PATTERN, 'must be lower-case letters, digits, dots and dashes, 63 at most');
+const positive = z.number().int().positive();
+
+const serviceCommon = {
+  name,
+  maxInFlightPerEndpoint: positive,
+  maxQueueMs: z.number().int().nonnegative().default(500),
+  defaultDeadlineMs: positive.default(60_000),
+};
+
+const team = z.strictObject({
+  name,
+  weight: z.number().positive().default(1),
+  maxInFlight: positive.optional(),
+});
+
+const model = z.strictObject({
+  kind: z.literal('model'),
+  ...serviceCommon,
+  loadBound: z.number().min(1.01, 'must be 1.01 or more: no engine could take work otherwise').max(10),
+});
+
+const plain = z.strictObject({
+  kind: z.literal('plain'),
+  ...serviceCommon,
+  repeat: z.enum(['safe', 'keyChecked', 'never']),
+});
+
+/** What a declared file holds. */
+export const declarationSchema = z.strictObject({
+  revision: positive,
+  deployment: name,
+  halls: z.array(name).min(1),
+  teams: z.array(team).min(1),
+  services: z.array(z.discriminatedUnion('kind', [model, plain])).min(1),
+});
+
+const listedState = z.enum(['live', 'leaving']);
+const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, 'must be host:port');
+
+/** What the platform's box list holds. */
+export const boxListSchema = z.object({
+  version: z.number().int().nonnegative(),
+  boxes: z.array(z.object({ id: name, hall: name, peerAddress: address, state: listedState })),
+});
+
+/** What the platform's endpoint list holds. */
+export const endpointListSchema = z.object({
+  version: z.number().int().nonnegative(),
+  endpoints: z.array(
+    z.object({ id: name, hall: name, address, serves: z.array(name).min(1), state: listedState }),
+  ),
+});
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,5 @@
+/** Checks of everything that operators and the platform write: declared files, lists and box settings. */
+export * from './boxSettings.js';
+export * from './parseDeclaration.js';
+export * from './parseLists.js';
+export { findLine } from './readToml.js';
--- /dev/null
+++ b/packages/core/src/runTurn.ts
@@ -0,0 +1,161 @@
+/**
+ * One turn of the loop: events change the tables, the systems run in a fixed order, effects come out.
+ */
+import type { Effect } from './effects.js';
+import type { CoreEvent } from './events.js';
+import type { ControlFrame } from './frames.js';
+import type { BoxId } from './records.js';
+import { callKey } from './tables/calls.js';
+import { cancelCall, handleAssign, runAdmission, sweepCalls } from './systems/admission.js';
+import { adoptEntries, learnPlaced } from './systems/chatDirectory.js';
+import {
+  acceptText,
+  compareStamps,
+  handlePlatformContact,
+  handleValue,
+  handleValueRequest,
+  runConfiguration,
+} from './systems/configuration.js';
+import { handleStopRequested, runDrain } from './systems/drain.js';
+import {
+  handleAccepted,
+  handleAnswerBroken,
+  handleAnswerEnded,
+  handleAnswerStarted,
+  handleBodyTaken,
+  handleCallerGone,
+  handleCallerRequest,
+  handlePlace,
+  handleRefused,
+  sweepRequests,
+} from './systems/entry.js';
+import {
+  handlePeerDown,
+  handlePeerUp,
+  isReachable,
+  noteHeartbeat,
+  runMembership,
+} from './systems/membership.js';
+import { handleCallEnded } from './systems/outliers.js';
+import { runReports } from './systems/reports.js';
+import { handleEndpointReport, noteHeartbeatLoads, runStewardship } from './systems/stewardship.js';
+import type { World } from './world.js';
+
+/** Deadlines, lost boxes and back-offs are looked after at this pace. */
+const SWEEP_MS = 20;
+
+function handleFrame(world: World, from: BoxId, frame: ControlFrame): void {
+  switch (frame.type) {
+    case 'heartbeat':
+      noteHeartbeat(world, from, frame);
+      compareStamps(world, from, frame);
+      return noteHeartbeatLoads(world, from, frame);
+    case 'valueRequest':
+      return handleValueRequest(world, from, frame.name);
+    case 'value':
+      return handleValue(world, frame);
+    case 'place':
+      return handlePlace(world, frame);
+    case 'assign':
+      return handleAssign(world, frame);
+    case 'placed':
+      return learnPlaced(world, from, frame);
+    case 'accepted':
+      return handleAccepted(world, from, frame);
+    case 'refused':
+      return handleRefused(world, frame);
+    case 'cancel':
+      return cancelCall(world, callKey(frame));
+    case 'directory':
+      return adoptEntries(world, frame);
+  }
+}
+
+function handleEvent(world: World, event: CoreEvent): void {
+  switch (event.type) {
+    case 'tick':
+      return;
+    case 'frame':
+      return handleFrame(world, event.from, event.frame);
+    case 'peerUp':
+      return handlePeerUp(world, event.record, event.incarnation);
+    case 'peerDown':
+      return handlePeerDown(world, event.boxId);
+    case 'valueRead':
+      return acceptText(world, event.name, event.text);
+    case 'platformContact':
+      return handlePlatformContact(world, event.ok);
+    case 'stopRequested':
+      return handleStopRequested(world);
+    case 'callerRequest':
+      return handleCallerRequest(world, event.requestId, event.head);
+    case 'callerGone':
+      return handleCallerGone(world, event.requestId);
+    case 'bodyTaken':
+      return handleBodyTaken(world, event.requestId);
+    case 'callEnded':
+      return handleCallEnded(world, event);
+    case 'answerStarted':
+      return handleAnswerStarted(world, event);
+    case 'answerEnded':
+      return handleAnswerEnded(world, event);
+    case 'answerBroken':
+      return handleAnswerBroken(world, event.requestId, event.code);
+    case 'endpointReport':
+      return handleEndpointReport(world, event);
+  }
+}
+
+function runSweeps(world: World): void {
+  if (world.nowMs < world.nextSweepMs) return;
+  world.nextSweepMs = world.nowMs + SWEEP_MS;
+  sweepRequests(world);
+  sweepCalls(world, (entry) => !isReachable(world, entry));
+}
+
+/**
+ * Runs one turn and returns what the adapters are to do. The core does no I/O: time comes in as an argument.
+ *
+ * @example const effects = runTurn(world, [{ type: 'tick' }], Date.now());
+ */
+export function runTurn(world: World, events: readonly CoreEvent[], nowMs: number): Effect[] {
+  world.nowMs = nowMs;
+  const isQuiet = events.every((event) => isRequestTraffic(event));
+  for (const event of events) handleEvent(world, event);
+  if (!isQuiet || world.topologyChanged) {
+    runMembership(world);
+    runStewardship(world);
+    runConfiguration(world);
+  }
+  runSweeps(world);
+  runAdmission(world);
+  runDrain(world);
+  runReports(world);
+  const { effects } = world;
+  world.effects = [];
+  return effects;
+}
+
+/** Events that cannot change who is live or what is in force; the systems for that need not run. */
+function isRequestTraffic(event: CoreEvent): boolean {
+  switch (event.type) {
+    case 'callerRequest':
+    case 'callerGone':
+    case 'bodyTaken':
+    case 'callEnded':
+    case 'answerStarted':
+    case 'answerEnded':
+    case 'answerBroken':
+      return true;
+    case 'frame':
+      return event.frame.type !== 'heartbeat' && event.frame.type !== 'value';
+    case 'tick':
+    case 'peerUp':
+    case 'peerDown':
+    case 'valueRead':
+    case 'platformContact':
+    case 'stopRequested':
+    case 'endpointReport':
+      return false;
+  }
+}
--- /dev/null
+++ b/packages/core/src/systems/entry.ts
@@ -0,0 +1,208 @@
+/**
+ * Entry: a caller's request from its arrival at this box to its answer or refusal.
+ */
+import type { AcceptedFrame, AttemptRef, PlaceFrame, RefusedFrame, RequestHead } from '../frames.js';
+import type { BoxId, ServiceDeclaration } from '../records.js';
+import type { Ran, ResultCode } from '../resultCodes.js';
+import type { RequestRow } from '../tables/requests.js';
+import type { World } from '../world.js';
+import { count, emit } from '../world.js';
+import { refuseAttempt, routeAssignment, sendToBox, spreadRetryAfter } from './admission.js';
+import { findHome } from './chatDirectory.js';
+import { isReady } from './configuration.js';
+import { isReachable } from './membership.js';
+import { buildAssignment } from './placement.js';
+import { earnRetry, tryAgain } from './retry.js';
+
+/** Ends a request with its final refusal. */
+export function refuseRequest(
+  world: World,
+  requestId: string,
+  code: ResultCode,
+  ran: Ran,
+  retryAfterMs: number,
+): void {
+  world.requests.delete(requestId);
+  count(world, `refusal.${code}`);
+  emit(world, { type: 'refuseCaller', requestId, refusal: { code, ran, retryAfterMs } });
+}
+
+function findRefusal(world: World, head: RequestHead): ResultCode | undefined {
+  if (world.stop.type !== 'running') return 'stopping';
+  if (!isReady(world) || world.declared === undefined) return 'notReady';
+  if (!world.declared.teams.has(head.team)) return 'unknownTeam';
+  if (world.declared.services.get(head.service)?.kind === head.kind) return undefined;
+  return head.kind === 'model' ? 'unknownModel' : 'unknownService';
+}
+
+/** Takes a caller's request, or refuses it at once. */
+export function handleCallerRequest(world: World, requestId: string, head: RequestHead): void {
+  const code = findRefusal(world, head);
+  const service = world.declared?.services.get(head.service);
+  if (code !== undefined || service === undefined) {
+    return refuseRequest(world, requestId, code ?? 'unknownService', 'no', spreadRetryAfter(world, 0));
+  }
+  const row: RequestRow = {
+    id: requestId,
+    head,
+    service,
+    attempt: 1,
+    phase: 'placing',
+    arrivedMs: world.nowMs,
+    deadlineMs: world.nowMs + head.remainingMs,
+    placedMs: world.nowMs,
+    retryAtMs: 0,
+    askedBox: undefined,
+    endpointId: undefined,
+    answerStarted: false,
+    bodyTaken: false,
+  };
+  world.requests.set(requestId, row);
+  placeRequest(world, row);
+}
+
+/** Starts an attempt: the chat's home box decides on the first, this box itself on later ones. */
+export function placeRequest(world: World, row: RequestRow): void {
+  row.phase = 'placing';
+  row.placedMs = world.nowMs;
+  row.endpointId = undefined;
+  const ref = { requestId: row.id, attempt: row.attempt };
+  const head = { ...row.head, remainingMs: row.deadlineMs - world.nowMs };
+  const home = usesDirectory(world, row.service) ? findHome(world, head.chat) : undefined;
+  const isRemote = home !== undefined && home !== world.self.boxId && row.attempt === 1;
+  if (!isRemote) return decide(world, ref, world.self.boxId, home ?? '', head, row);
+  row.askedBox = home;
+  emit(world, { type: 'send', to: home, frame: { type: 'place', ...ref, entry: world.self.boxId, head } });
+}
+
+function usesDirectory(world: World, service: ServiceDeclaration): boolean {
+  return service.kind === 'model' && world.settings.policy.type === 'steward';
+}
+
+function decide(
+  world: World,
+  ref: AttemptRef,
+  entry: BoxId,
+  home: BoxId,
+  head: RequestHead,
+  row: RequestRow,
+): void {
+  const assign = buildAssignment(world, ref, entry, home, head, row.service);
+  const [first] = assign.candidates;
+  row.askedBox = first === undefined ? undefined : world.endpoints.get(first)?.steward;
+  routeAssignment(world, assign);
+}
+
+/** As a chat's home box, chooses the engines to ask for another box's request. */
+export function handlePlace(world: World, frame: PlaceFrame): void {
+  const service = world.declared?.services.get(frame.head.service);
+  const home = world.self.boxId;
+  if (service !== undefined) {
+    return routeAssignment(world, buildAssignment(world, frame, frame.entry, home, frame.head, service));
+  }
+  refuseAttempt(world, frame, 'unknownService', 'no');
+}
+
+/** Finds the live request of a frame; anything else came late and is dropped. */
+function findAttempt(world: World, ref: AttemptRef): RequestRow | undefined {
+  const row = world.requests.get(ref.requestId);
+  return row?.attempt === ref.attempt && row.phase !== 'backingOff' ? row : undefined;
+}
+
+/** A steward took the request. One that nobody waits for any more is cancelled. */
+export function handleAccepted(world: World, from: BoxId, frame: AcceptedFrame): void {
+  const row = findAttempt(world, frame);
+  const { requestId, attempt } = frame;
+  if (row === undefined) {
+    count(world, 'frame.foreign');
+    return sendToBox(world, from, { type: 'cancel', requestId, attempt });
+  }
+  row.phase = 'accepted';
+  row.askedBox = from;
+  row.endpointId = frame.endpoint;
+  emit(world, { type: 'bindRequest', requestId, attempt, steward: from, endpointId: frame.endpoint });
+}
+
+/** An attempt ended. What cannot have run is refused as it is; the rest may be tried again. */
+export function handleRefused(world: World, frame: RefusedFrame): void {
+  const row = findAttempt(world, frame);
+  if (row === undefined) return count(world, 'frame.foreign');
+  if (frame.ran === 'unknown' && tryAgain(world, row, 'endpointBroke')) return;
+  refuseRequest(world, row.id, frame.code, frame.ran, frame.retryAfterMs);
+}
+
+/** The caller went away: whoever has the request stops. */
+export function handleCallerGone(world: World, requestId: string): void {
+  const row = world.requests.get(requestId);
+  if (row === undefined) return;
+  world.requests.delete(requestId);
+  count(world, 'refusal.callerGone');
+  cancelAttempt(world, row);
+}
+
+/** Tells the box that has the attempt to stop it. One still on its way is cancelled when it is accepted. */
+export function cancelAttempt(world: World, row: RequestRow): void {
+  if (row.phase !== 'accepted' || row.askedBox === undefined) return;
+  sendToBox(world, row.askedBox, { type: 'cancel', requestId: row.id, attempt: row.attempt });
+}
+
+/** Part of the answer reached the caller. */
+export function handleAnswerStarted(world: World, ref: AttemptRef): void {
+  const row = findAttempt(world, ref);
+  if (row !== undefined) row.answerStarted = true;
+}
+
+/** The caller has the whole answer. */
+export function handleAnswerEnded(world: World, ref: AttemptRef): void {
+  const row = findAttempt(world, ref);
+  if (row === undefined) return;
+  world.requests.delete(row.id);
+  earnRetry(world, row.service.name);
+}
+
+/** The answer was not what it announced: the caller must not take it for whole, and the rest of it is stopped. */
+export function handleAnswerBroken(world: World, requestId: string, code: ResultCode): void {
+  const row = world.requests.get(requestId);
+  if (row === undefined) return;
+  cancelAttempt(world, row);
+  refuseRequest(world, requestId, code, 'unknown', spreadRetryAfter(world, 0));
+}
+
+/** The caller's streamed body has begun to be read. */
+export function handleBodyTaken(world: World, requestId: string): void {
+  const row = world.requests.get(requestId);
+  if (row !== undefined) row.bodyTaken = true;
+}
+
+/** Whether an attempt that was lost now may have run: it has left this box. */
+function mayHaveRun(world: World, row: RequestRow): boolean {
+  return row.askedBox !== undefined && (row.phase === 'accepted' || row.askedBox !== world.self.boxId);
+}
+
+function sweepRequest(world: World, row: RequestRow): void {
+  if (world.nowMs >= row.deadlineMs) {
+    const ran = row.phase !== 'backingOff' && mayHaveRun(world, row) ? 'unknown' : 'no';
+    cancelAttempt(world, row);
+    return refuseRequest(world, row.id, 'deadlineExceeded', ran, spreadRetryAfter(world, 0));
+  }
+  if (row.phase === 'backingOff') {
+    if (world.nowMs >= row.retryAtMs) placeRequest(world, row);
+    return;
+  }
+  const isLost = row.askedBox !== undefined && !isReachable(world, row.askedBox);
+  const isSlow = row.phase === 'placing' && world.nowMs - row.placedMs > world.settings.placeTimeoutMs;
+  if (isLost) return loseAttempt(world, row);
+  if (isSlow) tryAgain(world, row, 'placeLost');
+}
+
+/** The box that had the attempt is gone: try again if that is harmless, otherwise say what is known. */
+function loseAttempt(world: World, row: RequestRow): void {
+  const reason = row.phase === 'accepted' ? 'stewardLost' : 'placeLost';
+  if (tryAgain(world, row, reason)) return;
+  refuseRequest(world, row.id, reason, 'unknown', spreadRetryAfter(world, 0));
+}
+
+/** Looks after requests whose deadline passed, whose box was lost, or whose back-off is over. */
+export function sweepRequests(world: World): void {
+  for (const row of world.requests.values()) sweepRequest(world, row);
+}
--- /dev/null
+++ b/packages/core/src/systems/reports.ts
@@ -0,0 +1,35 @@
+/**
+ * Reports: the heartbeat that carries proof of life, loads and versions to every peer, and hand-over at its pace.
+ */
+import type { HeartbeatFrame } from '../frames.js';
+import { VALUE_NAMES } from '../records.js';
+import type { World } from '../world.js';
+import { emit } from '../world.js';
+import { handOverEntries } from './chatDirectory.js';
+import { listOwnLoads } from './stewardship.js';
+
+/** Builds the heartbeat of this moment. */
+export function buildHeartbeat(world: World): HeartbeatFrame {
+  return {
+    type: 'heartbeat',
+    loads: listOwnLoads(world),
+    stamps: VALUE_NAMES.map((name) => world.values[name].stamp),
+    stopping: world.stop.type !== 'running',
+    platformOk: world.platformContact !== 'failed',
+  };
+}
+
+/** Sends a heartbeat to every known peer, listed here yet or not. */
+export function broadcastHeartbeat(world: World): void {
+  const peers = [...world.boxes.keys()].filter((id) => id !== world.self.boxId);
+  if (peers.length > 0) emit(world, { type: 'broadcast', to: peers, frame: buildHeartbeat(world) });
+}
+
+/** Sends a heartbeat when one is due, and entries to their new homes. */
+export function runReports(world: World): void {
+  if (world.nowMs < world.nextHeartbeatMs) return;
+  world.nextHeartbeatMs = world.nowMs + world.settings.heartbeatMs;
+  broadcastHeartbeat(world);
+  if (!world.handoverPending) return;
+  world.handoverPending = handOverEntries(world, world.settings.handoverPerBeat) > 0;
+}
--- /dev/null
+++ b/packages/core/src/systems/retry.ts
@@ -0,0 +1,58 @@
+/**
+ * Retry: when a request may be started again, and how many such retries a service may cost.
+ */
+import type { RetryReason } from '../effects.js';
+import type { ServiceName } from '../records.js';
+import type { RequestRow } from '../tables/requests.js';
+import type { World } from '../world.js';
+import { count } from '../world.js';
+
+/** Methods that HTTP itself declares repeatable. */
+const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/**
+ * Tells whether starting the request again can do no harm: its service allows it and nothing of it is used up.
+ *
+ * @example isRepeatable(row)
+ */
+export function isRepeatable(row: RequestRow): boolean {
+  if (row.answerStarted || row.bodyTaken) return false;
+  const { service } = row;
+  switch (service.kind) {
+    case 'model':
+      return true;
+    case 'plain':
+      return (
+        service.repeat === 'safe' || (service.repeat === 'keyChecked' && SAFE_METHODS.has(row.head.method))
+      );
+  }
+}
+
+function readBudget(world: World, service: ServiceName): number {
+  return world.retryBudgets.get(service) ?? world.settings.retryBurst;
+}
+
+/** A success earns its service a part of a retry. */
+export function earnRetry(world: World, service: ServiceName): void {
+  const earned = readBudget(world, service) + world.settings.retryShare;
+  world.retryBudgets.set(service, Math.min(world.settings.retryBurst, earned));
+}
+
+/** Backs off before the next attempt. Returns false if there may be none. */
+export function tryAgain(world: World, row: RequestRow, reason: RetryReason): boolean {
+  if (!isRepeatable(row) || row.attempt >= world.settings.maxAttempts) return false;
+  const budget = readBudget(world, row.service.name);
+  if (budget < 1) {
+    count(world, 'refusal.retryBudget');
+    return false;
+  }
+  const backoffMs = world.settings.retryBackoffMs * 2 ** (row.attempt - 1) * (0.5 + world.deps.random());
+  if (world.nowMs + backoffMs >= row.deadlineMs) return false;
+  world.retryBudgets.set(row.service.name, budget - 1);
+  count(world, `retry.${reason}`);
+  row.phase = 'backingOff';
+  row.attempt += 1;
+  row.retryAtMs = world.nowMs + backoffMs;
+  row.askedBox = undefined;
+  return true;
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/callerServer.ts
@@ -0,0 +1,182 @@
+/**
+ * The callers' interface: chats on the common chat-completions path, plain services under a path each.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { BoxId, RequestHead, ResultCode, StreamFrame } from '@hazelwalk/core';
+import { z } from 'zod';
+import type { EmitEvent } from '../coreLoop.js';
+import { listenOn } from './addresses.js';
+import { Exchange } from './exchange.js';
+import type { HeaderPairs } from './headers.js';
+import { HEADER, listEndToEndHeaders, readHeader } from './headers.js';
+import type { Metrics } from './metrics.js';
+import { formatRawProblem, sendProblem } from './problemJson.js';
+
+const CHAT_PATH = '/v1/chat/completions';
+const SERVICE_PATTERN = /^\/services\/([^/?]+)([/?].*)?$/;
+const MAX_DEADLINE_MS = 3_600_000;
+const DEFAULT_DEADLINE_MS = 60_000;
+const DEFAULT_PRIORITY = 0;
+const MAX_PRIORITY = 9;
+
+const chatBodySchema = z.object({ model: z.string().min(1), messages: z.array(z.unknown()).min(1) });
+
+/** What the server needs from the daemon. */
+export interface CallerServerOptions {
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  readonly createRequestId: () => string;
+  readonly isReady: () => boolean;
+  readonly emit: EmitEvent;
+  readonly send: (to: BoxId, frame: StreamFrame) => void;
+  readonly metrics: Metrics;
+  readonly exchanges: Map<string, Exchange>;
+}
+
+/** Listens for callers. */
+export class CallerServer {
+  private readonly server: Server;
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = createServer({ maxHeaderSize: options.maxHeaderBytes }, (req, res) =>
+      this.handle(req, res),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+      this.refuseRaw(error, socket),
+    );
+  }
+
+  /** Binds the listener. */
+  listen(address: string): Promise<string> {
+    return listenOn(this.server, address);
+  }
+
+  /** Stops listening; connections close as they fall idle. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  private handle(req: IncomingMessage, res: ServerResponse): void {
+    const url = req.url ?? '/';
+    const service = SERVICE_PATTERN.exec(url);
+    if (url === '/healthz') return void res.end('ok\n');
+    if (url === '/readyz') return this.answerReadiness(res);
+    if (url === CHAT_PATH && req.method === 'POST') return this.readChat(req, res);
+    if (service !== null) return this.startPlain(req, res, service[1] ?? '', service[2] ?? '/');
+    this.refuse(req, res, 'notFound');
+  }
+
+  private answerReadiness(res: ServerResponse): void {
+    const isReady = this.options.isReady();
+    res.statusCode = isReady ? 200 : 503;
+    res.end(isReady ? 'ready\n' : 'not ready\n');
+  }
+
+  private readChat(req: IncomingMessage, res: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= this.options.maxBodyBytes) return void chunks.push(chunk);
+      req.removeAllListeners('data');
+      req.removeAllListeners('end');
+      req.resume();
+      this.refuse(req, res, 'bodyTooLarge');
+    });
+    req.on('end', () => this.startChat(req, res, Buffer.concat(chunks)));
+  }
+
+  private startChat(req: IncomingMessage, res: ServerResponse, body: Buffer): void {
+    const chat = parseChatBody(body);
+    if (chat === undefined) return this.refuse(req, res, 'malformedRequest');
+    this.start(req, res, { kind: 'model', service: chat.model, path: CHAT_PATH, body });
+  }
+
+  private startPlain(req: IncomingMessage, res: ServerResponse, service: string, rest: string): void {
+    const path = rest.startsWith('/') ? rest : `/${rest}`;
+    this.start(req, res, { kind: 'plain', service, path });
+  }
+
+  private start(req: IncomingMessage, res: ServerResponse, target: Target): void {
+    const headers = listEndToEndHeaders(req.rawHeaders);
+    const requestId = this.options.createRequestId();
+    const head = buildHead(req, headers, target, requestId);
+    if (head === undefined) return this.refuse(req, res, 'malformedRequest');
+    const { emit, send, exchanges, metrics } = this.options;
+    const echoedId = readHeader(headers, HEADER.requestId) ?? requestId;
+    exchanges.set(requestId, new Exchange({ requestId, echoedId, head, req, res, emit, send }));
+    res.on('close', () => exchanges.delete(requestId));
+    metrics.count('request.accepted');
+    emit({ type: 'callerRequest', requestId, head });
+  }
+
+  private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode): void {
+    this.options.metrics.count(`refusal.${code}`);
+    const requestId = String(req.headers[HEADER.requestId] ?? this.options.createRequestId());
+    sendProblem(res, { code, ran: 'no', retryAfterMs: 0 }, requestId, !req.complete);
+  }
+
+  private refuseRaw(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === 'ECONNRESET') return void socket.destroy();
+    const code: ResultCode = error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest';
+    this.options.metrics.count(`refusal.${code}`);
+    socket.end(formatRawProblem({ code, ran: 'no', retryAfterMs: 0 }));
+  }
+}
+
+interface Target {
+  readonly kind: RequestHead['kind'];
+  readonly service: string;
+  readonly path: string;
+  readonly body?: Buffer;
+}
+
+function parseChatBody(body: Buffer): { model: string } | undefined {
+  try {
+    const parsed = chatBodySchema.safeParse(JSON.parse(body.toString('utf8')));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads a whole number within bounds; undefined where it is not one. */
+function readNumber(
+  headers: HeaderPairs,
+  name: string,
+  fallback: number,
+  least: number,
+  most: number,
+): number | undefined {
+  const text = readHeader(headers, name);
+  if (text === undefined) return fallback;
+  const value = Number(text);
+  return Number.isInteger(value) && value >= least && value <= most ? value : undefined;
+}
+
+/** A request has a body if it announces its length or an encoding (RFC 9112, section 6.3). */
+function announcesBody(req: IncomingMessage): boolean {
+  const length = req.headers['content-length'];
+  return req.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+}
+
+/** Builds the head that routing needs; undefined if a header of the interface is missing or impossible. */
+function buildHead(
+  req: IncomingMessage,
+  headers: HeaderPairs,
+  target: Target,
+  requestId: string,
+): RequestHead | undefined {
+  const team = readHeader(headers, HEADER.team);
+  const remainingMs = readNumber(headers, HEADER.deadlineMs, DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS);
+  const priority = readNumber(headers, HEADER.priority, DEFAULT_PRIORITY, -MAX_PRIORITY, MAX_PRIORITY);
+  if (team === undefined || remainingMs === undefined || priority === undefined) return undefined;
+  const chat = readHeader(headers, HEADER.chat) ?? requestId;
+  const streamsBody = target.body === undefined && announcesBody(req);
+  return { ...target, team, chat, priority, remainingMs, method: req.method ?? 'GET', headers, streamsBody };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/endpointCalls.ts
@@ -0,0 +1,211 @@
+/**
+ * A steward's calls to endpoints: streams the request in and the answer back to the entry box.
+ *
+ * Every call uses a connection of its own where a repeat would do harm, so that "could not connect" proves that
+ * nothing was sent.
+ */
+import { PassThrough } from 'node:stream';
+import type {
+  AttemptRef,
+  BoxId,
+  CallOutcome,
+  DispatchEffect,
+  ResultCode,
+  StreamFrame,
+} from '@hazelwalk/core';
+import type { Dispatcher } from 'undici';
+import { Agent, errors } from 'undici';
+import type { EmitEvent } from '../coreLoop.js';
+import { flattenHeaders, HEADER } from './headers.js';
+import { StreamReceiver, StreamSender } from './streams.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 4_000;
+/** An event stream of the chat-completions form ends with this line. */
+const CHAT_END = Buffer.from('data: [DONE]');
+const TAIL_BYTES = 64;
+
+/** What the calls need from the daemon. */
+export interface EndpointCallsOptions {
+  readonly emit: EmitEvent;
+  readonly send: (to: BoxId, frame: StreamFrame) => void;
+  /** Whether calls of the service may share connections. */
+  readonly mayShareConnection: (service: string) => boolean;
+}
+
+/** All calls of this box to endpoints. */
+export class EndpointCalls {
+  private readonly calls = new Map<string, EndpointCall>();
+  private readonly shared = new Agent({
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  private readonly unshared = new Agent({
+    pipelining: 0,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  constructor(private readonly options: EndpointCallsOptions) {}
+
+  /** Calls an endpoint. */
+  dispatch(effect: DispatchEffect): void {
+    const key = `${effect.requestId}#${effect.attempt}`;
+    const agent = this.options.mayShareConnection(effect.head.service) ? this.shared : this.unshared;
+    const call = new EndpointCall(effect, this.options, () => this.calls.delete(key));
+    this.calls.set(key, call);
+    call.start(agent);
+  }
+
+  /** Stops a call. */
+  cancel(ref: AttemptRef): void {
+    this.calls.get(`${ref.requestId}#${ref.attempt}`)?.cancel();
+  }
+
+  /** Handles a frame of the request's body or credit. Returns false if no call of that attempt runs here. */
+  handleFrame(frame: StreamFrame): boolean {
+    return this.calls.get(`${frame.requestId}#${frame.attempt}`)?.handleFrame(frame) ?? false;
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.shared.destroy(), this.unshared.destroy()]);
+  }
+}
+
+/** One call to an endpoint. */
+class EndpointCall implements Dispatcher.DispatchHandler {
+  private readonly answer: StreamSender;
+  private readonly bodyReceiver: StreamReceiver;
+  private readonly body: PassThrough | undefined;
+  private readonly deadline: NodeJS.Timeout;
+  private controller: Dispatcher.DispatchController | undefined;
+  private isOver = false;
+  private isChatStream = false;
+  private tail: Buffer = Buffer.alloc(0);
+  private status = 0;
+
+  constructor(
+    private readonly effect: DispatchEffect,
+    private readonly options: EndpointCallsOptions,
+    private readonly onOver: () => void,
+  ) {
+    const send = (frame: StreamFrame): void => options.send(effect.entry, frame);
+    this.answer = new StreamSender(effect, 'answer', send);
+    this.bodyReceiver = new StreamReceiver(effect, 'request', send);
+    this.body = effect.head.streamsBody ? new PassThrough() : undefined;
+    // The stream may fail after the call is over; by then nobody waits for it.
+    this.body?.on('error', () => {});
+    this.deadline = setTimeout(() => this.abort('deadlineExceeded'), effect.remainingMs);
+  }
+
+  start(agent: Agent): void {
+    const { head, address, remainingMs } = this.effect;
+    const headers = head.headers.filter(([name]) => name !== HEADER.deadlineMs).flat();
+    agent.dispatch(
+      {
+        origin: `http://${address}`,
+        path: head.path,
+        method: head.method as Dispatcher.HttpMethod,
+        headers: [...headers, HEADER.deadlineMs, String(Math.max(1, Math.round(remainingMs)))],
+        body: this.body ?? head.body ?? null,
+      },
+      this,
+    );
+  }
+
+  handleFrame(frame: StreamFrame): boolean {
+    switch (frame.type) {
+      case 'data':
+        return this.takeBody(frame.seq, frame.bytes);
+      case 'end':
+        if (!this.bodyReceiver.isWhole(frame.count)) return false;
+        this.body?.end();
+        return true;
+      case 'credit':
+        if (this.answer.addCredit(frame.bytes)) this.controller?.resume();
+        return true;
+      case 'answerHead':
+        return false;
+    }
+  }
+
+  cancel(): void {
+    this.finish({ type: 'cancelled' });
+    this.controller?.abort(new Error('cancelled'));
+    this.body?.destroy();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isOver) controller.abort(new Error('over'));
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    const { requestId, attempt, entry } = this.effect;
+    this.status = status;
+    this.isChatStream = String(headers['content-type'] ?? '').startsWith('text/event-stream');
+    const pairs = flattenHeaders(headers);
+    this.options.send(entry, { type: 'answerHead', requestId, attempt, status, headers: pairs });
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.isOver) return;
+    if (this.isChatStream) this.keepTail(chunk);
+    if (!this.answer.write(chunk)) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    if (this.isOver) return;
+    const isCut = this.isChatStream && this.effect.head.kind === 'model' && !this.tail.includes(CHAT_END);
+    if (isCut) return this.finish({ type: 'broken', code: 'answerTooShort' });
+    this.answer.end();
+    this.finish({ type: 'whole', status: this.status });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.body?.destroy();
+    this.finish(this.judgeError(error));
+  }
+
+  /** Only a connection that was never made proves that nothing was sent. */
+  private judgeError(error: Error): CallOutcome {
+    if (this.controller === undefined) return { type: 'notSent' };
+    const isShort = error instanceof errors.ResponseContentLengthMismatchError;
+    return { type: 'broken', code: isShort ? 'answerTooShort' : 'endpointBroke' };
+  }
+
+  private takeBody(seq: number, bytes: Uint8Array): boolean {
+    const { body } = this;
+    if (body === undefined || !this.bodyReceiver.accepts(seq)) return false;
+    if (body.write(bytes)) this.bodyReceiver.passedOn(bytes.length);
+    else body.once('drain', () => this.bodyReceiver.passedOn(bytes.length));
+    return true;
+  }
+
+  private keepTail(chunk: Buffer): void {
+    this.tail = Buffer.from(Buffer.concat([this.tail, chunk]).subarray(-TAIL_BYTES));
+  }
+
+  private abort(code: ResultCode): void {
+    this.finish(this.controller === undefined ? { type: 'notSent' } : { type: 'broken', code });
+    this.controller?.abort(new Error(code));
+  }
+
+  private finish(outcome: CallOutcome): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.deadline);
+    this.onOver();
+    const { requestId, attempt } = this.effect;
+    this.options.emit({ type: 'callEnded', requestId, attempt, outcome });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/box.ts
@@ -0,0 +1,214 @@
+/**
+ * One box: the core's loop with its adapters around it.
+ */
+import type { BoxRecord, Effect, EndpointId, StreamFrame, World } from '@hazelwalk/core';
+import { createHasher, createWorld, isReady } from '@hazelwalk/core';
+import type { BoxSettings } from '@hazelwalk/config';
+import { createCoreSettings, valueParsers } from '@hazelwalk/config';
+import type { Logger } from 'tslog';
+import { AdminServer } from './adapters/adminServer.js';
+import { CallerServer } from './adapters/callerServer.js';
+import { ControlAgent } from './adapters/controlAgent.js';
+import { EndpointCalls } from './adapters/endpointCalls.js';
+import { EndpointReports } from './adapters/endpointReports.js';
+import type { Exchange } from './adapters/exchange.js';
+import { Metrics } from './adapters/metrics.js';
+import { PeerLinks } from './adapters/peerLinks.js';
+import { PlatformWatch } from './adapters/platformWatch.js';
+import type { BoxStatus } from './boxStatus.js';
+import { explainChat, readBoxStatus } from './boxStatus.js';
+import { CoreLoop } from './coreLoop.js';
+
+const RADIX = 36;
+
+/** Addresses that a box got, with ports chosen by the system filled in. */
+export interface BoundAddresses {
+  readonly caller: string;
+  readonly peer: string;
+  readonly admin: string;
+}
+
+/** A box that runs until it is stopped. */
+export class Box {
+  private readonly loop: CoreLoop;
+  private readonly metrics: Metrics;
+  private readonly control = new ControlAgent();
+  private readonly exchanges = new Map<string, Exchange>();
+  private readonly peers: PeerLinks;
+  private readonly calls: EndpointCalls;
+  private readonly platform: PlatformWatch;
+  private readonly reports: EndpointReports;
+  private readonly callers: CallerServer;
+  private readonly admin: AdminServer;
+  private nextRequest = 0;
+  private resolveStopped: () => void = () => {};
+  /** Settles when a planned stop is complete. */
+  readonly stopped = new Promise<void>((resolve) => {
+    this.resolveStopped = resolve;
+  });
+
+  private constructor(
+    private readonly world: World,
+    private readonly settings: BoxSettings,
+    self: BoxRecord,
+    private readonly logger: Logger<unknown>,
+  ) {
+    this.metrics = new Metrics(settings.statsdAddress, settings.boxId);
+    this.loop = new CoreLoop(world, (effect) => this.carryOut(effect));
+    const { emit } = this.loop;
+    const { metrics } = this;
+    const send = (to: string, frame: StreamFrame): void => this.sendStreamFrame(to, frame);
+    this.peers = new PeerLinks({
+      self,
+      incarnation: world.self.incarnation,
+      emit,
+      metrics,
+      onStreamFrame: (from, frame) => this.routeStreamFrame(from, frame),
+      onProblem: (problem) => logger.warn(problem.code, problem.detail),
+    });
+    this.platform = new PlatformWatch(settings.platformUrl, this.control.agent, emit, metrics);
+    this.reports = new EndpointReports(this.control.agent, emit);
+    this.calls = new EndpointCalls({
+      emit,
+      send,
+      mayShareConnection: (name) => this.mayShareConnection(name),
+    });
+    this.callers = new CallerServer({
+      maxBodyBytes: settings.maxBodyBytes,
+      maxHeaderBytes: settings.maxHeaderBytes,
+      createRequestId: () => this.createRequestId(),
+      isReady: () => isReady(world),
+      emit,
+      send,
+      metrics,
+      exchanges: this.exchanges,
+    });
+    this.admin = new AdminServer({
+      readStatus: () => this.readStatus(),
+      explainChat: (model, chat) => explainChat(world, model, chat),
+      requestStop: () => this.requestStop(),
+    });
+  }
+
+  /** Creates a box from its settings; nothing is bound yet. */
+  static async create(settings: BoxSettings, logger: Logger<unknown>): Promise<Box> {
+    const nowMs = Date.now();
+    const incarnation = nowMs.toString(RADIX);
+    const { boxId, hall, peerAddress } = settings;
+    const deps = { hasher: await createHasher(), random: Math.random, parsers: valueParsers };
+    const world = createWorld({ boxId, hall, incarnation }, createCoreSettings(settings), deps, nowMs);
+    return new Box(world, settings, { id: boxId, hall, peerAddress, state: 'live' }, logger);
+  }
+
+  /** Binds the listeners and starts the loop. Rejects if an address is taken. */
+  async start(): Promise<BoundAddresses> {
+    const { settings } = this;
+    const running = this.loop.run();
+    running.catch((error: unknown) => this.failHard(error));
+    const peer = await this.peers.listen(settings.peerAddress);
+    const admin = await this.admin.listen(settings.adminAddress);
+    const caller = await this.callers.listen(settings.callerAddress);
+    this.askSeeds();
+    return { caller, peer, admin };
+  }
+
+  /** Begins a planned stop; `stopped` settles when it is complete. */
+  requestStop(): void {
+    this.loop.emit({ type: 'stopRequested' });
+  }
+
+  /** Closes everything at once. */
+  async close(): Promise<void> {
+    this.platform.close();
+    this.reports.close();
+    this.admin.close();
+    this.peers.close();
+    await this.callers.close();
+    await this.calls.close();
+    await this.control.agent.destroy();
+    await this.metrics.close();
+  }
+
+  private readStatus(): BoxStatus {
+    return readBoxStatus(this.world, this.metrics, this.peers.bytes, this.control.bytes);
+  }
+
+  /** Introducing itself is enough: a seed dials back and tells what it knows. */
+  private askSeeds(): void {
+    const seeds = this.settings.seedAddresses.filter((address) => address !== this.settings.peerAddress);
+    if (seeds.length === 0) return;
+    this.peers.connectTo(
+      seeds.map((peerAddress) => ({
+        id: `seed:${peerAddress}`,
+        hall: this.settings.hall,
+        peerAddress,
+        state: 'live',
+      })),
+    );
+  }
+
+  private createRequestId(): string {
+    this.nextRequest += 1;
+    const { boxId, incarnation } = this.world.self;
+    return `${boxId}.${incarnation}.${this.nextRequest.toString(RADIX)}`;
+  }
+
+  /** Only calls that may be repeated share connections: a shared one can die with a request half sent. */
+  private mayShareConnection(name: string): boolean {
+    const service = this.world.declared?.services.get(name);
+    return service?.kind === 'model' || service?.repeat === 'safe';
+  }
+
+  private sendStreamFrame(to: string, frame: StreamFrame): void {
+    if (to === this.world.self.boxId) this.routeStreamFrame(to, frame);
+    else this.peers.send(to, frame);
+  }
+
+  private routeStreamFrame(from: string, frame: StreamFrame): void {
+    const isForSteward =
+      frame.type !== 'answerHead' && (frame.side === 'request') !== (frame.type === 'credit');
+    const isTaken = isForSteward
+      ? this.calls.handleFrame(frame)
+      : (this.exchanges.get(frame.requestId)?.handleFrame(from, frame) ?? false);
+    if (!isTaken) this.metrics.count('stream.foreign');
+  }
+
+  private bind(requestId: string, attempt: number, steward: string, endpointId: EndpointId): void {
+    this.exchanges.get(requestId)?.bind({ requestId, attempt }, steward, endpointId);
+  }
+
+  private carryOut(effect: Effect): void {
+    switch (effect.type) {
+      case 'send':
+        return this.peers.send(effect.to, effect.frame);
+      case 'broadcast':
+        return this.peers.broadcast(effect.to, effect.frame);
+      case 'connectPeers':
+        return this.peers.connectTo(effect.boxes);
+      case 'watchValues':
+        return this.platform.watch(effect.names);
+      case 'watchEndpoints':
+        return this.reports.watch(effect.endpoints);
+      case 'dispatch':
+        return this.calls.dispatch(effect);
+      case 'cancelCall':
+        return this.calls.cancel(effect);
+      case 'bindRequest':
+        return this.bind(effect.requestId, effect.attempt, effect.steward, effect.endpointId);
+      case 'refuseCaller':
+        return this.exchanges.get(effect.requestId)?.refuse(effect.refusal);
+      case 'count':
+        return this.metrics.count(effect.counter);
+      case 'log':
+        return void this.logger[effect.level](effect.message);
+      case 'stopped':
+        return this.resolveStopped();
+    }
+  }
+
+  /** A failure of the core leaves the tables in doubt: better no box than a wrong one. */
+  private failHard(error: unknown): void {
+    this.logger.error('the core failed; the box stops', error);
+    process.exit(1);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,77 @@
+#!/usr/bin/env node
+/** The daemon's entry point: `hazelwalkd --settings box.toml`. */
+import type { Problem } from '@hazelwalk/core';
+import { formatProblem } from '@hazelwalk/core';
+import type { BoxSettings } from '@hazelwalk/config';
+import { loadBoxSettings } from '@hazelwalk/config';
+import { Logger } from 'tslog';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { Box } from './box.js';
+import { EXIT_CODE } from './exitCodes.js';
+
+const LOG_LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
+/** A planned stop that callers' connections hold up is ended after this. */
+const CLOSE_TIMEOUT_MS = 2_000;
+
+function readFlags(): { settings: string | undefined; flags: Record<string, unknown> } {
+  const parsed = yargs(hideBin(process.argv))
+    .scriptName('hazelwalkd')
+    .usage('$0 --settings FILE [flags]\n\nRuns one box. Flags go over the settings file.')
+    .option('settings', { type: 'string', describe: 'TOML file with the settings of the box' })
+    .option('boxId', { type: 'string', describe: 'name of the box' })
+    .option('hall', { type: 'string', describe: 'hall of the box' })
+    .option('callerAddress', { type: 'string', describe: 'host:port for callers' })
+    .option('peerAddress', { type: 'string', describe: 'host:port for other boxes' })
+    .option('adminAddress', { type: 'string', describe: 'host:port for operators' })
+    .option('platformUrl', { type: 'string', describe: 'URL of the configuration service' })
+    .option('logLevel', { type: 'string', describe: 'debug, info, warn or error' })
+    .strict()
+    .fail((message: string | null, error: Error | undefined) => {
+      process.stderr.write(`HW1201 ${message ?? error?.message ?? 'wrong usage'}. See --help.\n`);
+      process.exit(EXIT_CODE.badUsage);
+    })
+    .parseSync();
+  const { settings, boxId, hall, callerAddress, peerAddress, adminAddress, platformUrl, logLevel } = parsed;
+  return {
+    settings,
+    flags: { boxId, hall, callerAddress, peerAddress, adminAddress, platformUrl, logLevel },
+  };
+}
+
+function failWith(problems: readonly Problem[], exitCode: number): never {
+  for (const problem of problems) process.stderr.write(`${formatProblem(problem)}\n`);
+  process.exit(exitCode);
+}
+
+function createLogger(settings: BoxSettings): Logger<unknown> {
+  return new Logger({
+    type: 'json',
+    name: settings.boxId,
+    minLevel: LOG_LEVELS[settings.logLevel],
+    hideLogPositionForProduction: true,
+  });
+}
+
+async function run(): Promise<void> {
+  const { settings: path, flags } = readFlags();
+  const settings = loadBoxSettings(path, flags);
+  if (settings.err) return failWith(settings.val, EXIT_CODE.settingsInvalid);
+  const logger = createLogger(settings.val);
+  const box = await Box.create(settings.val, logger);
+  process.on('SIGTERM', () => box.requestStop());
+  process.on('SIGINT', () => box.requestStop());
+  try {
+    const addresses = await box.start();
+    logger.info('started', addresses);
+  } catch (error) {
+    failWith([{ code: 'addressInUse', at: '', detail: (error as Error).message }], EXIT_CODE.addressInUse);
+  }
+  await box.stopped;
+  logger.info('stopped');
+  setTimeout(() => process.exit(EXIT_CODE.ok), CLOSE_TIMEOUT_MS).unref();
+  await box.close();
+  process.exit(EXIT_CODE.ok);
+}
+
+await run();
--- /dev/null
+++ b/packages/wire/src/frameSchema.ts
@@ -0,0 +1,90 @@
+/**
+ * The schema of everything a peer may send. A frame that does not fit is refused, never half read.
+ */
+import type { BoxRecord, Frame } from '@hazelwalk/core';
+import { RESULT_CODES, VALUE_NAMES } from '@hazelwalk/core';
+import type { ResultCode } from '@hazelwalk/core';
+import { z } from 'zod';
+
+/** First frame on every link: who is speaking, and which version of the protocol. */
+export interface HelloFrame {
+  readonly type: 'hello';
+  readonly protocolVersion: number;
+  readonly incarnation: string;
+  readonly box: BoxRecord;
+}
+
+/** Everything that may stand on the wire. */
+export type WireFrame = HelloFrame | Frame;
+
+const text = z.string();
+const count = z.number().int().nonnegative();
+const bytes = z.instanceof(Uint8Array);
+const headers = z.array(z.tuple([text, text]));
+const loads = z.array(z.tuple([text, z.number().int()]));
+const resultCode = z.enum(Object.keys(RESULT_CODES) as [ResultCode, ...ResultCode[]]);
+const side = z.enum(['request', 'answer']);
+const attempt = { requestId: text, attempt: count };
+
+const head = z.object({
+  kind: z.enum(['model', 'plain']),
+  service: text,
+  team: text,
+  chat: text,
+  priority: z.number(),
+  remainingMs: z.number(),
+  method: text,
+  path: text,
+  headers,
+  body: bytes.optional(),
+  streamsBody: z.boolean(),
+});
+
+const box = z.object({ id: text, hall: text, peerAddress: text, state: z.enum(['live', 'leaving']) });
+
+const schema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('hello'), protocolVersion: count, incarnation: text, box }),
+  z.object({
+    type: z.literal('heartbeat'),
+    loads,
+    stamps: z.array(z.tuple([count, count])),
+    stopping: z.boolean(),
+    platformOk: z.boolean(),
+  }),
+  z.object({ type: z.literal('valueRequest'), name: z.enum(VALUE_NAMES) }),
+  z.object({ type: z.literal('value'), name: z.enum(VALUE_NAMES), text }),
+  z.object({ type: z.literal('place'), ...attempt, entry: text, head }),
+  z.object({
+    type: z.literal('assign'),
+    ...attempt,
+    entry: text,
+    home: text,
+    head,
+    candidates: z.array(text),
+    hops: count,
+    observed: loads,
+    isLast: z.boolean(),
+    reason: resultCode,
+  }),
+  z.object({ type: z.literal('placed'), chat: text, endpoint: text, loads }),
+  z.object({ type: z.literal('accepted'), ...attempt, endpoint: text }),
+  z.object({
+    type: z.literal('refused'),
+    ...attempt,
+    code: resultCode,
+    ran: z.enum(['no', 'unknown']),
+    retryAfterMs: z.number(),
+  }),
+  z.object({ type: z.literal('cancel'), ...attempt }),
+  z.object({ type: z.literal('directory'), entries: z.array(z.tuple([text, z.array(text)])) }),
+  z.object({ type: z.literal('answerHead'), ...attempt, status: count, headers }),
+  z.object({ type: z.literal('data'), ...attempt, side, seq: count, bytes }),
+  z.object({ type: z.literal('end'), ...attempt, side, count }),
+  z.object({ type: z.literal('credit'), ...attempt, side, bytes: count }),
+]);
+
+/** Checks a decoded frame; undefined if it does not fit. */
+export function checkFrame(value: unknown): WireFrame | undefined {
+  const parsed = schema.safeParse(value);
+  return parsed.success ? (parsed.data as WireFrame) : undefined;
+}
--- /dev/null
+++ b/packages/wire/src/protocol.ts
@@ -0,0 +1,63 @@
+/**
+ * Constants of the protocol between boxes. Changing any of them needs a new PROTOCOL_VERSION.
+ *
+ * A frame is a 4-byte big-endian length, then that many bytes of CBOR. Field names travel as small numbers.
+ */
+
+/** Boxes of different versions do not talk to each other. */
+export const PROTOCOL_VERSION = 1;
+
+/** Bytes of the length that precedes each frame. */
+export const LENGTH_BYTES = 4;
+
+/** Largest frame: a published value of 1 MB or a chat body, with room for the rest. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+/** Number of each field on the wire. Never reuse a number. */
+export const FIELD_NUMBERS: Readonly<Record<string, number>> = {
+  type: 0,
+  requestId: 1,
+  attempt: 2,
+  side: 3,
+  seq: 4,
+  bytes: 5,
+  count: 6,
+  status: 7,
+  headers: 8,
+  endpoint: 9,
+  code: 10,
+  ran: 11,
+  retryAfterMs: 12,
+  entry: 13,
+  home: 14,
+  head: 15,
+  candidates: 16,
+  hops: 17,
+  reason: 18,
+  service: 19,
+  team: 20,
+  chat: 21,
+  priority: 22,
+  remainingMs: 23,
+  method: 24,
+  path: 25,
+  body: 26,
+  loads: 27,
+  stamps: 28,
+  stopping: 29,
+  platformOk: 30,
+  name: 31,
+  text: 32,
+  entries: 33,
+  protocolVersion: 34,
+  incarnation: 35,
+  id: 36,
+  hall: 37,
+  peerAddress: 38,
+  state: 39,
+  box: 40,
+  kind: 41,
+  streamsBody: 42,
+  observed: 43,
+  isLast: 44,
+};
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Installs what is missing, then runs formatter, linter, types, model checks and tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -d node_modules/most ] || npm ci --no-audit --no-fund
+npm run --silent format:check
+npm run --silent build
+npx tsc -p tsconfig.test.json
+npm run --silent lint
+scripts/check-models.sh
+npm test
