Handle each input within the call that brings it

Cause: `most`'s own fromEvent defers events to a microtask, while frames of a body go straight to their adapter. When `accepted` and `answerHead` came in one chunk, the head overtook the control frame and was dropped as foreign. Ruled out: the load bound (no refusal.overBound counted), retries (no retry counters), a second binding.

--- a/packages/core/src/systems/admission.ts
+++ b/packages/core/src/systems/admission.ts
@@ -92,7 +92,7 @@
 
 function passOn(world: World, assign: AssignFrame, reason: ResultCode): void {
   const rest = assign.candidates.slice(1);
-  const isLast = rest.length === 0 && reason === 'overBound' && !assign.isLast;
+  const isLast = rest.length === 0 && reason === 'overBound';
   const candidates = isLast ? pickLeastObserved(assign.observed) : rest;
   if (assign.hops >= world.settings.maxHops) return refuseAttempt(world, assign, reason, 'no');
   count(world, 'placement.spilled');
--- a/packages/daemon/src/box.ts
+++ b/packages/daemon/src/box.ts
@@ -119,6 +119,7 @@
 
   /** Closes everything at once. */
   async close(): Promise<void> {
+    this.loop.stop();
     this.platform.close();
     this.reports.close();
     this.admin.close();
--- a/packages/daemon/src/coreLoop.ts
+++ b/packages/daemon/src/coreLoop.ts
@@ -2,21 +2,44 @@
  * The one loop on one thread: every input is merged into one `most` stream, each event is a turn of the core, and the
  * turn's effects go to the adapters.
  */
-import { EventEmitter } from 'node:events';
 import type { CoreEvent, Effect, World } from '@hazelwalk/core';
 import { runTurn } from '@hazelwalk/core';
-import { fromEvent, mergeArray, periodic } from 'most';
+import { mergeArray, periodic, Stream } from 'most';
+import type { Disposable, Scheduler, Sink, Source } from 'most';
 
 /** Pace of turns when nothing happens. */
 const TICK_MS = 20;
-const EVENT_NAME = 'input';
 
 /** Where an adapter puts what it saw. */
 export type EmitEvent = (event: CoreEvent) => void;
 
+/**
+ * A source that passes each value on within the call. The library's own `fromEvent` defers them, so that frames of a
+ * body, which go straight to their adapter, would overtake the control frame before them on the same link.
+ */
+class SynchronousSource<T> implements Source<T> {
+  private sink: Sink<T> | undefined;
+  private scheduler: Scheduler | undefined;
+
+  run(sink: Sink<T>, scheduler: Scheduler): Disposable<T> {
+    this.sink = sink;
+    this.scheduler = scheduler;
+    return {
+      dispose: () => {
+        this.sink = undefined;
+      },
+    };
+  }
+
+  push(value: T): void {
+    if (this.scheduler !== undefined) this.sink?.event(this.scheduler.now(), value);
+  }
+}
+
 /** Runs the core over a merged stream of inputs. */
 export class CoreLoop {
-  private readonly inputs = new EventEmitter();
+  private readonly inputs = new SynchronousSource<CoreEvent>();
+  private readonly ends = new SynchronousSource<void>();
   private readonly queue: CoreEvent[] = [];
   private isInTurn = false;
 
@@ -27,14 +50,21 @@
 
   /** Adds an input. It is handled before this call returns, unless a turn is under way. */
   readonly emit: EmitEvent = (event) => {
-    this.inputs.emit(EVENT_NAME, event);
+    this.inputs.push(event);
   };
 
   /** Starts the loop; the promise settles only if the core fails. */
   run(): Promise<void> {
     const ticks = periodic(TICK_MS).map((): CoreEvent => ({ type: 'tick' }));
-    const inputs = fromEvent<CoreEvent>(EVENT_NAME, this.inputs);
-    return mergeArray([inputs, ticks]).observe((event) => this.accept(event)) as Promise<void>;
+    const inputs = new Stream(this.inputs);
+    return mergeArray([inputs, ticks])
+      .until(new Stream(this.ends))
+      .observe((event) => this.accept(event)) as Promise<void>;
+  }
+
+  /** Ends the stream of inputs. */
+  stop(): void {
+    this.ends.push();
   }
 
   /** Effects may lead to further events at once; those wait for the turn to end, so that turns never nest. */
