--- a/packages/daemon/src/adapters/adminServer.ts
+++ b/packages/daemon/src/adapters/adminServer.ts
@@ -8,6 +8,8 @@
 /** What the server needs from the daemon. */
 export interface AdminServerOptions {
   readonly readStatus: () => unknown;
+  /** The declared file in force, as published. */
+  readonly readDeclared: () => string;
   readonly explainChat: (model: string, chat: string) => unknown;
   readonly requestStop: () => void;
 }
@@ -37,6 +39,8 @@
     switch (route) {
       case 'GET /v1/status':
         return answerJson(res, this.options.readStatus());
+      case 'GET /v1/declared':
+        return answerJson(res, { text: this.options.readDeclared() });
       case 'GET /v1/explain': {
         const { searchParams } = url;
         return answerJson(
--- a/packages/daemon/src/box.ts
+++ b/packages/daemon/src/box.ts
@@ -85,6 +85,7 @@
     });
     this.admin = new AdminServer({
       readStatus: () => this.readStatus(),
+      readDeclared: () => world.values.declared.text,
       explainChat: (model, chat) => explainChat(world, model, chat),
       requestStop: () => this.requestStop(),
     });
