--- a/packages/config/src/boxSettings.ts
+++ b/packages/config/src/boxSettings.ts
@@ -36,6 +36,10 @@
   maxHeaderBytes: z.number().int().min(1_024).max(262_144).default(16_384),
   heartbeatMs: z.number().int().min(50).default(DEFAULT_CORE_SETTINGS.heartbeatMs),
   leaseMs: z.number().int().min(100).default(DEFAULT_CORE_SETTINGS.leaseMs),
+  keyLagMs: z.number().int().nonnegative().default(DEFAULT_CORE_SETTINGS.keyLagMs),
+  keyLeaseMs: z.number().int().min(200).default(DEFAULT_CORE_SETTINGS.keyLeaseMs),
+  keySkewMs: z.number().int().nonnegative().default(DEFAULT_CORE_SETTINGS.keySkewMs),
+  clockErrorMs: z.number().int().nonnegative().default(DEFAULT_CORE_SETTINGS.clockErrorMs),
   drainTimeoutMs: z.number().int().positive().default(DEFAULT_CORE_SETTINGS.drainTimeoutMs),
 });
 
@@ -95,12 +99,8 @@
 
 /** The core's settings for a box: the defaults with what the box's file sets. */
 export function createCoreSettings(settings: BoxSettings): CoreSettings {
-  const { heartbeatMs, leaseMs, drainTimeoutMs } = settings;
-  return {
-    ...DEFAULT_CORE_SETTINGS,
-    heartbeatMs,
-    leaseMs,
-    drainTimeoutMs,
-    policy: createPolicy(settings.policy),
-  };
+  const { heartbeatMs, leaseMs, drainTimeoutMs, keyLagMs, keyLeaseMs, keySkewMs, clockErrorMs } = settings;
+  const keys = { keyLagMs, keyLeaseMs, keySkewMs, clockErrorMs };
+  const policy = createPolicy(settings.policy);
+  return { ...DEFAULT_CORE_SETTINGS, heartbeatMs, leaseMs, drainTimeoutMs, ...keys, policy };
 }
--- a/packages/core/src/systems/entry.ts
+++ b/packages/core/src/systems/entry.ts
@@ -25,6 +25,14 @@
 import { earnRetry, tryAgain } from './retry.js';
 import { noteLoads } from './stewardship.js';
 
+/** What the owner of a key says is final: asking again changes nothing. */
+const KEY_VERDICTS: ReadonlySet<ResultCode> = new Set([
+  'keyUnknown',
+  'keyUnsure',
+  'keyAnswerGone',
+  'answerTooLarge',
+]);
+
 /** Ends a request with its final refusal. */
 export function refuseRequest(
   world: World,
@@ -195,6 +203,7 @@
 
 /** Loads change within milliseconds: a request over the bound is worth one more try, later than that it is refused. */
 function findRetryReason(row: RequestRow, frame: RefusedFrame): RetryReason | undefined {
+  if (KEY_VERDICTS.has(frame.code)) return undefined;
   if (frame.ran === 'unknown') return 'endpointBroke';
   return frame.code === 'overBound' && row.attempt === 1 ? 'overBound' : undefined;
 }
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -104,7 +104,9 @@
 
 function findOwnerIn(world: World, epoch: OwnershipEpoch, key: string): BoxId | undefined {
   const { hasher } = world.deps;
-  const hall = pickByRendezvous(hasher, key, epoch.halls);
+  // A hall that the list leaves without boxes can own nothing.
+  const halls = epoch.halls.filter((name) => (epoch.members.get(name) ?? []).length > 0);
+  const hall = pickByRendezvous(hasher, key, halls);
   return hall === undefined ? undefined : pickByRendezvous(hasher, key, epoch.members.get(hall) ?? []);
 }
 
--- a/packages/daemon/src/adapters/callerServer.ts
+++ b/packages/daemon/src/adapters/callerServer.ts
@@ -131,8 +131,10 @@
   }
 
   private start(req: IncomingMessage, res: ServerResponse, target: Target): void {
-    const headers = listEndToEndHeaders(req.rawHeaders);
     const requestId = this.options.createRequestId();
+    const given = listEndToEndHeaders(req.rawHeaders);
+    const hasId = readHeader(given, HEADER.requestId) !== undefined;
+    const headers: HeaderPairs = hasId ? given : [...given, [HEADER.requestId, requestId]];
     const head = buildHead(req, headers, target, requestId);
     if (head === undefined) return this.refuse(req, res, 'malformedRequest');
     const { emit, send, sinks, metrics } = this.options;
--- a/packages/daemon/src/adapters/platformWatch.ts
+++ b/packages/daemon/src/adapters/platformWatch.ts
@@ -10,8 +10,6 @@
 import type { EmitEvent } from '../coreLoop.js';
 import type { Metrics } from './metrics.js';
 
-/** Half of the lease on timed keys: each answer confirms the lists as they were when the call began. */
-const WAIT_MS = 4_000;
 /** A call without an answer for this long after its wait is given up. */
 const GRACE_MS = 2_000;
 const RETRY_MS = 1_000;
@@ -32,6 +30,8 @@
 
   constructor(
     private readonly platformUrl: string,
+    /** How long a call waits for a change; each answer confirms the value as it was when the call began. */
+    private readonly waitMs: number,
     private readonly dispatcher: Dispatcher,
     private readonly emit: EmitEvent,
     private readonly metrics: Metrics,
@@ -69,8 +69,8 @@
   }
 
   private async readOnce(watch: Watch): Promise<boolean> {
-    const query = new URLSearchParams({ after: watch.etag, waitMs: String(WAIT_MS) });
-    const timeoutMs = WAIT_MS + GRACE_MS;
+    const query = new URLSearchParams({ after: watch.etag, waitMs: String(this.waitMs) });
+    const timeoutMs = this.waitMs + GRACE_MS;
     this.metrics.count('platform.call');
     try {
       const { statusCode, headers, body } = await request(
--- a/packages/daemon/src/box.ts
+++ b/packages/daemon/src/box.ts
@@ -69,7 +69,13 @@
       onStreamFrame: (from, frame) => this.routeStreamFrame(from, frame),
       onProblem: (problem) => logger.warn(problem.code, problem.detail),
     });
-    this.platform = new PlatformWatch(settings.platformUrl, this.control.agent, emit, metrics);
+    this.platform = new PlatformWatch(
+      settings.platformUrl,
+      settings.keyLeaseMs / 2,
+      this.control.agent,
+      emit,
+      metrics,
+    );
     this.reports = new EndpointReports(this.control.agent, emit);
     this.calls = new EndpointCalls({
       emit,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -22,9 +22,14 @@
   'peerAddress',
   'adminAddress',
   'platformUrl',
+  'seedAddresses',
   'policy',
   'heartbeatMs',
   'leaseMs',
+  'keyLagMs',
+  'keyLeaseMs',
+  'keySkewMs',
+  'clockErrorMs',
   'logLevel',
 ];
 
@@ -39,12 +44,24 @@
     .option('peerAddress', { type: 'string', describe: 'host:port for other boxes' })
     .option('adminAddress', { type: 'string', describe: 'host:port for operators' })
     .option('platformUrl', { type: 'string', describe: 'URL of the configuration service' })
+    .option('seedAddresses', {
+      type: 'string',
+      array: true,
+      describe: 'boxes to ask when the platform is down',
+    })
     .option('policy', {
       type: 'string',
       describe: 'how engines are chosen; anything but steward is a baseline',
     })
     .option('heartbeatMs', { type: 'number', describe: 'pace of heartbeats' })
     .option('leaseMs', { type: 'number', describe: 'silence after which a peer is not live' })
+    .option('keyLagMs', { type: 'number', describe: 'age that published lists may have' })
+    .option('keyLeaseMs', {
+      type: 'number',
+      describe: 'time within which an owner of keys confirms its lists',
+    })
+    .option('keySkewMs', { type: 'number', describe: "error of callers' clocks" })
+    .option('clockErrorMs', { type: 'number', describe: "error of boxes' clocks" })
     .option('logLevel', { type: 'string', describe: 'debug, info, warn or error' })
     .strict()
     .fail((message: string | null, error: Error | undefined) => {
