--- a/packages/core/src/__tests__/keys.test.ts
+++ b/packages/core/src/__tests__/keys.test.ts
@@ -239,6 +239,7 @@
   private async boot(id: string): Promise<World> {
     const world = await createTestWorld(id, { settings, boxIds: BOX_IDS });
     world.epochs.length = 0;
+    world.ownershipChanged = true;
     world.nowMs = this.nowMs;
     runTurn(world, [{ type: 'valueRead', name: 'boxes', text: this.boxes }], this.nowMs);
     runTurn(world, [{ type: 'tick' }], this.nowMs);
--- a/packages/measure/src/matrix.ts
+++ b/packages/measure/src/matrix.ts
@@ -39,7 +39,7 @@
     '# Fault matrix',
     '',
     'Written by `npm run matrix`: a request is brought to a step, a fault strikes, and the promises are checked against',
-    'what the endpoints counted and the caller received. Three boxes, two engines, one worker, real processes.',
+    'what the endpoints counted and the caller received. Four boxes, two engines, two workers, real processes.',
     '',
     `| Fault | ${STEPS.join(' | ')} |`,
     `| --- |${' --- |'.repeat(STEPS.length)}`,
--- a/packages/standins/src/deployment.ts
+++ b/packages/standins/src/deployment.ts
@@ -213,6 +213,9 @@
       ),
       ...listIds('box', spec.boxCount).map((id, index) => this.startBox(id, hallOf(index))),
     ]);
+    // They start in any order; whoever names one by its place means its place by name.
+    this.boxes.sort(byId);
+    this.endpoints.sort(byId);
     await this.publish('declared', readFileSync(spec.declaredFile, 'utf8'));
     await this.publishEndpoints();
     await this.publishBoxes();
@@ -220,6 +223,10 @@
   }
 }
 
+function byId(a: { readonly id: string }, b: { readonly id: string }): number {
+  return a.id.localeCompare(b.id);
+}
+
 function listIds(prefix: string, count: number): string[] {
   return Array.from({ length: count }, (_, index) => `${prefix}-${String(index + 1).padStart(2, '0')}`);
 }
