Say once what stood twice; drop what nothing reads

The daemon's flags were listed once for the command line and once for the settings: one table serves both. The key of an attempt was written out by hand beside callKey. noteLoads and noteObserved share how a load is noted. Dropped, as nothing read them: the time of a known load, an unused gauge, one counter name and one retry reason that were never counted.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -15,7 +15,7 @@
 }
 
 /** Why a request is tried again. */
-export type RetryReason = 'placeLost' | 'stewardLost' | 'overBound' | 'notSent' | 'endpointBroke';
+export type RetryReason = 'placeLost' | 'stewardLost' | 'overBound' | 'endpointBroke';
 
 /** Counters by name; refusals and retries carry their reason. */
 export type CounterName =
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export { computeBoundCap, listUsable, readLoad, readRampShare, summariseLoad } from './systems/load.js';
 export { directoryKey, findHome } from './systems/chatDirectory.js';
 export { rankCandidates } from './systems/placement.js';
+export { callKey } from './tables/calls.js';
 export type { KeyAsker } from './tables/keys.js';
 export { createWorld } from './world.js';
 export type { CoreDependencies, SelfIdentity, ValueParsers, World } from './world.js';
--- a/packages/core/src/systems/stewardship.ts
+++ b/packages/core/src/systems/stewardship.ts
@@ -76,7 +76,6 @@
 function changeSteward(world: World, row: EndpointRow, steward: BoxId | undefined): void {
   row.steward = steward;
   row.knownLoad = 0;
-  row.knownAtMs = -Infinity;
   row.placedSince = 0;
   if (steward === world.self.boxId) row.peakInFlight = row.inFlight;
 }
@@ -148,14 +147,17 @@
   });
 }
 
+function noteLoad(row: EndpointRow, load: number): void {
+  row.knownLoad = load;
+  row.placedSince = 0;
+}
+
 /** Takes over the loads a steward vouches for. A box that this box does not hold for the steward is not believed. */
 export function noteLoads(world: World, from: BoxId, loads: readonly LoadEntry[]): void {
   for (const [endpointId, load] of loads) {
     const row = world.endpoints.get(endpointId);
     if (row === undefined || row.steward !== from) continue;
-    row.knownLoad = load;
-    row.knownAtMs = world.nowMs;
-    row.placedSince = 0;
+    noteLoad(row, load);
   }
 }
 
@@ -164,9 +166,7 @@
   for (const [endpointId, load] of loads) {
     const row = world.endpoints.get(endpointId);
     if (row === undefined || row.steward === world.self.boxId) continue;
-    row.knownLoad = load;
-    row.knownAtMs = world.nowMs;
-    row.placedSince = 0;
+    noteLoad(row, load);
   }
 }
 
--- a/packages/core/src/tables/endpoints.ts
+++ b/packages/core/src/tables/endpoints.ts
@@ -39,9 +39,7 @@
 
   /** Load as its steward last said; negative when it takes no work. */
   knownLoad: number;
-  /** When the steward said so; -Infinity when never. */
-  knownAtMs: number;
-  /** Requests this box sent towards it since. */
+  /** Requests this box sent towards it since the steward said so. */
   placedSince: number;
 
   /** Failures in a row. */
@@ -80,7 +78,6 @@
     reported: 0,
     inFlightAtReport: 0,
     knownLoad: 0,
-    knownAtMs: -Infinity,
     placedSince: 0,
     failures: 0,
     ejections: 0,
--- a/packages/daemon/src/adapters/endpointCalls.ts
+++ b/packages/daemon/src/adapters/endpointCalls.ts
@@ -13,6 +13,7 @@
   ResultCode,
   StreamFrame,
 } from '@hazelwalk/core';
+import { callKey } from '@hazelwalk/core';
 import type { Dispatcher } from 'undici';
 import { Agent, errors } from 'undici';
 import type { EmitEvent } from '../coreLoop.js';
@@ -54,7 +55,7 @@
 
   /** Calls an endpoint. */
   dispatch(effect: DispatchEffect): void {
-    const key = `${effect.requestId}#${effect.attempt}`;
+    const key = callKey(effect);
     const agent = this.options.mayShareConnection(effect.head.service) ? this.shared : this.unshared;
     const call = new EndpointCall(effect, this.options, () => this.calls.delete(key));
     this.calls.set(key, call);
@@ -63,12 +64,12 @@
 
   /** Stops a call. */
   cancel(ref: AttemptRef): void {
-    this.calls.get(`${ref.requestId}#${ref.attempt}`)?.cancel();
+    this.calls.get(callKey(ref))?.cancel();
   }
 
   /** Handles a frame of the request's body or credit. Returns false if no call of that attempt runs here. */
   handleFrame(frame: StreamFrame): boolean {
-    return this.calls.get(`${frame.requestId}#${frame.attempt}`)?.handleFrame(frame) ?? false;
+    return this.calls.get(callKey(frame))?.handleFrame(frame) ?? false;
   }
 
   /** Closes all connections. */
--- a/packages/daemon/src/adapters/metrics.ts
+++ b/packages/daemon/src/adapters/metrics.ts
@@ -11,8 +11,7 @@
   | 'peer.frameVersion'
   | 'stream.foreign'
   | 'platform.call'
-  | 'request.accepted'
-  | 'answer.whole';
+  | 'request.accepted';
 
 /** Any counter's name. */
 export type Counter = CounterName | AdapterCounter;
@@ -40,11 +39,6 @@
     this.statsd?.increment(name);
   }
 
-  /** Sends a present value. */
-  gauge(name: string, value: number): void {
-    this.statsd?.gauge(name, value);
-  }
-
   /** Returns all counts so far. */
   snapshot(): Record<string, number> {
     return Object.fromEntries([...this.counts].sort(([a], [b]) => a.localeCompare(b)));
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -15,62 +15,39 @@
 const CLOSE_TIMEOUT_MS = 2_000;
 
 /** Flags that go over the settings file, by the name of the setting. */
-const BOX_FLAGS = [
-  'boxId',
-  'hall',
-  'callerAddress',
-  'peerAddress',
-  'adminAddress',
-  'platformUrl',
-  'seedAddresses',
-  'policy',
-  'heartbeatMs',
-  'leaseMs',
-  'keyLagMs',
-  'keyLeaseMs',
-  'keySkewMs',
-  'clockErrorMs',
-  'logLevel',
-];
+const BOX_FLAGS = {
+  boxId: { type: 'string', describe: 'name of the box' },
+  hall: { type: 'string', describe: 'hall of the box' },
+  callerAddress: { type: 'string', describe: 'host:port for callers' },
+  peerAddress: { type: 'string', describe: 'host:port for other boxes' },
+  adminAddress: { type: 'string', describe: 'host:port for operators' },
+  platformUrl: { type: 'string', describe: 'URL of the configuration service' },
+  seedAddresses: { type: 'string', array: true, describe: 'boxes to ask when the platform is down' },
+  policy: { type: 'string', describe: 'how engines are chosen; anything but steward is a baseline' },
+  heartbeatMs: { type: 'number', describe: 'pace of heartbeats' },
+  leaseMs: { type: 'number', describe: 'silence after which a peer is not live' },
+  keyLagMs: { type: 'number', describe: 'age that published lists may have' },
+  keyLeaseMs: { type: 'number', describe: 'time within which an owner of keys confirms its lists' },
+  keySkewMs: { type: 'number', describe: "error of callers' clocks" },
+  clockErrorMs: { type: 'number', describe: "error of boxes' clocks" },
+  logLevel: { type: 'string', describe: 'debug, info, warn or error' },
+} as const;
 
 function readFlags(): { settings: string | undefined; flags: Record<string, unknown> } {
   const parsed = yargs(hideBin(process.argv))
     .scriptName('hazelwalkd')
     .usage('$0 --settings FILE [flags]\n\nRuns one box. Flags go over the settings file.')
     .option('settings', { type: 'string', describe: 'TOML file with the settings of the box' })
-    .option('boxId', { type: 'string', describe: 'name of the box' })
-    .option('hall', { type: 'string', describe: 'hall of the box' })
-    .option('callerAddress', { type: 'string', describe: 'host:port for callers' })
-    .option('peerAddress', { type: 'string', describe: 'host:port for other boxes' })
-    .option('adminAddress', { type: 'string', describe: 'host:port for operators' })
-    .option('platformUrl', { type: 'string', describe: 'URL of the configuration service' })
-    .option('seedAddresses', {
-      type: 'string',
-      array: true,
-      describe: 'boxes to ask when the platform is down',
-    })
-    .option('policy', {
-      type: 'string',
-      describe: 'how engines are chosen; anything but steward is a baseline',
-    })
-    .option('heartbeatMs', { type: 'number', describe: 'pace of heartbeats' })
-    .option('leaseMs', { type: 'number', describe: 'silence after which a peer is not live' })
-    .option('keyLagMs', { type: 'number', describe: 'age that published lists may have' })
-    .option('keyLeaseMs', {
-      type: 'number',
-      describe: 'time within which an owner of keys confirms its lists',
-    })
-    .option('keySkewMs', { type: 'number', describe: "error of callers' clocks" })
-    .option('clockErrorMs', { type: 'number', describe: "error of boxes' clocks" })
-    .option('logLevel', { type: 'string', describe: 'debug, info, warn or error' })
+    .options(BOX_FLAGS)
     .strict()
     .fail((message: string | null, error: Error | undefined) => {
       process.stderr.write(`HW1201 ${message ?? error?.message ?? 'wrong usage'}. See --help.\n`);
       process.exit(EXIT_CODE.badUsage);
     })
     .parseSync();
-  const { settings, ...given } = parsed;
-  const names = Object.keys(given).filter((name) => BOX_FLAGS.includes(name));
+  const { settings, ...rest } = parsed;
+  const given: Readonly<Record<string, unknown>> = rest;
+  const names = Object.keys(given).filter((name) => name in BOX_FLAGS);
   return { settings, flags: Object.fromEntries(names.map((name) => [name, given[name]])) };
 }
 
