--- /dev/null
+++ b/packages/core/src/problemBody.ts
@@ -0,0 +1,40 @@
+/** The body of a refusal as callers see it: problem+json (RFC 9457) with the numbered code and whether it ran. */
+import type { Ran, ResultCode } from './resultCodes.js';
+import { RESULT_CODES } from './resultCodes.js';
+
+/** Media type of a refusal's body. */
+export const PROBLEM_CONTENT_TYPE = 'application/problem+json';
+
+/** The body of a refusal. */
+export interface ProblemBody {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly code: number;
+  readonly ran: Ran;
+  readonly retryAfterMs: number;
+  readonly detail: string;
+  readonly requestId: string;
+}
+
+/**
+ * Builds the body of a refusal.
+ *
+ * @example createProblemBody({ code: 'noEndpoint', ran: 'no', retryAfterMs: 500 }, 'r1').status // 503
+ */
+export function createProblemBody(
+  refusal: { readonly code: ResultCode; readonly ran: Ran; readonly retryAfterMs: number },
+  requestId: string,
+): ProblemBody {
+  const info = RESULT_CODES[refusal.code];
+  return {
+    type: `urn:hazelwalk:code:${info.number}`,
+    title: info.title,
+    status: info.httpStatus,
+    code: info.number,
+    ran: refusal.ran,
+    retryAfterMs: refusal.retryAfterMs,
+    detail: info.action,
+    requestId,
+  };
+}
--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -48,6 +48,13 @@
   ),
   fileTooLarge: info(1104, 0, 'The file is larger than the platform holds', 'Stay under 1 MB.'),
   listInvalid: info(1105, 0, 'A published list does not fit its schema', 'Correct the list in the platform.'),
+  listUndecodable: info(
+    1107,
+    0,
+    'A published value cannot be decoded',
+    'Correct the value in the platform.',
+  ),
+  platformUnavailable: info(1108, 0, 'The platform gave no usable answer', 'Look at the platform.'),
   revisionConflict: info(
     1106,
     0,
@@ -93,6 +100,9 @@
   keyAhead: info(2018, 400, 'The time in the key lies ahead', 'Set the clock.'),
   keyMalformed: info(2019, 400, 'The key is neither a ticket nor a UUID of version 7', 'Use one of these.'),
   keyReused: info(2020, 422, 'The key belongs to a call of another service', 'Use a new key.'),
+  routeUnknown: info(2021, 404, 'No route leads here', 'Check host and path.'),
+  apiKeyUnknown: info(2022, 401, 'The key belongs to no team', 'Use a current key.'),
+  endpointsBusy: info(2023, 503, 'The endpoints refused for lack of room', 'Come back after Retry-After.'),
 
   deadlineExceeded: info(3001, 504, 'The deadline passed', 'Ask again with more time.'),
   stewardLost: info(
@@ -129,6 +139,7 @@
     'The answer is too large to be held under a key',
     'Ask the service for it.',
   ),
+  routeTimeout: info(3011, 504, 'The time-out of the route passed', 'See `ran` before asking again.'),
 
   frameTruncated: info(4001, 0, 'A peer closed inside a frame', 'Look for a crash of the peer.'),
   frameTooLarge: info(4002, 0, 'A peer frame is too large', 'Check for a foreign sender.'),
--- a/packages/daemon/src/adapters/exchange.ts
+++ b/packages/daemon/src/adapters/exchange.ts
@@ -16,7 +16,8 @@
 } from '@hazelwalk/core';
 import type { EmitEvent } from '../coreLoop.js';
 import { readHeader } from './headers.js';
-import { createProblemBody, sendProblem } from './problemJson.js';
+import { createProblemBody } from '@hazelwalk/core';
+import { sendProblem } from './problemJson.js';
 import { StreamReceiver, StreamSender } from './streams.js';
 
 /** What an exchange needs from the daemon. */
--- a/packages/daemon/src/coreLoop.ts
+++ b/packages/daemon/src/coreLoop.ts
@@ -3,9 +3,8 @@
  * turn's effects go to the adapters.
  */
 import type { CoreEvent, Effect, World } from '@hazelwalk/core';
-import { runTurn } from '@hazelwalk/core';
+import { runTurn, SynchronousSource } from '@hazelwalk/core';
 import { mergeArray, periodic, Stream } from 'most';
-import type { Disposable, Scheduler, Sink, Source } from 'most';
 
 /** Pace of turns when nothing happens. */
 const TICK_MS = 50;
@@ -13,29 +12,6 @@
 /** Where an adapter puts what it saw. */
 export type EmitEvent = (event: CoreEvent) => void;
 
-/**
- * A source that passes each value on within the call. The library's own `fromEvent` defers them, so that frames of a
- * body, which go straight to their adapter, would overtake the control frame before them on the same link.
- */
-class SynchronousSource<T> implements Source<T> {
-  private sink: Sink<T> | undefined;
-  private scheduler: Scheduler | undefined;
-
-  run(sink: Sink<T>, scheduler: Scheduler): Disposable<T> {
-    this.sink = sink;
-    this.scheduler = scheduler;
-    return {
-      dispose: () => {
-        this.sink = undefined;
-      },
-    };
-  }
-
-  push(value: T): void {
-    if (this.scheduler !== undefined) this.sink?.event(this.scheduler.now(), value);
-  }
-}
-
 /** Runs the core over a merged stream of inputs. */
 export class CoreLoop {
   private readonly inputs = new SynchronousSource<CoreEvent>();
--- /dev/null
+++ b/packages/router/src/fleetRouter.ts
@@ -0,0 +1,369 @@
+/**
+ * A box of the fleet: tables, the systems that run over them, and the adapters around them, on one loop.
+ */
+import { createHasher, SynchronousSource } from '@hazelwalk/core';
+import type { Problem, Result } from '@hazelwalk/core';
+import { Stream } from 'most';
+import type { HttpDialect } from './httpDialect.js';
+import { DecisionLog } from './observability/decisionLog.js';
+import { RouterMetrics } from './observability/metrics.js';
+import type { PeerFrame } from './peers/peerFrames.js';
+import { PeerMesh } from './peers/peerMesh.js';
+import { CallerServer } from './proxy/callerServer.js';
+import { EndpointConnections } from './proxy/endpointConnections.js';
+import type { Exchange } from './proxy/exchange.js';
+import type { FleetConfiguration } from './records.js';
+import type { RouterContext } from './routerContext.js';
+import type { EndpointChange } from './systems/endpointDirectory.js';
+import { EndpointDirectory } from './systems/endpointDirectory.js';
+import type { HealthSign, StandingChange } from './systems/endpointHealth.js';
+import { noteSign } from './systems/endpointHealth.js';
+import { listOwnLoads, sumPeerLoads } from './systems/loadExchange.js';
+import { Placement } from './systems/placement.js';
+import { Reachability } from './systems/reachability.js';
+import type { RetryBound } from './systems/retryBudget.js';
+import { RetryBudget } from './systems/retryBudget.js';
+import { RouteIndex } from './systems/routeIndex.js';
+import type { EndpointRow } from './tables/endpointTable.js';
+import { EndpointTable } from './tables/endpointTable.js';
+
+/** Pace of the systems: fine enough for time-outs of half a second, coarse enough to cost little. */
+const TICK_MS = 40;
+/** Pace of heartbeats in a small fleet. */
+const HEARTBEAT_MS = 250;
+/** Heartbeats slow down with the fleet, so that a box's control traffic does not grow with it. */
+const HEARTBEAT_MS_PER_BOX = 30;
+/** A peer with newer values is asked for them at most this often. */
+const ASK_PEER_MS = 400;
+/** After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart. */
+const STOP_LINGER_MS = 3_000;
+/** A stopping box ends this long before it would be killed. */
+const STOP_MARGIN_MS = 500;
+
+/** Where a published value came from. */
+export type ValueSource = 'platform' | 'peer';
+
+/** What drives the loop. */
+export type RouterInput =
+  | { readonly type: 'tick' }
+  | { readonly type: 'configurationPublished'; readonly text: string }
+  | { readonly type: 'endpointsChanged'; readonly change: EndpointChange; readonly revision: number }
+  | { readonly type: 'feedLost'; readonly reason: string }
+  | { readonly type: 'feedRegained' }
+  | { readonly type: 'peerFrame'; readonly frame: PeerFrame }
+  | { readonly type: 'stopRequested' };
+
+/** How a box is set up. Times in milliseconds. */
+export interface FleetRouterOptions {
+  readonly boxId: string;
+  readonly hall: string;
+  readonly callerAddress: { readonly host: string; readonly port: number };
+  readonly peerAddress: { readonly host: string; readonly port: number };
+  readonly seedAddresses: readonly string[];
+  readonly retryBound: RetryBound;
+  /** A stopping process is killed after this. */
+  readonly stopGraceMs: number;
+  readonly dialect: HttpDialect;
+  /** Reads a published configuration. */
+  readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
+}
+
+/** A running box. */
+export class FleetRouter {
+  readonly metrics = new RouterMetrics();
+  readonly log: DecisionLog;
+  private readonly inputs = new SynchronousSource<RouterInput>();
+  private readonly table: EndpointTable;
+  private readonly directory: EndpointDirectory;
+  private readonly connections: EndpointConnections;
+  private readonly reachability: Reachability;
+  private readonly mesh: PeerMesh;
+  private readonly callers: CallerServer;
+  private readonly exchanges = new Set<Exchange>();
+  private readonly ownAddress: string;
+  private index: RouteIndex | undefined;
+  private configurationText = '';
+  private endpointsRevision = 0;
+  private isFeedUp = false;
+  private heartbeatAtMs = 0;
+  private askedPeerAtMs = -Infinity;
+  private stopRequestedAtMs: number | undefined;
+  private ticker: NodeJS.Timeout | undefined;
+  private resolveStopped: () => void = () => {};
+  /** Settles when a planned stop is complete. */
+  readonly stopped = new Promise<void>((resolve) => {
+    this.resolveStopped = resolve;
+  });
+
+  private constructor(
+    private readonly options: FleetRouterOptions,
+    private readonly hash: (text: string, seed?: number) => number,
+  ) {
+    const now = this.now;
+    this.log = new DecisionLog(options.boxId, this.metrics, now);
+    this.table = new EndpointTable(hash);
+    this.directory = new EndpointDirectory(this.table, {
+      onRemoved: (id, reason) => this.handleEndpointRemoved(id, reason),
+    });
+    const countBoxes = (): number => this.mesh.countBoxes();
+    this.connections = new EndpointConnections({
+      countBoxes,
+      now,
+      onOpened: () => this.metrics.connections.inc(),
+    });
+    this.reachability = new Reachability(this.table, this.connections, now, (row, change, because) =>
+      this.noteStanding(row, change, because),
+    );
+    this.ownAddress = `${options.peerAddress.host}:${options.peerAddress.port}`;
+    this.mesh = new PeerMesh(
+      this.ownAddress,
+      options.seedAddresses,
+      {
+        onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
+        onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
+      },
+      now,
+    );
+    this.callers = new CallerServer(this.createContext(countBoxes));
+  }
+
+  /** Creates a box; nothing is bound yet. */
+  static async create(options: FleetRouterOptions): Promise<FleetRouter> {
+    const hasher = await createHasher();
+    return new FleetRouter(options, (text, seed) => hasher.h32(text, seed));
+  }
+
+  /** Binds the listeners and starts the loop. Rejects if an address is taken. */
+  async start(): Promise<void> {
+    const { peerAddress, callerAddress } = this.options;
+    new Stream(this.inputs).observe((input) => this.handle(input)).catch((error: unknown) => this.failHard(error));
+    await this.mesh.listen(peerAddress.host, peerAddress.port);
+    await this.callers.listen(callerAddress.host, callerAddress.port);
+    // Not the library's own `periodic`: it follows the time of day, which may jump.
+    this.ticker = setInterval(() => this.inputs.push({ type: 'tick' }), TICK_MS);
+    this.log.write('lifecycle', 'started', { hall: this.options.hall, callerPort: this.callers.port });
+  }
+
+  /** Adds an input; it is handled before this call returns. */
+  push(input: RouterInput): void {
+    this.inputs.push(input);
+  }
+
+  /** Whether callers should be sent here: it knows what to serve and is not stopping. */
+  isReady(): boolean {
+    return this.index !== undefined && this.table.byId.size > 0 && this.stopRequestedAtMs === undefined;
+  }
+
+  /** Port on which callers are served. */
+  get callerPort(): number {
+    return this.callers.port;
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    clearInterval(this.ticker);
+    this.callers.close();
+    this.mesh.close();
+    this.connections.close();
+    this.log.write('lifecycle', 'stopped', { requestsCutOff: this.exchanges.size });
+    this.log.close();
+  }
+
+  private readonly now = (): number => performance.now();
+
+  private createContext(countBoxes: () => number): RouterContext {
+    const { options, now, hash } = this;
+    return {
+      dialect: options.dialect,
+      table: this.table,
+      placement: new Placement(this.table, { h32: (text, seed) => hash(text, seed) }, options.hall, Math.random),
+      budget: new RetryBudget(options.retryBound, now(), countBoxes),
+      connections: this.connections,
+      metrics: this.metrics,
+      log: this.log,
+      exchanges: this.exchanges,
+      now,
+      hash,
+      readIndex: () => this.index,
+      isStopping: () => this.stopRequestedAtMs !== undefined,
+      noteSign: (row, sign) => this.noteSign(row, sign),
+    };
+  }
+
+  private handle(input: RouterInput): void {
+    switch (input.type) {
+      case 'tick':
+        return this.tick();
+      case 'configurationPublished':
+        return this.applyConfiguration(input.text, 'platform');
+      case 'endpointsChanged':
+        return this.applyEndpoints(input.change, input.revision, 'platform');
+      case 'feedLost':
+        return this.handleFeedLost(input.reason);
+      case 'feedRegained':
+        return this.handleFeedRegained();
+      case 'peerFrame':
+        return this.handlePeerFrame(input.frame);
+      case 'stopRequested':
+        return this.handleStopRequested();
+    }
+  }
+
+  private tick(): void {
+    const nowMs = this.now();
+    this.directory.tick(nowMs);
+    this.reachability.tick();
+    for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
+    this.sendHeartbeat(nowMs);
+    this.advanceStop(nowMs);
+  }
+
+  private sendHeartbeat(nowMs: number): void {
+    const paceMs = Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.mesh.countBoxes());
+    if (nowMs - this.heartbeatAtMs < paceMs) return;
+    this.heartbeatAtMs = nowMs;
+    sumPeerLoads(
+      this.table,
+      this.mesh.listFresh().map((peer) => peer.heartbeat.loads),
+    );
+    this.mesh.broadcast({
+      type: 'heartbeat',
+      boxId: this.options.boxId,
+      address: this.ownAddress,
+      configurationVersion: this.index?.configuration.version ?? 0,
+      endpointsRevision: this.endpointsRevision,
+      loads: listOwnLoads(this.table),
+      isStopping: this.stopRequestedAtMs !== undefined,
+    });
+  }
+
+  private handlePeerFrame(frame: PeerFrame): void {
+    this.metrics.peerFrames.inc({ type: frame.type });
+    switch (frame.type) {
+      case 'heartbeat':
+        return this.askForNewer(frame.address, frame.configurationVersion, frame.endpointsRevision);
+      case 'valueRequest':
+        return this.sendValue(frame.address, frame.value);
+      case 'configurationValue':
+        return this.applyConfiguration(frame.text, 'peer');
+      case 'endpointsValue':
+        return this.applyEndpoints({ type: 'snapshot', endpoints: frame.endpoints }, frame.revision, 'peer');
+    }
+  }
+
+  /** Asks a peer for what it has newer; the list of endpoints only while the platform cannot be read. */
+  private askForNewer(address: string, configurationVersion: number, endpointsRevision: number): void {
+    const nowMs = this.now();
+    const lacksConfiguration = configurationVersion > (this.index?.configuration.version ?? 0);
+    const lacksEndpoints = !this.isFeedUp && endpointsRevision > this.endpointsRevision;
+    if ((!lacksConfiguration && !lacksEndpoints) || nowMs - this.askedPeerAtMs < ASK_PEER_MS) return;
+    this.askedPeerAtMs = nowMs;
+    const ask = { type: 'valueRequest', address: this.ownAddress } as const;
+    if (lacksConfiguration) this.mesh.send(address, { ...ask, value: 'configuration' });
+    if (lacksEndpoints) this.mesh.send(address, { ...ask, value: 'endpoints' });
+  }
+
+  private sendValue(address: string, value: 'configuration' | 'endpoints'): void {
+    switch (value) {
+      case 'configuration': {
+        if (this.index === undefined) return;
+        const { version } = this.index.configuration;
+        return this.mesh.send(address, { type: 'configurationValue', version, text: this.configurationText });
+      }
+      case 'endpoints': {
+        const endpoints = [...this.table.byId.values()].map((row) => row.listing);
+        return this.mesh.send(address, { type: 'endpointsValue', revision: this.endpointsRevision, endpoints });
+      }
+    }
+  }
+
+  private applyConfiguration(text: string, source: ValueSource): void {
+    const parsed = this.options.parseConfiguration(text);
+    if (parsed.err) return this.log.write('notable', 'configurationRejected', { ...parsed.val, source });
+    const configuration = parsed.val;
+    const current = this.index?.configuration.version;
+    if (current !== undefined && configuration.version <= current) return;
+    this.index = new RouteIndex(configuration);
+    this.configurationText = text;
+    this.callers.applyLimits(configuration.limits);
+    this.metrics.configurationVersion.set(configuration.version);
+    this.log.write('lifecycle', 'configurationApplied', {
+      version: configuration.version,
+      before: current,
+      source,
+      routes: configuration.routes.length,
+    });
+  }
+
+  private applyEndpoints(change: EndpointChange, revision: number, source: ValueSource): void {
+    if (source === 'peer' && (this.isFeedUp || revision <= this.endpointsRevision)) return;
+    this.endpointsRevision = Math.max(this.endpointsRevision, revision);
+    this.directory.apply(change, this.now());
+    this.log.write('lifecycle', 'endpointsChanged', {
+      change: change.type,
+      id: change.type === 'listed' ? change.endpoint.id : change.type === 'removed' ? change.id : undefined,
+      state: change.type === 'listed' ? change.endpoint.state : undefined,
+      revision,
+      source,
+      endpoints: this.table.byId.size,
+    });
+  }
+
+  private handleEndpointRemoved(id: string, reason: string): void {
+    this.connections.forget(id);
+    this.log.write('lifecycle', 'endpointRemoved', { id, reason });
+  }
+
+  private handleFeedLost(reason: string): void {
+    if (this.isFeedUp) this.log.write('lifecycle', 'platformLost', { reason });
+    this.isFeedUp = false;
+    this.directory.noteFeedLost();
+  }
+
+  private handleFeedRegained(): void {
+    if (!this.isFeedUp) this.log.write('lifecycle', 'platformRegained', { revision: this.endpointsRevision });
+    this.isFeedUp = true;
+    this.directory.noteFeedRegained(this.now());
+  }
+
+  private noteSign(row: EndpointRow, sign: HealthSign): void {
+    const change = noteSign(this.table, row, sign, this.now());
+    if (change !== undefined) this.noteStanding(row, change, sign);
+  }
+
+  private noteStanding(row: EndpointRow, change: StandingChange, because: string): void {
+    this.metrics.standings.inc({ change });
+    this.log.write('notable', 'endpointStanding', {
+      endpoint: row.listing.id,
+      service: row.listing.service,
+      hall: row.listing.hall,
+      change,
+      because,
+      failureRate: Math.round(row.failureRate * 100) / 100,
+      inFlight: row.inFlight,
+      heardAgoMs: Math.round(this.now() - row.heardAtMs),
+    });
+  }
+
+  private handleStopRequested(): void {
+    if (this.stopRequestedAtMs !== undefined) return;
+    this.stopRequestedAtMs = this.now();
+    this.log.write('lifecycle', 'stopping', { requestsInFlight: this.exchanges.size });
+  }
+
+  private advanceStop(nowMs: number): void {
+    if (this.stopRequestedAtMs === undefined) return;
+    const stoppingMs = nowMs - this.stopRequestedAtMs;
+    if (stoppingMs < STOP_LINGER_MS) return;
+    this.callers.closeIdle();
+    const isLate = stoppingMs >= this.options.stopGraceMs - STOP_MARGIN_MS;
+    if (this.exchanges.size === 0 || isLate) this.resolveStopped();
+  }
+
+  /** A failure of the loop leaves the tables in doubt: better no box than a wrong one. */
+  private failHard(error: unknown): void {
+    this.log.write('lifecycle', 'loopFailed', { detail: String((error as Error).stack ?? error) });
+    this.log.close();
+    process.exit(1);
+  }
+}
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,8 @@
+/** The router fleet: each box takes callers' requests straight to endpoints, and boxes share what they know. */
+export * from './fleetRouter.js';
+export * from './httpDialect.js';
+export * from './records.js';
+export type { EndpointChange } from './systems/endpointDirectory.js';
+export type { RetryBound } from './systems/retryBudget.js';
+export type { RouterMetrics } from './observability/metrics.js';
+export type { DecisionLog, LogFields } from './observability/decisionLog.js';
--- /dev/null
+++ b/packages/router/src/observability/metrics.ts
@@ -0,0 +1,58 @@
+/** Counters and histograms, served as text on the metrics address. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Buckets of latencies in milliseconds: from one network round trip to the longest deadlines. */
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 5_000, 10_000];
+
+/** Every measure of the router. */
+export class RouterMetrics {
+  private readonly registry = new Registry();
+  /** Requests taken from callers, by route. */
+  readonly requests = this.counter('requests', 'Requests taken from callers', ['service']);
+  /** Final answers, by outcome: `answered`, or the name of a result code. */
+  readonly outcomes = this.counter('outcomes', 'Requests by outcome', ['outcome']);
+  /** Requests sent again, by reason. */
+  readonly retries = this.counter('retries', 'Requests sent again', ['reason']);
+  /** Requests that were not sent again, by reason. */
+  readonly retriesDenied = this.counter('retries_denied', 'Requests not sent again', ['reason']);
+  /** Attempts at endpoints, by how they ended. */
+  readonly attempts = this.counter('attempts', 'Attempts at endpoints', ['end']);
+  /** New connections to endpoints. */
+  readonly connections = this.counter('endpoint_connections', 'New connections to endpoints', []);
+  /** Changes of belief about endpoints. */
+  readonly standings = this.counter('endpoint_standings', 'Changes of standing', ['change']);
+  /** Calls to the platform, by outcome. */
+  readonly platformCalls = this.counter('platform_calls', 'Calls to the platform', ['outcome']);
+  /** Heartbeats and other frames from peers. */
+  readonly peerFrames = this.counter('peer_frames', 'Frames from peers', ['type']);
+  /** Log lines left out to bound their volume. */
+  readonly suppressedLines = this.counter('log_lines_suppressed', 'Log lines left out', ['event']);
+  /** Version of the configuration in force. */
+  readonly configurationVersion = new Gauge({
+    name: 'hazelwalk_configuration_version',
+    help: 'Version of the configuration in force',
+    registers: [this.registry],
+  });
+  /** Time to the first byte of an answer. */
+  readonly firstByteMs = new Histogram({
+    name: 'hazelwalk_first_byte_ms',
+    help: 'Time from a request to the first byte of its answer',
+    labelNames: ['service'] as const,
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
+  /** All measures as text. */
+  format(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private counter<T extends string>(name: string, help: string, labelNames: readonly T[]): Counter<T> {
+    return new Counter({
+      name: `hazelwalk_${name}_total`,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/peerFrames.ts
@@ -0,0 +1,111 @@
+/**
+ * What boxes tell each other: heartbeats with loads and versions, and the published values to those that lack them.
+ * Frames are CBOR with a length in front.
+ */
+import { Err, Ok } from '@hazelwalk/core';
+import type { Problem, Result } from '@hazelwalk/core';
+import { Encoder } from 'cbor-x';
+import { z } from 'zod';
+
+const LENGTH_BYTES = 4;
+/** A configuration holds at most a megabyte; the rest is small. */
+const MAX_FRAME_BYTES = 2_000_000;
+
+const heartbeat = z.object({
+  type: z.literal('heartbeat'),
+  boxId: z.string(),
+  /** Address at which the sender accepts peers. */
+  address: z.string(),
+  /** Version of the configuration in force; 0 before the first. */
+  configurationVersion: z.number(),
+  /** How new the sender's list of endpoints is: the platform's revision. */
+  endpointsRevision: z.number(),
+  /** Tag of an endpoint and the requests that the sender has there, in turn. */
+  loads: z.array(z.number()),
+  /** Addresses of other boxes; not in every heartbeat. */
+  knownAddresses: z.array(z.string()).optional(),
+  /** The sender is stopping. */
+  isStopping: z.boolean(),
+});
+const valueRequest = z.object({
+  type: z.literal('valueRequest'),
+  value: z.enum(['configuration', 'endpoints']),
+  /** Address of the box that asks. */
+  address: z.string(),
+});
+const configurationValue = z.object({
+  type: z.literal('configurationValue'),
+  version: z.number(),
+  /** The published text, as it is. */
+  text: z.string(),
+});
+const endpointsValue = z.object({
+  type: z.literal('endpointsValue'),
+  revision: z.number(),
+  endpoints: z.array(
+    z.object({
+      id: z.string(),
+      service: z.string(),
+      host: z.string(),
+      port: z.number(),
+      hall: z.string(),
+      slots: z.number(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+const peerFrame = z.discriminatedUnion('type', [heartbeat, valueRequest, configurationValue, endpointsValue]);
+
+/** A box's sign of life. */
+export type Heartbeat = z.infer<typeof heartbeat>;
+/** A frame between boxes. */
+export type PeerFrame = z.infer<typeof peerFrame>;
+
+const cbor = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+/**
+ * Encodes a frame with its length in front.
+ *
+ * @example socket.write(encodePeerFrame({ type: 'valueRequest', value: 'configuration', address: '10.0.0.1:7000' }))
+ */
+export function encodePeerFrame(frame: PeerFrame): Buffer {
+  const payload = cbor.encode(frame);
+  const packet = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  packet.writeUInt32BE(payload.length, 0);
+  payload.copy(packet, LENGTH_BYTES);
+  return packet;
+}
+
+function decodePayload(payload: Buffer): Result<PeerFrame, Problem> {
+  try {
+    const parsed = peerFrame.safeParse(cbor.decode(payload));
+    if (parsed.success) return Ok(parsed.data);
+    return Err({ code: 'frameMalformed', at: 'peer', detail: parsed.error.issues[0]?.message ?? 'unknown frame' });
+  } catch (error) {
+    return Err({ code: 'frameMalformed', at: 'peer', detail: (error as Error).message });
+  }
+}
+
+/** Collects the bytes of one link. After an error the link must be closed. */
+export class PeerFrameReader {
+  private pending: Buffer = Buffer.alloc(0);
+
+  /** Adds a chunk; returns the frames it completed. */
+  push(chunk: Buffer): Result<PeerFrame[], Problem> {
+    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const frames: PeerFrame[] = [];
+    while (this.pending.length >= LENGTH_BYTES) {
+      const length = this.pending.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) {
+        return Err({ code: 'frameTooLarge', at: 'peer', detail: `${length} bytes` });
+      }
+      const end = LENGTH_BYTES + length;
+      if (this.pending.length < end) break;
+      const frame = decodePayload(this.pending.subarray(LENGTH_BYTES, end));
+      if (frame.err) return frame;
+      frames.push(frame.val);
+      this.pending = this.pending.subarray(end);
+    }
+    return Ok(frames);
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/peerMesh.ts
@@ -0,0 +1,194 @@
+/**
+ * Links to the other boxes. Each box sends on the links it made and hears on those made to it. Boxes find each other
+ * from a few seed addresses: heartbeats carry the addresses that their sender knows.
+ */
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import type { Problem } from '@hazelwalk/core';
+import type { Heartbeat, PeerFrame } from './peerFrames.js';
+import { encodePeerFrame, PeerFrameReader } from './peerFrames.js';
+
+/** A peer unheard for this long no longer counts its load. */
+const LOAD_LIFE_MS = 2_500;
+/** A peer unheard for this long no longer counts as a box of the fleet. */
+const MEMBER_LIFE_MS = 15_000;
+/** An address that gave no sign for this long is forgotten. */
+const ADDRESS_LIFE_MS = 30_000;
+/** Pace of attempts to reach a peer. */
+const REDIAL_MS = 1_000;
+/** A link to a peer that was not heard for this long is made anew: the old one may be stuck behind a cut. */
+const SILENT_LINK_MS = 2_500;
+/** A link that takes no bytes for so many unsent ones is stuck. */
+const MAX_UNSENT_BYTES = 262_144;
+/** Every so many heartbeats carry the known addresses. */
+const ADDRESSES_EVERY = 8;
+
+interface PeerLink {
+  readonly address: string;
+  socket: Socket | undefined;
+  dialledAtMs: number;
+  heardAtMs: number;
+}
+
+/** What the mesh tells. */
+export interface PeerMeshHandlers {
+  readonly onFrame: (frame: PeerFrame) => void;
+  readonly onProblem: (problem: Problem) => void;
+}
+
+/** What is known of a peer that sent a heartbeat. */
+export interface PeerState {
+  readonly heartbeat: Heartbeat;
+  readonly heardAtMs: number;
+}
+
+/** All links of one box. */
+export class PeerMesh {
+  private readonly server: Server;
+  private readonly links = new Map<string, PeerLink>();
+  private readonly peers = new Map<string, PeerState>();
+  private readonly accepted = new Set<Socket>();
+  private heartbeatCount = 0;
+  private isClosed = false;
+
+  constructor(
+    private readonly ownAddress: string,
+    seeds: readonly string[],
+    private readonly handlers: PeerMeshHandlers,
+    private readonly now: () => number,
+  ) {
+    this.server = createServer((socket) => this.acceptLink(socket));
+    for (const seed of seeds) this.learnAddress(seed);
+  }
+
+  /** Binds the listener. Rejects if the address is taken. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Peers whose loads count. */
+  listFresh(): PeerState[] {
+    const leastMs = this.now() - LOAD_LIFE_MS;
+    return [...this.peers.values()].filter((peer) => peer.heardAtMs >= leastMs);
+  }
+
+  /** Boxes of the fleet, this one included, as far as it knows. */
+  countBoxes(): number {
+    const leastMs = this.now() - MEMBER_LIFE_MS;
+    let count = 1;
+    for (const peer of this.peers.values()) if (peer.heardAtMs >= leastMs) count += 1;
+    return count;
+  }
+
+  /** Sends a heartbeat to all peers; the mesh adds the addresses it knows. */
+  broadcast(heartbeat: Heartbeat): void {
+    this.dialMissing();
+    this.heartbeatCount += 1;
+    const tellsAddresses = this.heartbeatCount % ADDRESSES_EVERY === 1;
+    const known = tellsAddresses ? [...this.links.keys()] : undefined;
+    const packet = encodePeerFrame(known === undefined ? heartbeat : { ...heartbeat, knownAddresses: known });
+    for (const link of this.links.values()) this.write(link, packet);
+  }
+
+  /** Sends a frame to the box at an address. */
+  send(address: string, frame: PeerFrame): void {
+    const link = this.links.get(address);
+    if (link !== undefined) this.write(link, encodePeerFrame(frame));
+  }
+
+  /** Closes all links. */
+  close(): void {
+    this.isClosed = true;
+    this.server.close();
+    for (const link of this.links.values()) link.socket?.destroy();
+    for (const socket of this.accepted) socket.destroy();
+  }
+
+  private write(link: PeerLink, packet: Buffer): void {
+    const { socket } = link;
+    if (socket === undefined || socket.connecting || socket.destroyed) return;
+    if (socket.writableLength > MAX_UNSENT_BYTES) return void socket.destroy();
+    socket.write(packet);
+  }
+
+  private learnAddress(address: string): void {
+    if (address === this.ownAddress || this.links.has(address)) return;
+    this.links.set(address, { address, socket: undefined, dialledAtMs: -Infinity, heardAtMs: this.now() });
+  }
+
+  private dialMissing(): void {
+    const nowMs = this.now();
+    for (const link of this.links.values()) {
+      if (nowMs - link.heardAtMs > ADDRESS_LIFE_MS) this.forget(link);
+      else if (link.socket === undefined && nowMs - link.dialledAtMs >= REDIAL_MS) this.dial(link);
+      else if (this.isStuck(link, nowMs)) link.socket?.destroy();
+    }
+  }
+
+  private isStuck(link: PeerLink, nowMs: number): boolean {
+    const { socket } = link;
+    if (socket === undefined) return false;
+    const ageMs = nowMs - link.dialledAtMs;
+    if (socket.connecting) return ageMs >= REDIAL_MS;
+    return ageMs >= SILENT_LINK_MS && nowMs - link.heardAtMs >= SILENT_LINK_MS;
+  }
+
+  private forget(link: PeerLink): void {
+    this.links.delete(link.address);
+    link.socket?.destroy();
+  }
+
+  private dial(link: PeerLink): void {
+    if (this.isClosed) return;
+    const colon = link.address.lastIndexOf(':');
+    const socket = connect({
+      host: link.address.slice(0, colon),
+      port: Number(link.address.slice(colon + 1)),
+      noDelay: true,
+    });
+    link.dialledAtMs = this.now();
+    link.socket = socket;
+    // An error is always followed by `close`, after which the link is dialled again.
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      if (link.socket === socket) link.socket = undefined;
+    });
+    socket.resume();
+  }
+
+  private acceptLink(socket: Socket): void {
+    const reader = new PeerFrameReader();
+    this.accepted.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.accepted.delete(socket));
+    socket.on('data', (chunk: Buffer) => {
+      const frames = reader.push(chunk);
+      if (frames.err) {
+        this.handlers.onProblem(frames.val);
+        socket.destroy();
+        return;
+      }
+      for (const frame of frames.val) this.handleFrame(frame);
+    });
+  }
+
+  private handleFrame(frame: PeerFrame): void {
+    if (frame.type === 'heartbeat') this.noteHeartbeat(frame);
+    this.handlers.onFrame(frame);
+  }
+
+  private noteHeartbeat(heartbeat: Heartbeat): void {
+    const nowMs = this.now();
+    this.learnAddress(heartbeat.address);
+    const link = this.links.get(heartbeat.address);
+    if (link !== undefined) link.heardAtMs = nowMs;
+    this.peers.set(heartbeat.address, { heartbeat, heardAtMs: nowMs });
+    for (const address of heartbeat.knownAddresses ?? []) this.learnAddress(address);
+  }
+}
--- /dev/null
+++ b/packages/router/src/proxy/attempt.ts
@@ -0,0 +1,196 @@
+/**
+ * One attempt: a request sent to one endpoint. It tells what happened in terms that decide whether the request may be
+ * sent again: nothing was sent, the endpoint vouches that it did not run, or it may have run.
+ */
+import type { Dispatcher } from 'undici';
+import type { AnswerHeaders, HttpDialect } from '../httpDialect.js';
+import type { AnswerFacts } from '../records.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+import type { ConnectFailure, EndpointConnection, EndpointConnections } from './endpointConnections.js';
+
+/** Why an answer is of no use. The request may have run in each of these cases. */
+export type BreakReason =
+  /** The connection ended before the answer did, or the answer was no HTTP. */
+  | 'connectionLost'
+  /** The answer carries the id of another request. */
+  | 'foreignAnswer'
+  /** A success without a seal. */
+  | 'unsealed';
+
+/** The head of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: AnswerHeaders;
+  readonly facts: AnswerFacts;
+}
+
+/** What happens to an attempt. After `unsent`, `notRun`, `end` and `broken` nothing more comes. */
+export type AttemptEvent =
+  | { readonly type: 'sent' }
+  | { readonly type: 'unsent'; readonly reason: ConnectFailure }
+  | { readonly type: 'notRun'; readonly head: AnswerHead }
+  | { readonly type: 'head'; readonly head: AnswerHead }
+  | { readonly type: 'data'; readonly chunk: Buffer }
+  | { readonly type: 'end' }
+  | { readonly type: 'broken'; readonly reason: BreakReason; readonly detail: string };
+
+/** A request as it goes to an endpoint. */
+export interface ForwardedRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  /** Name and value in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** What an attempt works with. */
+export interface AttemptOptions {
+  readonly row: EndpointRow;
+  readonly connections: EndpointConnections;
+  readonly dialect: HttpDialect;
+  /** Builds the request at the moment of sending, so that the time left is right. */
+  readonly createRequest: () => ForwardedRequest;
+  readonly maxIdleMs: number;
+  readonly maxConnections: number;
+  readonly onEvent: (attempt: Attempt, event: AttemptEvent) => void;
+}
+
+type AttemptPhase =
+  | { readonly type: 'connecting' }
+  | { readonly type: 'open'; readonly connection: EndpointConnection }
+  | { readonly type: 'over' };
+
+const LEAST_SUCCESS = 200;
+const LEAST_REDIRECT = 300;
+
+/** A request at one endpoint. */
+export class Attempt {
+  readonly row: EndpointRow;
+  /** When the request was handed to the connection; 0 before. */
+  sentAtMs = 0;
+  private phase: AttemptPhase = { type: 'connecting' };
+  private controller: Dispatcher.DispatchController | undefined;
+  /** The rest of the answer is read and dropped, so that the connection can be used again. */
+  private isDiscarded = false;
+  private notRunHead: AnswerHead | undefined;
+
+  constructor(private readonly options: AttemptOptions) {
+    this.row = options.row;
+    this.row.inFlight += 1;
+  }
+
+  /** Connects and sends. */
+  async start(): Promise<void> {
+    const { row, connections, maxIdleMs, maxConnections } = this.options;
+    const acquired = await connections.acquire(row, maxIdleMs, maxConnections);
+    if (this.phase.type === 'over') {
+      if (acquired.ok) connections.release(row, acquired.val);
+      return;
+    }
+    if (acquired.err) return this.finish({ type: 'unsent', reason: acquired.val });
+    this.phase = { type: 'open', connection: acquired.val };
+    this.send(acquired.val);
+  }
+
+  /** Ends the attempt and its connection; the endpoint sees that nobody waits. */
+  cancel(): void {
+    const { phase } = this;
+    if (phase.type === 'over') return;
+    this.close();
+    if (phase.type === 'open') phase.connection.socket.destroy();
+  }
+
+  /** Loses interest in the rest of an answer that is not needed. */
+  discard(): void {
+    this.isDiscarded = true;
+  }
+
+  /** Stops reading until `resume`: the caller reads more slowly than the endpoint writes. */
+  pause(): void {
+    this.controller?.pause();
+  }
+
+  /** Goes on reading. */
+  resume(): void {
+    if (this.phase.type === 'open' && this.controller?.paused === true) this.controller.resume();
+  }
+
+  private send(connection: EndpointConnection): void {
+    const request = this.options.createRequest();
+    this.emit({ type: 'sent' });
+    connection.client.dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body ?? null,
+      },
+      {
+        onRequestStart: (controller) => {
+          this.controller = controller;
+          if (this.phase.type === 'over') connection.socket.destroy();
+        },
+        onResponseStart: (_controller, status, headers) => this.handleHead(request, status, headers),
+        onResponseData: (_controller, chunk) => this.handleData(chunk),
+        onResponseEnd: () => this.handleEnd(connection),
+        onResponseError: (_controller, error) => this.breakOff('connectionLost', error.message),
+      },
+    );
+  }
+
+  private handleHead(request: ForwardedRequest, status: number, headers: AnswerHeaders): void {
+    if (this.phase.type === 'over' || status < LEAST_SUCCESS) return;
+    const facts = this.options.dialect.readAnswer(status, headers);
+    const head = { status, headers, facts };
+    if (facts.requestId !== undefined && facts.requestId !== request.requestId) {
+      return this.breakOff('foreignAnswer', `answer to ${facts.requestId}`);
+    }
+    if (facts.isNotRun) {
+      this.notRunHead = head;
+      return;
+    }
+    const isSuccess = status >= LEAST_SUCCESS && status < LEAST_REDIRECT;
+    if (facts.requestId === undefined) return this.breakOff('foreignAnswer', 'answer without a request id');
+    if (isSuccess && !facts.isSealed) return this.breakOff('unsealed', `status ${status}`);
+    this.emit({ type: 'head', head });
+  }
+
+  private handleData(chunk: Buffer): void {
+    if (this.phase.type !== 'open' || this.isDiscarded || this.notRunHead !== undefined) return;
+    this.emit({ type: 'data', chunk });
+  }
+
+  private handleEnd(connection: EndpointConnection): void {
+    if (this.phase.type === 'over') return;
+    const { connections, row } = this.options;
+    this.close();
+    // The library decides in this turn whether the connection can be kept.
+    setImmediate(() => connections.release(row, connection));
+    if (this.notRunHead !== undefined) this.emit({ type: 'notRun', head: this.notRunHead });
+    else if (!this.isDiscarded) this.emit({ type: 'end' });
+  }
+
+  private breakOff(reason: BreakReason, detail: string): void {
+    const { phase } = this;
+    if (phase.type === 'over') return;
+    // A refusal is true even if its body does not arrive whole.
+    const { notRunHead } = this;
+    this.finish(notRunHead === undefined ? { type: 'broken', reason, detail } : { type: 'notRun', head: notRunHead });
+    if (phase.type === 'open') phase.connection.socket.destroy();
+  }
+
+  private finish(event: AttemptEvent): void {
+    this.close();
+    if (!this.isDiscarded) this.emit(event);
+  }
+
+  private close(): void {
+    this.phase = { type: 'over' };
+    this.row.inFlight -= 1;
+  }
+
+  private emit(event: AttemptEvent): void {
+    this.options.onEvent(this, event);
+  }
+}
--- /dev/null
+++ b/packages/router/src/proxy/callerServer.ts
@@ -0,0 +1,133 @@
+/**
+ * The callers' side: an HTTP server that hands each request to an exchange.
+ *
+ * A planned stop goes on accepting for a while, since callers are still sent here until the platform has seen that
+ * the box is not ready; then it closes idle connections and ends when the last request has its answer.
+ */
+import { createServer, STATUS_CODES } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { createProblemBody, PROBLEM_CONTENT_TYPE } from '@hazelwalk/core';
+import type { ResultCode } from '@hazelwalk/core';
+import type { CallerLimits } from '../records.js';
+import type { RouterContext } from '../routerContext.js';
+import { Exchange } from './exchange.js';
+import { sendRefusal } from './refusal.js';
+
+/** Heads larger than this are refused by the parser, whatever the configuration allows. */
+const PARSER_MAX_HEADER_BYTES = 65_536;
+/** Idle connections outlive what callers were told by this much, so that none meets a close. */
+const IDLE_SLACK_MS = 3_000;
+/** Pace at which slow heads and idle connections are looked for. */
+const CONNECTION_CHECK_MS = 1_000;
+/** Connections that wait to be accepted; a full queue costs a caller seconds. */
+const BACKLOG = 1_024;
+/** Overhead of a header line in the size of a head: colon, space and line end. */
+const HEADER_LINE_OVERHEAD_BYTES = 4;
+
+/** Serves callers. */
+export class CallerServer {
+  private readonly server: Server;
+
+  constructor(private readonly context: RouterContext) {
+    this.server = createServer(
+      {
+        maxHeaderSize: PARSER_MAX_HEADER_BYTES,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (req, res) => this.handleRequest(req, res),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.handleBadHead(error, socket as Socket),
+    );
+  }
+
+  /** Takes over the bounds of a new configuration. */
+  applyLimits(limits: CallerLimits): void {
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
+  }
+
+  /** Binds the server. Rejects if the address is taken. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port, backlog: BACKLOG }, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Port that it got. */
+  get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  /** Closes connections on which no request is under way. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
+  /** Accepts no more connections and closes all. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private handleRequest(req: IncomingMessage, res: ServerResponse): void {
+    const { context } = this;
+    const limits = context.readIndex()?.configuration.limits;
+    if (limits !== undefined && measureHead(req) > limits.maxHeaderBytes) {
+      return this.refuse(req, res, 'headersTooLarge', '');
+    }
+    const request = context.dialect.readRequest(req.headers);
+    if (request === undefined) return this.refuse(req, res, 'malformedRequest', '');
+    new Exchange(context, req, res, request).start();
+  }
+
+  private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode, requestId: string): void {
+    const { context } = this;
+    context.metrics.outcomes.inc({ outcome: code });
+    context.log.write('notable', 'requestRefused', { code, path: req.url, requestId });
+    req.resume();
+    sendRefusal(res, context.dialect, { code, ran: 'no', retryAfterMs: 0 }, requestId, true);
+  }
+
+  private handleBadHead(error: NodeJS.ErrnoException, socket: Socket): void {
+    const code = findHeadProblem(error);
+    if (code !== undefined) {
+      this.context.metrics.outcomes.inc({ outcome: code });
+      this.context.log.write('notable', 'requestRefused', { code, detail: error.code });
+      if (socket.writable && socket.bytesWritten === 0) return void socket.end(formatRawProblem(code));
+    }
+    socket.destroy();
+  }
+}
+
+/** What was wrong with bytes that are no request; undefined if the connection just broke. */
+function findHeadProblem(error: NodeJS.ErrnoException): ResultCode | undefined {
+  if (error.code === 'HPE_HEADER_OVERFLOW') return 'headersTooLarge';
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' || error.code?.startsWith('HPE_') === true) return 'malformedRequest';
+  return undefined;
+}
+
+function measureHead(req: IncomingMessage): number {
+  const text = (req.method?.length ?? 0) + (req.url?.length ?? 0) + req.rawHeaders.length * 2;
+  return req.rawHeaders.reduce((sum, part) => sum + part.length, text + HEADER_LINE_OVERHEAD_BYTES);
+}
+
+function formatRawProblem(code: ResultCode): string {
+  const body = createProblemBody({ code, ran: 'no', retryAfterMs: 0 }, '');
+  const text = JSON.stringify(body);
+  const lines = [
+    `HTTP/1.1 ${body.status} ${STATUS_CODES[body.status] ?? 'Error'}`,
+    `content-type: ${PROBLEM_CONTENT_TYPE}`,
+    `content-length: ${Buffer.byteLength(text)}`,
+    'connection: close',
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${text}`;
+}
--- /dev/null
+++ b/packages/router/src/proxy/eventSplitter.ts
@@ -0,0 +1,62 @@
+/**
+ * Cuts the bytes of an event stream into whole events and follows their ids, so that a broken stream can go on at
+ * another endpoint without losing, repeating or splitting an event.
+ */
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** Whole events, and the id of the last of them. */
+export interface WholeEvents {
+  readonly bytes: Buffer;
+  readonly lastEventId: string | undefined;
+}
+
+/** Collects chunks and returns the whole events among them. */
+export class EventSplitter {
+  private pending: Buffer = Buffer.alloc(0);
+
+  /** Adds a chunk; returns the events it completed, if any. */
+  push(chunk: Buffer): WholeEvents | undefined {
+    const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const end = findLastEventEnd(bytes);
+    this.pending = bytes.subarray(end);
+    if (end === 0) return undefined;
+    const whole = bytes.subarray(0, end);
+    return { bytes: whole, lastEventId: readLastEventId(whole) };
+  }
+
+  /** Drops an event that was cut off, before the stream goes on elsewhere. */
+  reset(): void {
+    this.pending = Buffer.alloc(0);
+  }
+
+  /** Bytes of an event that is not complete. */
+  get pendingBytes(): Buffer {
+    return this.pending;
+  }
+}
+
+/** Offset after the last blank line, 0 if there is none. */
+function findLastEventEnd(bytes: Buffer): number {
+  for (let at = bytes.length - 1; at > 0; at -= 1) {
+    if (bytes[at] !== LINE_FEED) continue;
+    const before = bytes[at - 1];
+    if (before === LINE_FEED) return at + 1;
+    if (before === CARRIAGE_RETURN && bytes[at - 2] === LINE_FEED) return at + 1;
+  }
+  return 0;
+}
+
+/**
+ * Reads the id of the last event that has one.
+ *
+ * @example readLastEventId(Buffer.from('id: 7\ndata: x\n\n')) // '7'
+ */
+export function readLastEventId(bytes: Buffer): string | undefined {
+  const text = bytes.toString('latin1');
+  const at = text.startsWith('id:') && text.lastIndexOf('\nid:') < 0 ? 0 : text.lastIndexOf('\nid:') + 1;
+  if (at === 0 && !text.startsWith('id:')) return undefined;
+  const end = text.indexOf('\n', at);
+  return text.slice(at + 'id:'.length, end < 0 ? undefined : end).trim();
+}
--- /dev/null
+++ b/packages/router/src/proxy/refusal.ts
@@ -0,0 +1,31 @@
+/** Refusals and failures as callers get them: a numbered problem, and when to come back where that helps. */
+import type { ServerResponse } from 'node:http';
+import { createProblemBody, PROBLEM_CONTENT_TYPE } from '@hazelwalk/core';
+import type { Ran, ResultCode } from '@hazelwalk/core';
+import type { HttpDialect } from '../httpDialect.js';
+
+/** A request's final answer where no endpoint gave one. */
+export interface RouterRefusal {
+  readonly code: ResultCode;
+  readonly ran: Ran;
+  /** When to come back; 0 where coming back does not help. */
+  readonly retryAfterMs: number;
+}
+
+/** Writes a refusal. The connection is closed after it if the body of the request was not read to its end. */
+export function sendRefusal(
+  res: ServerResponse,
+  dialect: HttpDialect,
+  refusal: RouterRefusal,
+  requestId: string,
+  closes: boolean,
+): void {
+  const body = createProblemBody(refusal, requestId);
+  const text = JSON.stringify(body);
+  res.statusCode = body.status;
+  res.setHeader('content-type', PROBLEM_CONTENT_TYPE);
+  res.setHeader('content-length', Buffer.byteLength(text));
+  if (refusal.retryAfterMs > 0) res.setHeader(...dialect.writeRetryAfter(refusal.retryAfterMs));
+  if (closes) res.setHeader('connection', 'close');
+  res.end(text);
+}
--- /dev/null
+++ b/packages/router/src/records.ts
@@ -0,0 +1,135 @@
+/**
+ * What the router knows of a deployment, once decoded: routes, services, teams, endpoints, and what a caller asks.
+ * Times are in milliseconds, sizes in bytes.
+ */
+
+/** What may be done with a request that did not end well. */
+export type RouteKind =
+  /** May run more than once. */
+  | 'repeatable'
+  /** Runs at most once. */
+  | 'once'
+  /** Answers with a stream of events; runs at most once unless the route is resumable. */
+  | 'stream';
+
+/** One service of a route, and its part of the route's requests. */
+export interface RouteTarget {
+  readonly service: string;
+  /** Relative to the other targets of the route. */
+  readonly weight: number;
+}
+
+/** How requests of one host and path prefix are handled. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  /** Longest time that the router may hold a request. */
+  readonly timeoutMs: number;
+  /** Time within which an answer (the first event of a stream) is on time. */
+  readonly targetLatencyMs: number;
+  /** Most endpoints that one request may be sent to. */
+  readonly maxAttempts: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly targets: readonly RouteTarget[];
+  /** Needs no key. */
+  readonly isPublic: boolean;
+  /** A broken stream may go on at another endpoint after the last event seen. */
+  readonly isResumable: boolean;
+}
+
+/** A set of endpoints that answer the same requests. */
+export interface Service {
+  readonly name: string;
+  readonly healthPath: string;
+  /** Connections that one endpoint accepts from all boxes together. */
+  readonly maxConnections: number;
+  /** Whether its endpoints generate text and keep prompt prefixes in memory. */
+  readonly isEngine: boolean;
+}
+
+/** A customer with the keys it may use. */
+export interface Team {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  /** Goes before the priority of the route. */
+  readonly priority: number | undefined;
+}
+
+/** Bounds on what callers may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** The operators' whole configuration; applied as one. */
+export interface FleetConfiguration {
+  /** Only grows. */
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly Service[];
+  /** Undefined where callers need no keys. */
+  readonly teams: readonly Team[] | undefined;
+  readonly limits: CallerLimits;
+}
+
+/** What the platform publishes of one run of an endpoint. */
+export interface ListedEndpoint {
+  /** Names one run: an endpoint that starts again has a new id. */
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly hall: string;
+  /** Requests it works on at once. */
+  readonly slots: number;
+  readonly state: 'live' | 'leaving';
+}
+
+/** One part of a prompt; the same id means the same text. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What the headers of a caller's request say. */
+export interface CallerRequest {
+  readonly requestId: string;
+  /** Time that the caller will wait from now on; undefined if it does not say. */
+  readonly deadlineMs: number | undefined;
+  readonly apiKey: string | undefined;
+  /** Parts in order; the last is the request's own. Empty for plain services. */
+  readonly promptParts: readonly PromptPart[];
+}
+
+/** Load that an endpoint tells with an answer. */
+export interface ToldLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** What the head of an endpoint's answer says beside its status. */
+export interface AnswerFacts {
+  readonly requestId: string | undefined;
+  /** Whether it carries the seal of the endpoint that made it. */
+  readonly isSealed: boolean;
+  /** The endpoint vouches that the request did not run. */
+  readonly isNotRun: boolean;
+  readonly load: ToldLoad | undefined;
+}
+
+/** What the router adds to a request for one endpoint. */
+export interface ForwardedFacts {
+  readonly deadlineMs: number;
+  /** Any other endpoint must refuse the request. */
+  readonly endpointId: string;
+  readonly team: string | undefined;
+  /** The stream goes on after this event. */
+  readonly lastEventId: string | undefined;
+}
--- /dev/null
+++ b/packages/router/src/routerContext.ts
@@ -0,0 +1,33 @@
+/** What the parts of a router share. */
+import type { HttpDialect } from './httpDialect.js';
+import type { DecisionLog } from './observability/decisionLog.js';
+import type { RouterMetrics } from './observability/metrics.js';
+import type { EndpointConnections } from './proxy/endpointConnections.js';
+import type { Exchange } from './proxy/exchange.js';
+import type { HealthSign } from './systems/endpointHealth.js';
+import type { Placement } from './systems/placement.js';
+import type { RetryBudget } from './systems/retryBudget.js';
+import type { RouteIndex } from './systems/routeIndex.js';
+import type { EndpointRow, EndpointTable } from './tables/endpointTable.js';
+
+/** Shared tables, systems and adapters. */
+export interface RouterContext {
+  readonly dialect: HttpDialect;
+  readonly table: EndpointTable;
+  readonly placement: Placement;
+  readonly budget: RetryBudget;
+  readonly connections: EndpointConnections;
+  readonly metrics: RouterMetrics;
+  readonly log: DecisionLog;
+  /** Requests under way. */
+  readonly exchanges: Set<Exchange>;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  readonly hash: (text: string) => number;
+  /** The configuration in force; undefined before the first. */
+  readonly readIndex: () => RouteIndex | undefined;
+  /** Whether a planned stop is under way. */
+  readonly isStopping: () => boolean;
+  /** Notes what a request tells about an endpoint. */
+  readonly noteSign: (row: EndpointRow, sign: HealthSign) => void;
+}
--- /dev/null
+++ b/packages/router/src/systems/endpointHealth.ts
@@ -0,0 +1,118 @@
+/**
+ * Judges endpoints by their traffic, as this box sees it: a link may be broken for one hall only.
+ */
+import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+
+/** How a request at an endpoint ended, as far as it tells about the endpoint. */
+export type HealthSign =
+  /** A whole answer, whatever its status below 500. */
+  | 'answered'
+  /** An error of its own. */
+  | 'errored'
+  /** It refused for lack of room. */
+  | 'refused'
+  /** A connection that broke or an answer that was no answer. */
+  | 'broke'
+  /** No sign within the time in which it should have answered. */
+  | 'silent'
+  /** A connection was refused. */
+  | 'connectRefused'
+  /** A connection did not come up in time. */
+  | 'connectTimedOut';
+
+/** Weight of the newest sign in the moving average of failures. */
+const FAILURE_WEIGHT = 0.15;
+/** Share of failures that ejects an endpoint. */
+const EJECT_RATE = 0.5;
+/** Failures in a row that eject an endpoint. */
+const EJECT_AFTER = 4;
+/** First ejection; doubles with each that follows. */
+const EJECT_MS = 1_500;
+const MAX_EJECT_DOUBLINGS = 3;
+/** Largest share of a service's endpoints that may be ejected for failures. */
+const MAX_EJECTED_SHARE = 0.34;
+/** Pace of connection checks of an unreachable endpoint. */
+export const REACH_CHECK_MS = 500;
+
+/** What changed in the belief about an endpoint; undefined if nothing did. */
+export type StandingChange = 'ejected' | 'unreachable' | 'restored';
+
+/** Whether an endpoint may get new requests from this box. */
+export function isUsable(row: EndpointRow, nowMs: number): boolean {
+  switch (row.standing.type) {
+    case 'good':
+      return true;
+    case 'ejected':
+      return nowMs >= row.standing.untilMs;
+    case 'unreachable':
+      return false;
+  }
+}
+
+/** Takes note of how a request went; returns what changed. */
+export function noteSign(
+  table: EndpointTable,
+  row: EndpointRow,
+  sign: HealthSign,
+  nowMs: number,
+): StandingChange | undefined {
+  switch (sign) {
+    case 'answered':
+      return noteSuccess(row, nowMs);
+    case 'refused':
+      row.heardAtMs = nowMs;
+      return undefined;
+    case 'errored':
+    case 'broke':
+    case 'silent':
+      return noteFailure(table, row, nowMs);
+    case 'connectRefused':
+    case 'connectTimedOut':
+      return markUnreachable(row, nowMs);
+  }
+}
+
+/** Takes an endpoint out until a connection to it comes up again. */
+export function markUnreachable(row: EndpointRow, nowMs: number): StandingChange | undefined {
+  const isNew = row.standing.type !== 'unreachable';
+  row.standing = { type: 'unreachable', nextCheckMs: nowMs + REACH_CHECK_MS };
+  return isNew ? 'unreachable' : undefined;
+}
+
+/** A connection came up: the endpoint is there again. */
+export function noteReachable(row: EndpointRow, nowMs: number): StandingChange | undefined {
+  row.heardAtMs = nowMs;
+  if (row.standing.type !== 'unreachable') return undefined;
+  row.standing = { type: 'good' };
+  row.consecutiveFailures = 0;
+  return 'restored';
+}
+
+function noteSuccess(row: EndpointRow, nowMs: number): StandingChange | undefined {
+  row.heardAtMs = nowMs;
+  row.consecutiveFailures = 0;
+  row.failureRate *= 1 - FAILURE_WEIGHT;
+  if (row.standing.type !== 'ejected' || nowMs < row.standing.untilMs) return undefined;
+  row.standing = { type: 'good' };
+  return 'restored';
+}
+
+function noteFailure(table: EndpointTable, row: EndpointRow, nowMs: number): StandingChange | undefined {
+  row.consecutiveFailures += 1;
+  row.failureRate += FAILURE_WEIGHT * (1 - row.failureRate);
+  const isFailing = row.consecutiveFailures >= EJECT_AFTER || row.failureRate >= EJECT_RATE;
+  const isOnTrial = row.standing.type === 'ejected' && nowMs >= row.standing.untilMs;
+  if (row.standing.type === 'ejected' && !isOnTrial) return undefined;
+  if ((!isFailing && !isOnTrial) || !mayEject(table, row, nowMs)) return undefined;
+  const times = row.standing.type === 'ejected' ? row.standing.times + 1 : 0;
+  const untilMs = nowMs + EJECT_MS * 2 ** Math.min(times, MAX_EJECT_DOUBLINGS);
+  row.standing = { type: 'ejected', untilMs, times };
+  row.consecutiveFailures = 0;
+  return 'ejected';
+}
+
+function mayEject(table: EndpointTable, row: EndpointRow, nowMs: number): boolean {
+  const rows = table.listService(row.listing.service);
+  const out = rows.filter((other) => other !== row && !isUsable(other, nowMs)).length;
+  return out + 1 <= Math.floor(rows.length * MAX_EJECTED_SHARE);
+}
--- /dev/null
+++ b/packages/router/src/systems/placement.ts
@@ -0,0 +1,105 @@
+/**
+ * Chooses the endpoint of a request.
+ *
+ * A generation goes to the home of its shared prompt: every box ranks the endpoints in the same order by rendezvous
+ * hashing, so that a prompt is kept in one place in the whole fleet. A loaded home passes work to the next in that
+ * order, the same one for all boxes. Other requests go to the least loaded endpoint, their own hall first.
+ */
+import type { Hasher } from '@hazelwalk/core';
+import type { PromptPart } from '../records.js';
+import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import { isUsable } from './endpointHealth.js';
+
+/** Multiple of the mean load that an endpoint may carry; the deployment's bound is 2. */
+const LOAD_FACTOR = 1.7;
+/** Requests that an endpoint may carry on top; the deployment's bound is 3. */
+const LOAD_ALLOWANCE = 2;
+/** A plain service leaves its own hall only for an endpoint that is less loaded by this share of its slots. */
+const HALL_PREFERENCE = 0.34;
+
+/** What placement needs to know of a request. */
+export interface PlacementRequest {
+  readonly service: string;
+  readonly promptParts: readonly PromptPart[];
+  /** Endpoints that were tried already. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** Load of an endpoint as this box knows it: requests of all boxes. */
+export function readFleetLoad(row: EndpointRow): number {
+  return row.inFlight + row.peersInFlight;
+}
+
+/**
+ * Names the prompt that a request shares with others: all parts but the last, which is its own.
+ *
+ * @example readSharedPrompt([{ id: 'a', tokens: 9 }, { id: 'b', tokens: 2 }]) // 'a'
+ */
+export function readSharedPrompt(parts: readonly PromptPart[]): string | undefined {
+  const last = Math.max(1, parts.length - 1);
+  const shared = parts.slice(0, last);
+  return shared.length === 0 ? undefined : shared.map((part) => part.id).join(',');
+}
+
+/** Chooses endpoints for one box. */
+export class Placement {
+  constructor(
+    private readonly table: EndpointTable,
+    private readonly hasher: Hasher,
+    private readonly hall: string,
+    private readonly random: () => number,
+  ) {}
+
+  /** The endpoint to send to; undefined if none can take the request. */
+  choose(request: PlacementRequest, nowMs: number): EndpointRow | undefined {
+    const rows = this.listCandidates(request, nowMs);
+    if (rows.length === 0) return undefined;
+    const prompt = readSharedPrompt(request.promptParts);
+    return prompt === undefined ? this.chooseLeastLoaded(rows) : this.chooseHome(rows, prompt);
+  }
+
+  /** Usable endpoints; if none is, those that are listed, since one of them may have come back. */
+  private listCandidates(request: PlacementRequest, nowMs: number): EndpointRow[] {
+    const listed = this.table.listService(request.service);
+    const live = listed.filter((row) => row.listing.state === 'live');
+    const untried = live.filter((row) => !request.excluded.has(row.listing.id));
+    const usable = untried.filter((row) => isUsable(row, nowMs));
+    return usable.length > 0 ? usable : untried;
+  }
+
+  private chooseHome(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
+    const total = rows.reduce((sum, row) => sum + readFleetLoad(row), 0);
+    const cap = LOAD_FACTOR * (total / rows.length) + LOAD_ALLOWANCE;
+    let best: EndpointRow | undefined;
+    let bestScore = -1;
+    let least: EndpointRow | undefined;
+    for (const row of rows) {
+      if (least === undefined || readFleetLoad(row) < readFleetLoad(least)) least = row;
+      if (readFleetLoad(row) + 1 > cap) continue;
+      const score = this.hasher.h32(prompt, row.tag);
+      if (score <= bestScore) continue;
+      best = row;
+      bestScore = score;
+    }
+    return best ?? least;
+  }
+
+  private chooseLeastLoaded(rows: readonly EndpointRow[]): EndpointRow | undefined {
+    let best: EndpointRow | undefined;
+    let bestScore = Infinity;
+    for (const row of rows) {
+      const score = this.scorePlain(row);
+      if (score >= bestScore) continue;
+      best = row;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  /** Share of its slots in use, with a preference for the own hall and a random tie-break. */
+  private scorePlain(row: EndpointRow): number {
+    const share = (readFleetLoad(row) + 1) / Math.max(1, row.listing.slots);
+    const away = row.listing.hall === this.hall ? 0 : HALL_PREFERENCE;
+    return share + away + this.random() / 100;
+  }
+}
--- /dev/null
+++ b/packages/router/src/systems/reachability.ts
@@ -0,0 +1,61 @@
+/**
+ * Finds endpoints that cannot be reached. One that holds requests and says nothing at all is asked for a connection;
+ * one that could not be reached is asked again at a steady pace.
+ */
+import type { EndpointConnections } from '../proxy/endpointConnections.js';
+import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import type { StandingChange } from './endpointHealth.js';
+import { markUnreachable, noteReachable, REACH_CHECK_MS } from './endpointHealth.js';
+
+/** An endpoint with requests of this box that says nothing for this long is checked. */
+const SUSPECT_MS = 400;
+
+/** Called when the belief about an endpoint changes. */
+export type OnStandingChange = (row: EndpointRow, change: StandingChange, because: string) => void;
+
+/** Checks connections once a tick. */
+export class Reachability {
+  constructor(
+    private readonly table: EndpointTable,
+    private readonly connections: EndpointConnections,
+    private readonly now: () => number,
+    private readonly onChange: OnStandingChange,
+  ) {}
+
+  /** Starts the checks that are due. */
+  tick(): void {
+    const nowMs = this.now();
+    for (const row of this.table.byId.values()) {
+      if (!row.isBeingChecked && isDue(row, nowMs)) void this.check(row);
+    }
+  }
+
+  private async check(row: EndpointRow): Promise<void> {
+    row.isBeingChecked = true;
+    const wasUnreachable = row.standing.type === 'unreachable';
+    const reached = await this.connections.check(row);
+    row.isBeingChecked = false;
+    const nowMs = this.now();
+    if (reached.ok) {
+      // A connection proves only that the host is there: the requests it holds may still be mute.
+      const change = noteReachable(row, nowMs);
+      if (change !== undefined) this.onChange(row, change, 'connection check');
+      return;
+    }
+    const change = markUnreachable(row, nowMs);
+    if (change !== undefined) this.onChange(row, change, reached.val);
+    else if (wasUnreachable && row.standing.type === 'unreachable') {
+      row.standing = { type: 'unreachable', nextCheckMs: nowMs + REACH_CHECK_MS };
+    }
+  }
+}
+
+function isDue(row: EndpointRow, nowMs: number): boolean {
+  switch (row.standing.type) {
+    case 'unreachable':
+      return nowMs >= row.standing.nextCheckMs;
+    case 'good':
+    case 'ejected':
+      return row.inFlight > 0 && nowMs - Math.max(row.heardAtMs, row.busySinceMs) >= SUSPECT_MS;
+  }
+}
--- /dev/null
+++ b/packages/router/src/tables/endpointTable.ts
@@ -0,0 +1,104 @@
+/**
+ * The table of endpoints: what is published of each, what this box saw of it, and what peers say of its load.
+ */
+import type { ListedEndpoint, ToldLoad } from '../records.js';
+
+/** Why an endpoint gets no new requests from this box. */
+export type Standing =
+  | { readonly type: 'good' }
+  /** Failed too often; tried again at `untilMs`. */
+  | { readonly type: 'ejected'; readonly untilMs: number; readonly times: number }
+  /** Connections to it cannot be made; checked again at `nextCheckMs`. */
+  | { readonly type: 'unreachable'; readonly nextCheckMs: number };
+
+/** One endpoint. */
+export interface EndpointRow {
+  listing: ListedEndpoint;
+  /** Short number that stands for its id between boxes. */
+  readonly tag: number;
+  standing: Standing;
+  /** Requests of this box that it holds. */
+  inFlight: number;
+  /** Requests of the other boxes that it holds, by their last heartbeats. */
+  peersInFlight: number;
+  /** Last load that it told, and when. */
+  told: ToldLoad | undefined;
+  toldAtMs: number;
+  /** When anything was last heard from it. */
+  heardAtMs: number;
+  /** When this box last sent it a request while it held none of this box. */
+  busySinceMs: number;
+  /** Moving average of failures, 0 to 1. */
+  failureRate: number;
+  consecutiveFailures: number;
+  /** A connection check is under way. */
+  isBeingChecked: boolean;
+  /** The platform no longer lists it, but may only have lost touch; kept until then. */
+  lapsedUntilMs: number | undefined;
+}
+
+/** All endpoints by id, by service and by tag. */
+export class EndpointTable {
+  readonly byId = new Map<string, EndpointRow>();
+  private readonly byService = new Map<string, EndpointRow[]>();
+  private readonly byTag = new Map<number, EndpointRow>();
+
+  constructor(private readonly hashId: (id: string) => number) {}
+
+  /** Adds an endpoint or takes over what is newly published of it. */
+  upsert(listing: ListedEndpoint, nowMs: number): EndpointRow {
+    const known = this.byId.get(listing.id);
+    if (known !== undefined) {
+      known.listing = listing;
+      known.lapsedUntilMs = undefined;
+      this.byService.clear();
+      return known;
+    }
+    const row = createRow(listing, this.hashId(listing.id), nowMs);
+    this.byId.set(listing.id, row);
+    this.byTag.set(row.tag, row);
+    this.byService.clear();
+    return row;
+  }
+
+  /** Forgets an endpoint. */
+  remove(id: string): void {
+    const row = this.byId.get(id);
+    if (row === undefined) return;
+    this.byId.delete(id);
+    this.byTag.delete(row.tag);
+    this.byService.clear();
+  }
+
+  /** The endpoint whose id hashes to this tag. */
+  findByTag(tag: number): EndpointRow | undefined {
+    return this.byTag.get(tag);
+  }
+
+  /** Endpoints of a service, in no particular order. */
+  listService(service: string): readonly EndpointRow[] {
+    const cached = this.byService.get(service);
+    if (cached !== undefined) return cached;
+    const rows = [...this.byId.values()].filter((row) => row.listing.service === service);
+    this.byService.set(service, rows);
+    return rows;
+  }
+}
+
+function createRow(listing: ListedEndpoint, tag: number, nowMs: number): EndpointRow {
+  return {
+    listing,
+    tag,
+    standing: { type: 'good' },
+    inFlight: 0,
+    peersInFlight: 0,
+    told: undefined,
+    toldAtMs: 0,
+    heardAtMs: nowMs,
+    busySinceMs: nowMs,
+    failureRate: 0,
+    consecutiveFailures: 0,
+    isBeingChecked: false,
+    lapsedUntilMs: undefined,
+  };
+}
