--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -173,9 +173,10 @@
     bodyTimeout: 0,
     keepAliveTimeout: IDLE_MS,
     connect: (_options, callback) => {
-      if (isUsed || socket.destroyed) return callback(new Error('the connection is closed'), null);
+      const isLost = isUsed || socket.destroyed;
       isUsed = true;
-      callback(null, socket);
+      // The library does not go on with its queue if it is called back at once.
+      queueMicrotask(() => (isLost ? callback(new Error('the connection is closed'), null) : callback(null, socket)));
     },
   });
 }
