Take cached prompts from the former home when a chain moves

Cause: a chain that moves to another engine (newcomer, spill, leaving home) was read again in full there. Ruled out: keeping chains at their old home (leaving engines end anyway).

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -35,8 +35,12 @@
 const HEARTBEAT_MS_PER_BOX = 30;
 /** A peer with newer values is asked for them at most this often. */
 const ASK_PEER_MS = 400;
-/** After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart. */
-const STOP_LINGER_MS = 3_000;
+/**
+ * After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart.
+ * Later connections are refused, also where the platform goes on for lack of other boxes: work that begins now could
+ * not be finished.
+ */
+const STOP_LINGER_MS = 2_800;
 /** A stopping box ends this long before it would be killed. */
 const STOP_MARGIN_MS = 500;
 
@@ -355,7 +359,7 @@
     if (this.stopRequestedAtMs === undefined) return;
     const stoppingMs = nowMs - this.stopRequestedAtMs;
     if (stoppingMs < STOP_LINGER_MS) return;
-    this.callers.closeIdle();
+    this.callers.refuseNew();
     const isLate = stoppingMs >= this.options.stopGraceMs - STOP_MARGIN_MS;
     if (this.exchanges.size === 0 || isLate) this.resolveStopped();
   }
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -67,8 +67,9 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
-  /** Closes connections on which no request is under way. */
-  closeIdle(): void {
+  /** Accepts no more connections and closes those on which no request is under way. */
+  refuseNew(): void {
+    if (this.server.listening) this.server.close();
     this.server.closeIdleConnections();
   }
 
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -81,7 +81,6 @@
   start(): void {
     const { req, res, context } = this;
     context.exchanges.add(this);
-    if (context.isStopping()) res.shouldKeepAlive = false;
     this.expiresAtMs = this.arrivedAtMs + (this.request.deadlineMs ?? DEFAULT_DEADLINE_MS);
     res.on('close', () => this.handleCallerClosed());
     res.on('drain', () => this.winner?.resume());
@@ -139,7 +138,7 @@
   private place(resumeAfter: string | undefined): void {
     const { context, assignment } = this;
     if (assignment === undefined) return;
-    const row = context.placement.choose(
+    const choice = context.placement.choose(
       {
         service: assignment.service,
         promptParts: this.request.promptParts,
@@ -147,14 +146,16 @@
       },
       context.now(),
     );
-    if (row === undefined) return this.giveUp('noEndpoint');
+    if (choice === undefined) return this.giveUp('noEndpoint');
+    const { row } = choice;
+    const cacheSource = assignment.declared?.canMoveCache === true ? choice.cacheSource : undefined;
     this.triedIds.add(row.listing.id);
     const isRepeatable = this.isRepeatable(assignment);
     const attempt = new Attempt({
       row,
       connections: context.connections,
       dialect: context.dialect,
-      createRequest: () => this.createRequest(row, assignment, resumeAfter),
+      createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
       maxIdleMs: isRepeatable ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
       maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
       onEvent: (from, event) => this.handleEvent(from, event),
@@ -167,6 +168,7 @@
     row: EndpointRow,
     assignment: Assignment,
     resumeAfter: string | undefined,
+    cacheSource: EndpointRow | undefined,
   ): ForwardedRequest {
     const { context, req, request } = this;
     const deadlineMs = Math.max(1, Math.round(this.expiresAtMs - context.now()));
@@ -175,6 +177,8 @@
       endpointId: row.listing.id,
       team: assignment.team?.name,
       lastEventId: resumeAfter,
+      cacheSource:
+        cacheSource === undefined ? undefined : `${cacheSource.listing.host}:${cacheSource.listing.port}`,
     });
     const dropped = new Set(context.dialect.reservedHeaders);
     if (resumeAfter !== undefined) dropped.add('last-event-id');
@@ -271,6 +275,7 @@
   private startDelivery(head: AnswerHead): void {
     const { assignment, context, res } = this;
     if (assignment === undefined) return;
+    if (context.isStopping()) res.shouldKeepAlive = false;
     const isStream = assignment.route.kind === 'stream';
     this.delivery = createDelivery(res, head, isStream, assignment.route.isResumable);
     context.metrics.firstByteMs.observe({ service: assignment.service }, context.now() - this.arrivedAtMs);
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -49,6 +49,8 @@
   readonly maxConnections: number;
   /** Whether its endpoints generate text and keep prompt prefixes in memory. */
   readonly isEngine: boolean;
+  /** Whether its endpoints take cached prompts from each other. */
+  readonly canMoveCache: boolean;
 }
 
 /** A customer with the keys it may use. */
@@ -132,4 +134,6 @@
   readonly team: string | undefined;
   /** The stream goes on after this event. */
   readonly lastEventId: string | undefined;
+  /** Endpoint (host:port) from which to take what it holds of the prompt. */
+  readonly cacheSource: string | undefined;
 }
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -41,6 +41,18 @@
   return shared.length === 0 ? undefined : shared.map((part) => part.id).join(',');
 }
 
+/** Where a request goes. */
+export interface PlacementChoice {
+  readonly row: EndpointRow;
+  /** An endpoint that probably holds the shared prompt in memory, while the chosen one does not. */
+  readonly cacheSource: EndpointRow | undefined;
+}
+
+/** An endpoint that was listed this much later than another may lack prompts that the other holds. */
+const NEWCOMER_LEAD_MS = 1_000;
+/** A newcomer has met the prompts that are in use after this. */
+const NEWCOMER_MS = 30_000;
+
 /** Chooses endpoints for one box. */
 export class Placement {
   constructor(
@@ -51,11 +63,14 @@
   ) {}
 
   /** The endpoint to send to; undefined if none can take the request. */
-  choose(request: PlacementRequest, nowMs: number): EndpointRow | undefined {
+  choose(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
     const rows = this.listCandidates(request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
-    return prompt === undefined ? this.chooseLeastLoaded(rows) : this.chooseHome(rows, prompt);
+    const row = prompt === undefined ? this.chooseLeastLoaded(rows) : this.chooseHome(rows, prompt);
+    if (row === undefined) return undefined;
+    const cacheSource = prompt === undefined ? undefined : this.findCacheSource(row, request, prompt, nowMs);
+    return { row, cacheSource };
   }
 
   /** Usable endpoints; if none is, those that are listed, since one of them may have come back. */
@@ -70,30 +85,37 @@
   private chooseHome(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
     const total = rows.reduce((sum, row) => sum + readFleetLoad(row), 0);
     const cap = LOAD_FACTOR * (total / rows.length) + LOAD_ALLOWANCE;
-    let best: EndpointRow | undefined;
-    let bestScore = -1;
-    let least: EndpointRow | undefined;
-    for (const row of rows) {
-      if (least === undefined || readFleetLoad(row) < readFleetLoad(least)) least = row;
-      if (readFleetLoad(row) + 1 > cap) continue;
-      const score = this.hasher.h32(prompt, row.tag);
-      if (score <= bestScore) continue;
-      best = row;
-      bestScore = score;
-    }
-    return best ?? least;
+    const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
+    return this.findBestRanked(withRoom, prompt) ?? pickLeast(rows, readFleetLoad);
+  }
+
+  /**
+   * The endpoint that was the prompt's home before: the best ranked of those that were there before the chosen one, or
+   * the home itself if the chosen one only stands in for it.
+   */
+  private findCacheSource(
+    chosen: EndpointRow,
+    request: PlacementRequest,
+    prompt: string,
+    nowMs: number,
+  ): EndpointRow | undefined {
+    const reachable = this.table
+      .listService(request.service)
+      .filter((row) => row.standing.type === 'good' && row.lapsedUntilMs === undefined);
+    const home = this.findBestRanked(reachable, prompt);
+    if (home !== undefined && home !== chosen) return home;
+    if (nowMs - chosen.listedAtMs > NEWCOMER_MS) return undefined;
+    const older = reachable.filter((row) => row.listedAtMs + NEWCOMER_LEAD_MS < chosen.listedAtMs);
+    return this.findBestRanked(older, prompt);
+  }
+
+  /** The first in the order of endpoints that all boxes share for a prompt. */
+  private findBestRanked(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
+    return pickLeast(rows, (row) => -this.hasher.h32(prompt, row.tag));
   }
 
   private chooseLeastLoaded(rows: readonly EndpointRow[]): EndpointRow | undefined {
-    let best: EndpointRow | undefined;
-    let bestScore = Infinity;
-    for (const row of rows) {
-      const score = this.scorePlain(row);
-      if (score >= bestScore) continue;
-      best = row;
-      bestScore = score;
-    }
-    return best;
+    return pickLeast(rows, (row) => this.scorePlain(row));
   }
 
   /** Share of its slots in use, with a preference for the own hall and a random tie-break. */
@@ -103,3 +125,15 @@
     return share + away + this.random() / 100;
   }
 }
+
+function pickLeast(rows: readonly EndpointRow[], score: (row: EndpointRow) => number): EndpointRow | undefined {
+  let best: EndpointRow | undefined;
+  let bestScore = Infinity;
+  for (const row of rows) {
+    const rowScore = score(row);
+    if (best !== undefined && rowScore >= bestScore) continue;
+    best = row;
+    bestScore = rowScore;
+  }
+  return best;
+}
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -17,6 +17,8 @@
   /** Short number that stands for its id between boxes. */
   readonly tag: number;
   standing: Standing;
+  /** When this box first heard of it. */
+  readonly listedAtMs: number;
   /** Requests of this box that it holds. */
   inFlight: number;
   /** Requests of the other boxes that it holds, by their last heartbeats. */
@@ -90,6 +92,7 @@
     listing,
     tag,
     standing: { type: 'good' },
+    listedAtMs: nowMs,
     inFlight: 0,
     peersInFlight: 0,
     told: undefined,
