Load only the parts of the libraries that a box uses

Cause: start-up took 0.31 s of processor time (Node alone 0.12) and 70 MB: whole HTTP client, all locales of the schema library.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,6 +2,7 @@
 export * from './fleetRouter.js';
 export * from './httpDialect.js';
 export * from './records.js';
+export { Client } from './proxy/httpClient.js';
 export type { EndpointChange } from './systems/endpointDirectory.js';
 export type { RetryBound } from './systems/retryBudget.js';
 export type { RouterMetrics } from './observability/metrics.js';
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -5,7 +5,7 @@
 import { Err, Ok } from '@hazelwalk/core';
 import type { Problem, Result } from '@hazelwalk/core';
 import { Encoder } from 'cbor-x';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const LENGTH_BYTES = 4;
 /** A configuration holds at most a megabyte; the rest is small. */
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
-import { Client } from 'undici';
+import { Client } from './httpClient.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
 /** Links between halls take some milliseconds; a connection that is not up by then meets a cut or a dead host. */
