--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,11 +2,11 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/*.cjs'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', '**/*.cjs'] },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
       '@typescript-eslint/no-floating-promises': 'error',
@@ -17,7 +17,7 @@
       eqeqeq: 'error',
     },
     languageOptions: {
-      parserOptions: { project: ['./packages/*/tsconfig.json', './tsconfig.test.json'] },
+      parserOptions: { project: ['./packages/*/tsconfig.json', './platform/tsconfig.json', './tsconfig.test.json'] },
     },
   },
 );
--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -1,7 +1,8 @@
 /** Jest runs the TypeScript sources through SWC; the `.js` endings of ESM imports are mapped back to the sources. */
 module.exports = {
   testEnvironment: 'node',
-  roots: ['<rootDir>/packages'],
+  roots: ['<rootDir>/packages', '<rootDir>/platform'],
+  modulePathIgnorePatterns: ['/dist/'],
   testMatch: ['**/__tests__/**/*.test.ts'],
   transform: {
     '^.+\\.ts$': [
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -17,7 +17,7 @@
 import type { EndpointChange } from './systems/endpointDirectory.js';
 import { EndpointDirectory } from './systems/endpointDirectory.js';
 import type { HealthSign, StandingChange } from './systems/endpointHealth.js';
-import { noteSign } from './systems/endpointHealth.js';
+import { isUsable, noteSign } from './systems/endpointHealth.js';
 import { listOwnLoads, sumPeerLoads } from './systems/loadExchange.js';
 import { Placement } from './systems/placement.js';
 import { Reachability } from './systems/reachability.js';
@@ -158,6 +158,22 @@
     return this.index !== undefined && this.table.byId.size > 0 && this.stopRequestedAtMs === undefined;
   }
 
+  /** Version of the configuration in force; 0 before the first. */
+  get configurationVersion(): number {
+    return this.index?.configuration.version ?? 0;
+  }
+
+  /** Whether the platform answered last time. */
+  get isInTouchWithPlatform(): boolean {
+    return this.isFeedUp;
+  }
+
+  /** Endpoints of a service that get new requests from this box. */
+  countUsableEndpoints(service: string): number {
+    const rows = this.table.listService(service);
+    return rows.filter((row) => row.listing.state === 'live' && isUsable(row, this.now())).length;
+  }
+
   /** Port on which callers are served. */
   get callerPort(): number {
     return this.callers.port;
@@ -234,7 +250,7 @@
       type: 'heartbeat',
       boxId: this.options.boxId,
       address: this.ownAddress,
-      configurationVersion: this.index?.configuration.version ?? 0,
+      configurationVersion: this.configurationVersion,
       endpointsRevision: this.endpointsRevision,
       loads: listOwnLoads(this.table),
       isStopping: this.stopRequestedAtMs !== undefined,
@@ -258,7 +274,7 @@
   /** Asks a peer for what it has newer; the list of endpoints only while the platform cannot be read. */
   private askForNewer(address: string, configurationVersion: number, endpointsRevision: number): void {
     const nowMs = this.now();
-    const lacksConfiguration = configurationVersion > (this.index?.configuration.version ?? 0);
+    const lacksConfiguration = configurationVersion > this.configurationVersion;
     const lacksEndpoints = !this.isFeedUp && endpointsRevision > this.endpointsRevision;
     if ((!lacksConfiguration && !lacksEndpoints) || nowMs - this.askedPeerAtMs < ASK_PEER_MS) return;
     this.askedPeerAtMs = nowMs;
--- a/packages/router/src/observability/decisionLog.ts
+++ b/packages/router/src/observability/decisionLog.ts
@@ -3,7 +3,7 @@
  * an allowance a second, and what is left out is counted and told with the next line of its kind. Writing never
  * blocks: lines that the reader does not take in time are dropped.
  */
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import { Logger } from 'tslog';
 import type { RouterMetrics } from './metrics.js';
 
@@ -32,7 +32,7 @@
 
 /** Writes decisions. */
 export class DecisionLog {
-  private readonly sink = new SonicBoom({
+  private readonly sink = new sonicBoom.SonicBoom({
     fd: process.stdout.fd,
     sync: false,
     minLength: GATHER_BYTES,
