--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,9 @@
       eqeqeq: 'error',
     },
     languageOptions: {
-      parserOptions: { project: ['./packages/*/tsconfig.json', './platform/tsconfig.json', './tsconfig.test.json'] },
+      parserOptions: {
+        project: ['./packages/*/tsconfig.json', './platform/tsconfig.json', './tsconfig.test.json'],
+      },
     },
   },
 );
--- /dev/null
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -0,0 +1,114 @@
+import { createHasher } from '@hazelwalk/core';
+import type { Hasher } from '@hazelwalk/core';
+import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
+import { Placement } from '../systems/placement.js';
+import type { EndpointTable } from '../tables/endpointTable.js';
+
+let hasher: Hasher;
+
+beforeAll(async () => {
+  hasher = await createHasher();
+});
+
+const noneExcluded: ReadonlySet<string> = new Set();
+const NOW_MS = 60_000;
+
+const createPlacement = (table: EndpointTable): Placement => new Placement(table, hasher, 'a', () => 0.5);
+const ask = (prompt: string): Parameters<Placement['choose']>[0] => ({
+  service: 'llm',
+  promptParts: [
+    { id: prompt, tokens: 900 },
+    { id: 'own', tokens: 10 },
+  ],
+  excluded: noneExcluded,
+});
+
+test('every box sends a prompt to the same endpoint, whatever the rest of the request', () => {
+  const first = createPlacement(createTable(12).table);
+  const second = createPlacement(createTable(12).table);
+  for (let prompt = 0; prompt < 50; prompt += 1) {
+    const chosen = first.choose(ask(`p${prompt}`), NOW_MS)?.row.listing.id;
+    expect(second.choose(ask(`p${prompt}`), NOW_MS)?.row.listing.id).toBe(chosen);
+  }
+});
+
+test('a loaded home passes a prompt to the same next endpoint, which takes the prompt from the home', () => {
+  const { table, rows } = createTable(12);
+  const placement = createPlacement(table);
+  const home = placement.choose(ask('p'), NOW_MS)?.row;
+  if (home === undefined) throw new Error('no home');
+  home.inFlight = 10;
+  const next = placement.choose(ask('p'), NOW_MS);
+  expect(next?.row).not.toBe(home);
+  expect(next?.cacheSource).toBe(home);
+  expect(placement.choose(ask('p'), NOW_MS)?.row).toBe(next?.row);
+  expect(rows.length).toBe(12);
+});
+
+test('the load that peers told counts like the own', () => {
+  const { table } = createTable(12);
+  const placement = createPlacement(table);
+  const home = placement.choose(ask('p'), NOW_MS)?.row;
+  if (home === undefined) throw new Error('no home');
+  home.peersInFlight = 10;
+  expect(placement.choose(ask('p'), NOW_MS)?.row).not.toBe(home);
+});
+
+test('no endpoint carries more than twice the mean and three, however hot one prompt is', () => {
+  const { table, rows } = createTable(10);
+  const placement = createPlacement(table);
+  for (let count = 0; count < 100; count += 1) {
+    const chosen = placement.choose(ask('hot'), NOW_MS)?.row;
+    if (chosen !== undefined) chosen.inFlight += 1;
+    const mean = rows.reduce((sum, row) => sum + row.inFlight, 0) / rows.length;
+    expect(Math.max(...rows.map((row) => row.inFlight))).toBeLessThanOrEqual(2 * mean + 3);
+  }
+});
+
+test('a newcomer takes its prompts from their former home, and only while it is new', () => {
+  const { table } = createTable(6);
+  const placement = createPlacement(table);
+  const prompts = Array.from({ length: 60 }, (_, at) => `p${at}`);
+  const before = new Map(prompts.map((prompt) => [prompt, placement.choose(ask(prompt), NOW_MS)?.row]));
+  const newcomer = table.upsert(createListing('newcomer'), NOW_MS);
+  const moved = prompts.filter((prompt) => placement.choose(ask(prompt), NOW_MS)?.row === newcomer);
+  expect(moved.length).toBeGreaterThan(0);
+  for (const prompt of moved) {
+    expect(placement.choose(ask(prompt), NOW_MS)?.cacheSource).toBe(before.get(prompt));
+    expect(placement.choose(ask(prompt), NOW_MS + 60_000)?.cacheSource).toBeUndefined();
+  }
+});
+
+test('the prompts of a leaving endpoint are taken from it', () => {
+  const { table, rows } = createTable(6);
+  const placement = createPlacement(table);
+  const home = placement.choose(ask('p'), NOW_MS)?.row;
+  if (home === undefined) throw new Error('no home');
+  table.upsert({ ...home.listing, state: 'leaving' }, NOW_MS);
+  const choice = placement.choose(ask('p'), NOW_MS);
+  expect(choice?.row).not.toBe(home);
+  expect(choice?.cacheSource).toBe(home);
+  expect(rows.length).toBe(6);
+});
+
+test('nothing is taken from an endpoint that cannot be reached', () => {
+  const { table } = createTable(6);
+  const placement = createPlacement(table);
+  const home = placement.choose(ask('p'), NOW_MS)?.row;
+  if (home === undefined) throw new Error('no home');
+  home.standing = { type: 'unreachable', nextCheckMs: NOW_MS };
+  const choice = placement.choose(ask('p'), NOW_MS);
+  expect(choice?.row).not.toBe(home);
+  expect(choice?.cacheSource).toBeUndefined();
+});
+
+test('a plain request goes to the least loaded endpoint, its own hall first', () => {
+  const { table } = createTable(0);
+  const near = table.upsert(createListing('near'), 0);
+  const far = table.upsert(createListing('far', { hall: 'b' }), 0);
+  const placement = createPlacement(table);
+  const plain = { service: 'llm', promptParts: [], excluded: noneExcluded };
+  expect(placement.choose(plain, NOW_MS)?.row).toBe(near);
+  near.inFlight = 6;
+  expect(placement.choose(plain, NOW_MS)?.row).toBe(far);
+});
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -29,8 +29,10 @@
 
 /** Pace of the systems: fine enough for time-outs of half a second, coarse enough to cost little. */
 const TICK_MS = 40;
+/** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
+const STALL_MS = 400;
 /** Pace of heartbeats in a small fleet. */
-const HEARTBEAT_MS = 250;
+const HEARTBEAT_MS = 300;
 /** Heartbeats slow down with the fleet, so that a box's control traffic does not grow with it. */
 const HEARTBEAT_MS_PER_BOX = 30;
 /** A peer with newer values is asked for them at most this often. */
@@ -90,6 +92,7 @@
   private endpointsRevision = 0;
   private isFeedUp = false;
   private heartbeatAtMs = 0;
+  private tickedAtMs = performance.now();
   private askedPeerAtMs = -Infinity;
   private stopRequestedAtMs: number | undefined;
   private ticker: NodeJS.Timeout | undefined;
@@ -140,7 +143,9 @@
   /** Binds the listeners and starts the loop. Rejects if an address is taken. */
   async start(): Promise<void> {
     const { peerAddress, callerAddress } = this.options;
-    new Stream(this.inputs).observe((input) => this.handle(input)).catch((error: unknown) => this.failHard(error));
+    new Stream(this.inputs)
+      .observe((input) => this.handle(input))
+      .catch((error: unknown) => this.failHard(error));
     await this.mesh.listen(peerAddress.host, peerAddress.port);
     await this.callers.listen(callerAddress.host, callerAddress.port);
     // Not the library's own `periodic`: it follows the time of day, which may jump.
@@ -196,7 +201,12 @@
     return {
       dialect: options.dialect,
       table: this.table,
-      placement: new Placement(this.table, { h32: (text, seed) => hash(text, seed) }, options.hall, Math.random),
+      placement: new Placement(
+        this.table,
+        { h32: (text, seed) => hash(text, seed) },
+        options.hall,
+        Math.random,
+      ),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
       metrics: this.metrics,
@@ -231,6 +241,9 @@
 
   private tick(): void {
     const nowMs = this.now();
+    const sinceTickMs = nowMs - this.tickedAtMs;
+    this.tickedAtMs = nowMs;
+    if (sinceTickMs > STALL_MS) return this.handleStall(sinceTickMs);
     this.directory.tick(nowMs);
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
@@ -238,6 +251,16 @@
     this.advanceStop(nowMs);
   }
 
+  /** While this process stood still nobody was silent: the silence that it saw is its own. */
+  private handleStall(stalledMs: number): void {
+    this.log.write('lifecycle', 'stalled', {
+      stalledMs: Math.round(stalledMs),
+      requestsInFlight: this.exchanges.size,
+    });
+    for (const row of this.table.byId.values()) row.heardAtMs += stalledMs;
+    for (const exchange of this.exchanges) exchange.noteStall(stalledMs);
+  }
+
   private sendHeartbeat(nowMs: number): void {
     const paceMs = Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.mesh.countBoxes());
     if (nowMs - this.heartbeatAtMs < paceMs) return;
@@ -292,7 +315,11 @@
       }
       case 'endpoints': {
         const endpoints = [...this.table.byId.values()].map((row) => row.listing);
-        return this.mesh.send(address, { type: 'endpointsValue', revision: this.endpointsRevision, endpoints });
+        return this.mesh.send(address, {
+          type: 'endpointsValue',
+          revision: this.endpointsRevision,
+          endpoints,
+        });
       }
     }
   }
@@ -348,6 +375,8 @@
 
   private noteSign(row: EndpointRow, sign: HealthSign): void {
     const change = noteSign(this.table, row, sign, this.now());
+    if (change === 'unreachable' && sign === 'connectTimedOut')
+      this.reachability.suspectHall(row.listing.hall);
     if (change !== undefined) this.noteStanding(row, change, sign);
   }
 
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -61,7 +61,24 @@
 /** A frame between boxes. */
 export type PeerFrame = z.infer<typeof peerFrame>;
 
-const cbor = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+/** Fields travel as numbers: a heartbeat goes to every box several times a second. Numbers are never used again. */
+const FIELD_NUMBERS = {
+  type: 1,
+  boxId: 2,
+  address: 3,
+  configurationVersion: 4,
+  endpointsRevision: 5,
+  loads: 6,
+  knownAddresses: 7,
+  isStopping: 8,
+} as const;
+
+const cbor = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  keyMap: { ...FIELD_NUMBERS },
+  tagUint8Array: false,
+});
 
 /**
  * Encodes a frame with its length in front.
@@ -80,7 +97,11 @@
   try {
     const parsed = peerFrame.safeParse(cbor.decode(payload));
     if (parsed.success) return Ok(parsed.data);
-    return Err({ code: 'frameMalformed', at: 'peer', detail: parsed.error.issues[0]?.message ?? 'unknown frame' });
+    return Err({
+      code: 'frameMalformed',
+      at: 'peer',
+      detail: parsed.error.issues[0]?.message ?? 'unknown frame',
+    });
   } catch (error) {
     return Err({ code: 'frameMalformed', at: 'peer', detail: (error as Error).message });
   }
--- a/packages/router/src/proxy/answerDelivery.ts
+++ b/packages/router/src/proxy/answerDelivery.ts
@@ -36,7 +36,8 @@
   isResumable: boolean,
 ): AnswerDelivery {
   const contentType = String(head.headers['content-type'] ?? '');
-  if (isStream && contentType.startsWith('text/event-stream')) return new StreamDelivery(res, head, isResumable);
+  if (isStream && contentType.startsWith('text/event-stream'))
+    return new StreamDelivery(res, head, isResumable);
   return new HeldDelivery(res, head);
 }
 
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -164,6 +164,9 @@
   private handleEnd(connection: EndpointConnection): void {
     if (this.phase.type === 'over') return;
     const { connections, row } = this.options;
+    // The library takes a reset for the end of an answer without a length; such an answer is cut off.
+    if (connection.socket.errored !== null)
+      return this.breakOff('connectionLost', connection.socket.errored.message);
     this.close();
     // The library decides in this turn whether the connection can be kept.
     setImmediate(() => connections.release(row, connection));
@@ -176,7 +179,9 @@
     if (phase.type === 'over') return;
     // A refusal is true even if its body does not arrive whole.
     const { notRunHead } = this;
-    this.finish(notRunHead === undefined ? { type: 'broken', reason, detail } : { type: 'notRun', head: notRunHead });
+    this.finish(
+      notRunHead === undefined ? { type: 'broken', reason, detail } : { type: 'notRun', head: notRunHead },
+    );
     if (phase.type === 'open') phase.connection.socket.destroy();
   }
 
--- /dev/null
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -0,0 +1,129 @@
+/** The attempts of one request: where it was sent, and what is proved of each. */
+import type { IncomingMessage } from 'node:http';
+import type { CallerRequest, Route, Service, Team } from '../records.js';
+import type { RouterContext } from '../routerContext.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+import { Attempt } from './attempt.js';
+import type { AttemptEvent, ForwardedRequest } from './attempt.js';
+import { keepForwarded } from './forwardHeaders.js';
+import { isRepeatable } from './silence.js';
+
+/** A request that runs at most once goes on a connection that was used a moment ago, or on a new one. */
+const ONCE_MAX_IDLE_MS = 1_000;
+const REPEATABLE_MAX_IDLE_MS = 20_000;
+/** Connections that an endpoint of an undeclared service is assumed to take. */
+const DEFAULT_MAX_CONNECTIONS = 64;
+
+/** What a request is for, once matched. */
+export interface Assignment {
+  readonly route: Route;
+  readonly team: Team | undefined;
+  readonly service: string;
+  /** Undefined if the configuration names the service but does not declare it. */
+  readonly declared: Service | undefined;
+}
+
+/** What the attempts need of their request. */
+export interface AttemptSetOptions {
+  readonly req: IncomingMessage;
+  readonly request: CallerRequest;
+  /** When the request ends at the latest. */
+  readonly readExpiry: () => number;
+  readonly onEvent: (attempt: Attempt, event: AttemptEvent) => void;
+}
+
+/** All attempts of one request. */
+export class AttemptSet {
+  readonly live: Attempt[] = [];
+  body: Buffer | undefined;
+  unsentCount = 0;
+  /** Attempts whose endpoint vouches that it did not run them. */
+  notRunCount = 0;
+  private sent = 0;
+  private readonly triedIds = new Set<string>();
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly options: AttemptSetOptions,
+  ) {}
+
+  /** Endpoints that the request was handed to. */
+  get sentCount(): number {
+    return this.sent;
+  }
+
+  /** Whether it cannot be ruled out that the request ran. */
+  get mayHaveRun(): boolean {
+    return this.sent > this.notRunCount;
+  }
+
+  get lastTriedId(): string | undefined {
+    return [...this.triedIds].at(-1);
+  }
+
+  /**
+   * Starts an attempt at an endpoint that was not tried yet; false if there is none.
+   *
+   * @param resumeAfter id of the last event that the caller has, if its stream goes on
+   */
+  open(assignment: Assignment, resumeAfter: string | undefined): boolean {
+    const { context, options } = this;
+    const { promptParts } = options.request;
+    const choice = context.placement.choose(
+      { service: assignment.service, promptParts, excluded: this.triedIds },
+      context.now(),
+    );
+    if (choice === undefined) return false;
+    const { row } = choice;
+    const cacheSource = assignment.declared?.canMoveCache === true ? choice.cacheSource : undefined;
+    this.triedIds.add(row.listing.id);
+    const attempt = new Attempt({
+      row,
+      connections: context.connections,
+      dialect: context.dialect,
+      createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
+      maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
+      maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
+      onEvent: options.onEvent,
+    });
+    this.live.push(attempt);
+    void attempt.start();
+    return true;
+  }
+
+  /** Takes an attempt out; `end` says why, for the counters. */
+  drop(attempt: Attempt, end: string): void {
+    const at = this.live.indexOf(attempt);
+    if (at < 0) return;
+    this.live.splice(at, 1);
+    this.context.metrics.attempts.inc({ end });
+  }
+
+  private createRequest(
+    row: EndpointRow,
+    assignment: Assignment,
+    resumeAfter: string | undefined,
+    cacheSource: EndpointRow | undefined,
+  ): ForwardedRequest {
+    const { context, options } = this;
+    const { req, request } = options;
+    this.sent += 1;
+    const forwarded = context.dialect.writeForwarded({
+      deadlineMs: Math.max(1, Math.round(options.readExpiry() - context.now())),
+      endpointId: row.listing.id,
+      team: assignment.team?.name,
+      lastEventId: resumeAfter,
+      cacheSource:
+        cacheSource === undefined ? undefined : `${cacheSource.listing.host}:${cacheSource.listing.port}`,
+    });
+    const dropped = new Set(context.dialect.reservedHeaders);
+    if (resumeAfter !== undefined) dropped.add('last-event-id');
+    return {
+      requestId: request.requestId,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers: [...keepForwarded(req.rawHeaders, dropped), ...forwarded],
+      body: this.body,
+    };
+  }
+}
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -112,7 +112,8 @@
 /** What was wrong with bytes that are no request; undefined if the connection just broke. */
 function findHeadProblem(error: NodeJS.ErrnoException): ResultCode | undefined {
   if (error.code === 'HPE_HEADER_OVERFLOW') return 'headersTooLarge';
-  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' || error.code?.startsWith('HPE_') === true) return 'malformedRequest';
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' || error.code?.startsWith('HPE_') === true)
+    return 'malformedRequest';
   return undefined;
 }
 
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -11,7 +11,7 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 
 /** Links between halls take some milliseconds; a connection that is not up by then meets a cut or a dead host. */
-const CONNECT_TIMEOUT_MS = 350;
+const CONNECT_TIMEOUT_MS = 250;
 /** Kept connections carry keep-alive probes after this much silence. */
 const KEEP_ALIVE_PROBE_MS = 5_000;
 /** A connection idle for longer is closed by this side, unless the endpoint announced less. */
@@ -62,7 +62,9 @@
     const pool = this.findPool(row.listing.id);
     const idle = this.takeIdle(pool, maxIdleMs);
     if (idle !== undefined) return Ok(idle);
-    const share = Math.floor((maxConnections * USED_CONNECTIONS_SHARE) / Math.max(1, this.options.countBoxes()));
+    const share = Math.floor(
+      (maxConnections * USED_CONNECTIONS_SHARE) / Math.max(1, this.options.countBoxes()),
+    );
     if (pool.openCount >= Math.max(1, share)) return Err('connectionLimit');
     return this.open(row, pool);
   }
@@ -176,7 +178,9 @@
       const isLost = isUsed || socket.destroyed;
       isUsed = true;
       // The library does not go on with its queue if it is called back at once.
-      queueMicrotask(() => (isLost ? callback(new Error('the connection is closed'), null) : callback(null, socket)));
+      queueMicrotask(() =>
+        isLost ? callback(new Error('the connection is closed'), null) : callback(null, socket),
+      );
     },
   });
 }
--- /dev/null
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -0,0 +1,61 @@
+/** The lines that explain a request afterwards: why it was sent again, and how it ended. */
+import type { ResultCode } from '@hazelwalk/core';
+import type { RouterContext } from '../routerContext.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+
+/** Why a request is sent again. */
+export type RetryReason = 'unsent' | 'notRun' | 'serverError' | 'broken' | 'silent' | 'hedge' | 'resume';
+
+/** What happened to a request so far. */
+export interface ExchangeFacts {
+  readonly requestId: string;
+  readonly route: string | undefined;
+  readonly service: string | undefined;
+  readonly team: string | undefined;
+  /** Endpoint that it was sent to last. */
+  readonly endpoint: string | undefined;
+  readonly sent: number;
+  readonly unsent: number;
+  readonly ageMs: number;
+}
+
+/** Writes that a request is sent again, and what is known of the endpoint that it leaves. */
+export function logRetry(
+  context: RouterContext,
+  facts: ExchangeFacts,
+  row: EndpointRow,
+  reason: RetryReason,
+  detail: string,
+): void {
+  context.log.write('notable', 'sentAgain', {
+    ...facts,
+    reason,
+    detail,
+    endpoint: row.listing.id,
+    endpointInFlight: row.inFlight,
+    standing: row.standing.type,
+    heardAgoMs: Math.round(context.now() - row.heardAtMs),
+  });
+}
+
+/** Writes that a request is not sent again although it could be. */
+export function logRetryDenied(context: RouterContext, facts: ExchangeFacts, reason: RetryReason): void {
+  context.metrics.retriesDenied.inc({ reason: 'budget' });
+  context.log.write('notable', 'retryDenied', { ...facts, reason, because: 'budget' });
+}
+
+/** Writes how a request ended. */
+export function logOutcome(
+  context: RouterContext,
+  facts: ExchangeFacts,
+  outcome: 'answered' | ResultCode,
+  detail: string | undefined,
+): void {
+  context.metrics.outcomes.inc({ outcome });
+  context.log.write(outcome === 'answered' ? 'routine' : 'notable', 'requestEnded', {
+    ...facts,
+    outcome,
+    detail,
+    configurationVersion: context.readIndex()?.configuration.version,
+  });
+}
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -101,7 +101,7 @@
   ): EndpointRow | undefined {
     const reachable = this.table
       .listService(request.service)
-      .filter((row) => row.standing.type === 'good' && row.lapsedUntilMs === undefined);
+      .filter((row) => row.standing.type !== 'unreachable' && row.lapsedUntilMs === undefined);
     const home = this.findBestRanked(reachable, prompt);
     if (home !== undefined && home !== chosen) return home;
     if (nowMs - chosen.listedAtMs > NEWCOMER_MS) return undefined;
@@ -126,7 +126,10 @@
   }
 }
 
-function pickLeast(rows: readonly EndpointRow[], score: (row: EndpointRow) => number): EndpointRow | undefined {
+function pickLeast(
+  rows: readonly EndpointRow[],
+  score: (row: EndpointRow) => number,
+): EndpointRow | undefined {
   let best: EndpointRow | undefined;
   let bestScore = Infinity;
   for (const row of rows) {
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -8,7 +8,9 @@
 import { markUnreachable, noteReachable, REACH_CHECK_MS } from './endpointHealth.js';
 
 /** An endpoint with requests of this box that says nothing for this long is checked. */
-const SUSPECT_MS = 400;
+const SUSPECT_MS = 300;
+/** An endpoint heard within this time needs no check when another one of its hall cannot be reached. */
+const HEARD_LATELY_MS = 250;
 
 /** Called when the belief about an endpoint changes. */
 export type OnStandingChange = (row: EndpointRow, change: StandingChange, because: string) => void;
@@ -43,11 +45,21 @@
       return;
     }
     const change = markUnreachable(row, nowMs);
+    if (reached.val === 'connectTimedOut' && !wasUnreachable) this.suspectHall(row.listing.hall);
     if (change !== undefined) this.onChange(row, change, reached.val);
     else if (wasUnreachable && row.standing.type === 'unreachable') {
       row.standing = { type: 'unreachable', nextCheckMs: nowMs + REACH_CHECK_MS };
     }
   }
+
+  /** A connection that times out often means that the link to a whole hall is cut: its other endpoints are checked. */
+  suspectHall(hall: string): void {
+    const nowMs = this.now();
+    for (const row of this.table.byId.values()) {
+      const isSuspect = row.listing.hall === hall && row.standing.type === 'good' && !row.isBeingChecked;
+      if (isSuspect && nowMs - row.heardAtMs >= HEARD_LATELY_MS) void this.check(row);
+    }
+  }
 }
 
 function isDue(row: EndpointRow, nowMs: number): boolean {
