--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -31,10 +31,6 @@
 const TICK_MS = 40;
 /** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
 const STALL_MS = 400;
-/** Pace of heartbeats in a small fleet. */
-const HEARTBEAT_MS = 300;
-/** Heartbeats slow down with the fleet, so that a box's control traffic does not grow with it. */
-const HEARTBEAT_MS_PER_BOX = 30;
 /** A peer with newer values is asked for them at most this often. */
 const ASK_PEER_MS = 400;
 /**
@@ -262,8 +258,7 @@
   }
 
   private sendHeartbeat(nowMs: number): void {
-    const paceMs = Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.mesh.countBoxes());
-    if (nowMs - this.heartbeatAtMs < paceMs) return;
+    if (nowMs - this.heartbeatAtMs < this.mesh.paceMs) return;
     this.heartbeatAtMs = nowMs;
     sumPeerLoads(
       this.table,
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -8,16 +8,21 @@
 import type { Heartbeat, PeerFrame } from './peerFrames.js';
 import { encodePeerFrame, PeerFrameReader } from './peerFrames.js';
 
-/** A peer unheard for this long no longer counts its load. */
-const LOAD_LIFE_MS = 2_500;
-/** A peer unheard for this long no longer counts as a box of the fleet. */
-const MEMBER_LIFE_MS = 15_000;
+/** Pace of heartbeats in a small fleet. */
+const HEARTBEAT_MS = 300;
+/** Heartbeats slow down with the fleet, so that a box's control traffic does not grow with it. */
+const HEARTBEAT_MS_PER_BOX = 30;
+/** A peer that missed so many heartbeats no longer counts its load, and its link is made anew. */
+const MISSED_HEARTBEATS = 8;
+/**
+ * A peer unheard for this long no longer counts as a box of the fleet. Longer than halls are cut off from each other
+ * for a moment: the retry budget is shared by all boxes, also by those that cannot be heard.
+ */
+const MEMBER_LIFE_MS = 120_000;
 /** An address that gave no sign for this long is forgotten. */
 const ADDRESS_LIFE_MS = 30_000;
 /** Pace of attempts to reach a peer. */
 const REDIAL_MS = 1_000;
-/** A link to a peer that was not heard for this long is made anew: the old one may be stuck behind a cut. */
-const SILENT_LINK_MS = 2_500;
 /** A link that takes no bytes for so many unsent ones is stuck. */
 const MAX_UNSENT_BYTES = 262_144;
 /** Every so many heartbeats carry the known addresses. */
@@ -49,6 +54,7 @@
   private readonly peers = new Map<string, PeerState>();
   private readonly accepted = new Set<Socket>();
   private heartbeatCount = 0;
+  private readonly seedCount: number;
   private isClosed = false;
 
   constructor(
@@ -58,6 +64,7 @@
     private readonly now: () => number,
   ) {
     this.server = createServer((socket) => this.acceptLink(socket));
+    this.seedCount = seeds.length;
     for (const seed of seeds) this.learnAddress(seed);
   }
 
@@ -72,18 +79,23 @@
     });
   }
 
+  /** Time between two heartbeats. */
+  get paceMs(): number {
+    return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.countBoxes());
+  }
+
   /** Peers whose loads count. */
   listFresh(): PeerState[] {
-    const leastMs = this.now() - LOAD_LIFE_MS;
+    const leastMs = this.now() - MISSED_HEARTBEATS * this.paceMs;
     return [...this.peers.values()].filter((peer) => peer.heardAtMs >= leastMs);
   }
 
-  /** Boxes of the fleet, this one included, as far as it knows. */
+  /** Boxes of the fleet, this one included, as far as it knows; seeds count even before they are heard. */
   countBoxes(): number {
     const leastMs = this.now() - MEMBER_LIFE_MS;
     let count = 1;
     for (const peer of this.peers.values()) if (peer.heardAtMs >= leastMs) count += 1;
-    return count;
+    return Math.max(count, this.seedCount);
   }
 
   /** Sends a heartbeat to all peers; the mesh adds the addresses it knows. */
@@ -136,7 +148,9 @@
     if (socket === undefined) return false;
     const ageMs = nowMs - link.dialledAtMs;
     if (socket.connecting) return ageMs >= REDIAL_MS;
-    return ageMs >= SILENT_LINK_MS && nowMs - link.heardAtMs >= SILENT_LINK_MS;
+    // An open link to a peer that is not heard may be stuck behind a cut.
+    const silentMs = MISSED_HEARTBEATS * this.paceMs;
+    return ageMs >= silentMs && nowMs - link.heardAtMs >= silentMs;
   }
 
   private forget(link: PeerLink): void {
