--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -38,7 +38,7 @@
  * Later connections are refused, also where the platform goes on for lack of other boxes: work that begins now could
  * not be finished.
  */
-const STOP_LINGER_MS = 2_800;
+const STOP_LINGER_MS = 2_300;
 /** A stopping box ends this long before it would be killed. */
 const STOP_MARGIN_MS = 500;
 
