--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -9,6 +9,7 @@
 import { RouterMetrics } from './observability/metrics.js';
 import type { PeerFrame } from './peers/peerFrames.js';
 import { PeerMesh } from './peers/peerMesh.js';
+import { PeerValues } from './peers/peerValues.js';
 import { CallerServer } from './proxy/callerServer.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
 import type { Exchange } from './proxy/exchange.js';
@@ -31,8 +32,6 @@
 const TICK_MS = 40;
 /** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
 const STALL_MS = 400;
-/** A peer with newer values is asked for them at most this often. */
-const ASK_PEER_MS = 400;
 /**
  * After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart.
  * Later connections are refused, also where the platform goes on for lack of other boxes: work that begins now could
@@ -89,7 +88,7 @@
   private isFeedUp = false;
   private heartbeatAtMs = 0;
   private tickedAtMs = performance.now();
-  private askedPeerAtMs = -Infinity;
+  private readonly peerValues: PeerValues;
   private stopRequestedAtMs: number | undefined;
   private ticker: NodeJS.Timeout | undefined;
   private resolveStopped: () => void = () => {};
@@ -127,6 +126,17 @@
       },
       now,
     );
+    this.peerValues = new PeerValues({
+      ownAddress: this.ownAddress,
+      mesh: this.mesh,
+      now,
+      readConfiguration: () => ({ version: this.configurationVersion, text: this.configurationText }),
+      readEndpoints: () => ({
+        revision: this.endpointsRevision,
+        endpoints: [...this.table.byId.values()].map((row) => row.listing),
+      }),
+      isFeedUp: () => this.isFeedUp,
+    });
     this.callers = new CallerServer(this.createContext(countBoxes));
   }
 
@@ -279,9 +289,9 @@
     this.metrics.peerFrames.inc({ type: frame.type });
     switch (frame.type) {
       case 'heartbeat':
-        return this.askForNewer(frame.address, frame.configurationVersion, frame.endpointsRevision);
+        return this.peerValues.askForNewer(frame);
       case 'valueRequest':
-        return this.sendValue(frame.address, frame.value);
+        return this.peerValues.send(frame.address, frame.value);
       case 'configurationValue':
         return this.applyConfiguration(frame.text, 'peer');
       case 'endpointsValue':
@@ -289,36 +299,6 @@
     }
   }
 
-  /** Asks a peer for what it has newer; the list of endpoints only while the platform cannot be read. */
-  private askForNewer(address: string, configurationVersion: number, endpointsRevision: number): void {
-    const nowMs = this.now();
-    const lacksConfiguration = configurationVersion > this.configurationVersion;
-    const lacksEndpoints = !this.isFeedUp && endpointsRevision > this.endpointsRevision;
-    if ((!lacksConfiguration && !lacksEndpoints) || nowMs - this.askedPeerAtMs < ASK_PEER_MS) return;
-    this.askedPeerAtMs = nowMs;
-    const ask = { type: 'valueRequest', address: this.ownAddress } as const;
-    if (lacksConfiguration) this.mesh.send(address, { ...ask, value: 'configuration' });
-    if (lacksEndpoints) this.mesh.send(address, { ...ask, value: 'endpoints' });
-  }
-
-  private sendValue(address: string, value: 'configuration' | 'endpoints'): void {
-    switch (value) {
-      case 'configuration': {
-        if (this.index === undefined) return;
-        const { version } = this.index.configuration;
-        return this.mesh.send(address, { type: 'configurationValue', version, text: this.configurationText });
-      }
-      case 'endpoints': {
-        const endpoints = [...this.table.byId.values()].map((row) => row.listing);
-        return this.mesh.send(address, {
-          type: 'endpointsValue',
-          revision: this.endpointsRevision,
-          endpoints,
-        });
-      }
-    }
-  }
-
   private applyConfiguration(text: string, source: ValueSource): void {
     const parsed = this.options.parseConfiguration(text);
     if (parsed.err) return this.log.write('notable', 'configurationRejected', { ...parsed.val, source });
@@ -328,6 +308,7 @@
     this.index = new RouteIndex(configuration);
     this.configurationText = text;
     this.callers.applyLimits(configuration.limits);
+    if (current === undefined) this.releaseWaiting();
     this.metrics.configurationVersion.set(configuration.version);
     this.log.write('lifecycle', 'configurationApplied', {
       version: configuration.version,
@@ -337,6 +318,12 @@
     });
   }
 
+  /** Requests that came before the first configuration go on at once. */
+  private releaseWaiting(): void {
+    const nowMs = this.now();
+    for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
+  }
+
   private applyEndpoints(change: EndpointChange, revision: number, source: ValueSource): void {
     if (source === 'peer' && (this.isFeedUp || revision <= this.endpointsRevision)) return;
     this.endpointsRevision = Math.max(this.endpointsRevision, revision);
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -1,5 +1,12 @@
-/** Counters and histograms, served as text on the metrics address. */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+/**
+ * Counters and histograms, served as text on the metrics address. Only the parts of the library that are used are
+ * loaded: the rest (push gateways, clusters) costs a box a fifth of its start-up time.
+ */
+import type { Counter as CounterType } from 'prom-client';
+import Counter from 'prom-client/lib/counter.js';
+import Gauge from 'prom-client/lib/gauge.js';
+import Histogram from 'prom-client/lib/histogram.js';
+import Registry from 'prom-client/lib/registry.js';
 
 /** Buckets of latencies in milliseconds: from one network round trip to the longest deadlines. */
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 5_000, 10_000];
@@ -47,7 +54,7 @@
     return this.registry.metrics();
   }
 
-  private counter<T extends string>(name: string, help: string, labelNames: readonly T[]): Counter<T> {
+  private counter<T extends string>(name: string, help: string, labelNames: readonly T[]): CounterType<T> {
     return new Counter({
       name: `hazelwalk_${name}_total`,
       help,
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -1,8 +1,9 @@
 /** The attempts of one request: where it was sent, and what is proved of each. */
 import type { IncomingMessage } from 'node:http';
-import type { CallerRequest, Route, Service, Team } from '../records.js';
+import type { CallerRequest, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
 import type { AttemptEvent, ForwardedRequest } from './attempt.js';
 import { keepForwarded } from './forwardHeaders.js';
@@ -14,14 +15,8 @@
 /** Connections that an endpoint of an undeclared service is assumed to take. */
 const DEFAULT_MAX_CONNECTIONS = 64;
 
-/** What a request is for, once matched. */
-export interface Assignment {
-  readonly route: Route;
-  readonly team: Team | undefined;
-  readonly service: string;
-  /** Undefined if the configuration names the service but does not declare it. */
-  readonly declared: Service | undefined;
-}
+/** Less time than this is not worth another attempt. */
+const LEAST_ATTEMPT_MS = 50;
 
 /** What the attempts need of their request. */
 export interface AttemptSetOptions {
@@ -57,6 +52,12 @@
     return this.sent > this.notRunCount;
   }
 
+  /** Whether time and the route's attempts allow another attempt. */
+  mayOpenAnother(route: Route): boolean {
+    const hasTime = this.options.readExpiry() - this.context.now() >= LEAST_ATTEMPT_MS;
+    return hasTime && this.sent < route.maxAttempts;
+  }
+
   get lastTriedId(): string | undefined {
     return [...this.triedIds].at(-1);
   }
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -9,16 +9,15 @@
 import type { CallerRequest } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { HealthSign } from '../systems/endpointHealth.js';
-import { pickTarget } from '../systems/routeIndex.js';
-import { readSharedPrompt } from '../systems/placement.js';
 import type { AnswerDelivery } from './answerDelivery.js';
 import { createDelivery } from './answerDelivery.js';
 import type { AnswerHead, Attempt, AttemptEvent } from './attempt.js';
-import type { Assignment } from './attemptSet.js';
+import { assignRequest } from './assignment.js';
+import type { Assignment } from './assignment.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeFacts, RetryReason } from './exchangeLog.js';
 import { logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
-import { sendRefusal } from './refusal.js';
+import { pickRetryAfterMs, sendRefusal } from './refusal.js';
 import { readRequestBody } from './requestBody.js';
 import { isRepeatable, judgeSilence } from './silence.js';
 
@@ -26,11 +25,8 @@
 const DEFAULT_DEADLINE_MS = 30_000;
 /** Endpoints that may be tried in vain before a request is refused; nothing is sent to them. */
 const MAX_UNSENT = 4;
-/** Less time than this is not worth another attempt. */
-const LEAST_ATTEMPT_MS = 50;
-/** When callers should come back after a refusal: soon enough to be on time, spread so that they don't return together. */
-const RETRY_AFTER_MS = 60;
-const RETRY_AFTER_SPREAD_MS = 60;
+/** A box that just started takes requests before it has read what to serve; they wait for it this long. */
+const START_WAIT_MS = 1_000;
 const LEAST_SERVER_ERROR = 500;
 
 /** One request under way. */
@@ -43,6 +39,8 @@
   private winner: Attempt | undefined;
   private heardAtMs = 0;
   private isSettled = false;
+  /** Its body is read, but the box does not know yet what to serve. */
+  private isWaitingForStart = false;
 
   constructor(
     private readonly context: RouterContext,
@@ -78,6 +76,7 @@
   tick(nowMs: number): void {
     if (this.isSettled) return;
     if (nowMs >= this.expiresAtMs) return this.expire();
+    if (this.isWaitingForStart) return this.waitForStart(nowMs);
     for (const attempt of [...this.attempts.live]) this.checkSilence(attempt, nowMs);
   }
 
@@ -90,34 +89,28 @@
   private handleBody(body: Buffer | undefined): void {
     if (this.isSettled) return;
     this.attempts.body = body;
-    const assignment = this.assign();
-    if (assignment === undefined) return;
+    this.waitForStart(this.context.now());
+  }
+
+  /** Goes on as soon as the box knows what to serve; refuses if that takes too long. */
+  private waitForStart(nowMs: number): void {
+    const isKnown = this.context.readIndex() !== undefined;
+    this.isWaitingForStart = !isKnown && nowMs - this.arrivedAtMs < START_WAIT_MS;
+    if (!this.isWaitingForStart) this.begin();
+  }
+
+  private begin(): void {
+    const { context, req, request } = this;
+    const matched = assignRequest(context, req, request);
+    if (matched.err) return this.refuse(matched.val, matched.val === 'notReady' ? pickRetryAfterMs() : 0);
+    const assignment = matched.val;
     this.assignment = assignment;
-    const { context } = this;
     this.expiresAtMs = Math.min(this.expiresAtMs, this.arrivedAtMs + assignment.route.timeoutMs);
     context.metrics.requests.inc({ service: assignment.service });
     context.budget.noteRequest(assignment.service, context.now());
     this.place(undefined);
   }
 
-  private assign(): Assignment | undefined {
-    const index = this.context.readIndex();
-    if (index === undefined) {
-      this.refuse('notReady', this.pickRetryAfter());
-      return undefined;
-    }
-    const path = readPath(this.req.url ?? '/');
-    const match = index.match(this.req.headers.host ?? '', path, this.request.apiKey);
-    if (match.type === 'refused') {
-      this.refuse(match.code, 0);
-      return undefined;
-    }
-    const { route, team } = match;
-    const spread = readSharedPrompt(this.request.promptParts) ?? this.request.requestId;
-    const service = pickTarget(route.targets, this.context.hash(spread)) ?? '';
-    return { route, team, service, declared: index.findService(service) };
-  }
-
   /** Sends the request to an endpoint, or gives up if there is none. */
   private place(resumeAfter: string | undefined): void {
     const { assignment } = this;
@@ -281,33 +274,25 @@
   }
 
   private hedge(attempt: Attempt, silentMs: number): void {
-    if (!this.canRetry() || !this.mayRetry('hedge')) return;
+    if (!this.mayRetry('hedge')) return;
     this.noteSign(attempt, 'silent');
     this.retry(attempt, 'hedge', `silent for ${Math.round(silentMs)} ms`);
   }
 
   /** Moves a stream off a silent endpoint, if it can go on elsewhere; otherwise goes on waiting. */
   private leaveSilent(attempt: Attempt, silentMs: number): void {
-    const { delivery } = this;
+    const { delivery, assignment } = this;
     if (delivery?.hasStarted === true && !delivery.canResume) return;
-    if (!this.canRetry()) return;
+    if (assignment === undefined || !this.attempts.mayOpenAnother(assignment.route)) return;
     this.abandon(attempt, 'silent');
     this.noteSign(attempt, 'silent');
     this.goOnElsewhere(attempt, 'silent', `silent for ${Math.round(silentMs)} ms`);
   }
 
-  /** Whether time and the route's attempts allow another attempt. */
-  private canRetry(): boolean {
-    const { assignment, context } = this;
-    if (assignment === undefined) return false;
-    const hasTime = this.expiresAtMs - context.now() >= LEAST_ATTEMPT_MS;
-    return hasTime && this.attempts.sentCount < assignment.route.maxAttempts;
-  }
-
   /** Whether another attempt is allowed; takes it from the budget. */
   private mayRetry(reason: RetryReason): boolean {
     const { assignment, context } = this;
-    if (assignment === undefined || !this.canRetry()) {
+    if (assignment === undefined || !this.attempts.mayOpenAnother(assignment.route)) {
       context.metrics.retriesDenied.inc({ reason: 'attempts' });
       return false;
     }
@@ -330,7 +315,7 @@
       for (const attempt of this.attempts.live) this.noteSign(attempt, 'silent');
     }
     this.abandonAll('expired');
-    if (!this.attempts.mayHaveRun) return this.refuse('overloaded', this.pickRetryAfter());
+    if (!this.attempts.mayHaveRun) return this.refuse('overloaded', pickRetryAfterMs());
     this.fail(
       isRouteTimeout ? 'route time-out' : 'deadline',
       isRouteTimeout ? 'routeTimeout' : 'deadlineExceeded',
@@ -341,7 +326,7 @@
   private giveUp(code: ResultCode): void {
     if (this.attempts.live.length > 0) return;
     if (this.attempts.mayHaveRun) return this.fail(code);
-    this.refuse(code === 'connectFailed' ? 'noEndpoint' : code, this.pickRetryAfter());
+    this.refuse(code === 'connectFailed' ? 'noEndpoint' : code, pickRetryAfterMs());
   }
 
   /** Ends a request that may have run: as failed, or as visibly cut off if its answer has begun. */
@@ -428,13 +413,4 @@
     attempt.row.told = load;
     attempt.row.toldAtMs = this.context.now();
   }
-
-  private pickRetryAfter(): number {
-    return RETRY_AFTER_MS + Math.random() * RETRY_AFTER_SPREAD_MS;
-  }
-}
-
-function readPath(target: string): string {
-  const query = target.indexOf('?');
-  return query < 0 ? target : target.slice(0, query);
 }
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -12,6 +12,15 @@
   readonly retryAfterMs: number;
 }
 
+/** Soon enough for an answer on time, and spread so that callers don't return together. */
+const RETRY_AFTER_MS = 60;
+const RETRY_AFTER_SPREAD_MS = 60;
+
+/** When a caller should come back after a request that did not run. */
+export function pickRetryAfterMs(): number {
+  return RETRY_AFTER_MS + Math.random() * RETRY_AFTER_SPREAD_MS;
+}
+
 /** Writes a refusal. The connection is closed after it if the body of the request was not read to its end. */
 export function sendRefusal(
   res: ServerResponse,
