--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -81,7 +81,6 @@
   private readonly mesh: PeerMesh;
   private readonly callers: CallerServer;
   private readonly exchanges = new Set<Exchange>();
-  private readonly ownAddress: string;
   private index: RouteIndex | undefined;
   private configurationText = '';
   private endpointsRevision = 0;
@@ -116,9 +115,7 @@
     this.reachability = new Reachability(this.table, this.connections, now, (row, change, because) =>
       this.noteStanding(row, change, because),
     );
-    this.ownAddress = `${options.peerAddress.host}:${options.peerAddress.port}`;
     this.mesh = new PeerMesh(
-      this.ownAddress,
       options.seedAddresses,
       {
         onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
@@ -127,7 +124,6 @@
       now,
     );
     this.peerValues = new PeerValues({
-      ownAddress: this.ownAddress,
       mesh: this.mesh,
       now,
       readConfiguration: () => ({ version: this.configurationVersion, text: this.configurationText }),
@@ -185,6 +181,11 @@
     return rows.filter((row) => row.listing.state === 'live' && isUsable(row, this.now())).length;
   }
 
+  /** Address at which peers are accepted. */
+  get peerAddress(): string {
+    return this.mesh.address;
+  }
+
   /** Port on which callers are served. */
   get callerPort(): number {
     return this.callers.port;
@@ -277,7 +278,7 @@
     this.mesh.broadcast({
       type: 'heartbeat',
       boxId: this.options.boxId,
-      address: this.ownAddress,
+      address: this.mesh.address,
       configurationVersion: this.configurationVersion,
       endpointsRevision: this.endpointsRevision,
       loads: listOwnLoads(this.table),
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -3,7 +3,7 @@
  * from a few seed addresses: heartbeats carry the addresses that their sender knows.
  */
 import { connect, createServer } from 'node:net';
-import type { Server, Socket } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Problem } from '@hazelwalk/core';
 import type { Heartbeat, PeerFrame } from './peerFrames.js';
 import { encodePeerFrame, PeerFrameReader } from './peerFrames.js';
@@ -54,11 +54,11 @@
   private readonly peers = new Map<string, PeerState>();
   private readonly accepted = new Set<Socket>();
   private heartbeatCount = 0;
+  private ownAddress = '';
   private readonly seedCount: number;
   private isClosed = false;
 
   constructor(
-    private readonly ownAddress: string,
     seeds: readonly string[],
     private readonly handlers: PeerMeshHandlers,
     private readonly now: () => number,
@@ -74,11 +74,18 @@
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
         this.server.off('error', reject);
+        this.ownAddress = `${host}:${(this.server.address() as AddressInfo).port}`;
+        this.forgetOwnAddress();
         resolve();
       });
     });
   }
 
+  /** Address at which this box accepts peers; empty before it is bound. */
+  get address(): string {
+    return this.ownAddress;
+  }
+
   /** Time between two heartbeats. */
   get paceMs(): number {
     return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.countBoxes());
@@ -129,6 +136,11 @@
     socket.write(packet);
   }
 
+  /** Seeds may name this box itself. */
+  private forgetOwnAddress(): void {
+    this.links.delete(this.ownAddress);
+  }
+
   private learnAddress(address: string): void {
     if (address === this.ownAddress || this.links.has(address)) return;
     this.links.set(address, { address, socket: undefined, dialledAtMs: -Infinity, heardAtMs: this.now() });
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -11,7 +11,6 @@
 
 /** What this box has, and how it reaches its peers. */
 export interface PeerValuesOptions {
-  readonly ownAddress: string;
   readonly mesh: PeerMesh;
   readonly now: () => number;
   /** Version 0 before the first configuration. */
@@ -36,7 +35,7 @@
       !options.isFeedUp() && heartbeat.endpointsRevision > options.readEndpoints().revision;
     if ((!lacksConfiguration && !lacksEndpoints) || nowMs - this.askedAtMs < ASK_MS) return;
     this.askedAtMs = nowMs;
-    const question = { type: 'valueRequest', address: options.ownAddress } as const;
+    const question = { type: 'valueRequest', address: options.mesh.address } as const;
     if (lacksConfiguration) options.mesh.send(heartbeat.address, { ...question, value: 'configuration' });
     if (lacksEndpoints) options.mesh.send(heartbeat.address, { ...question, value: 'endpoints' });
   }
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -8,7 +8,6 @@
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerRequest } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
-import type { HealthSign } from '../systems/endpointHealth.js';
 import type { AnswerDelivery } from './answerDelivery.js';
 import { createDelivery } from './answerDelivery.js';
 import type { AnswerHead, Attempt, AttemptEvent } from './attempt.js';
@@ -151,7 +150,7 @@
     reason: 'connectRefused' | 'connectTimedOut' | 'connectionLimit',
   ): void {
     this.drop(attempt, reason);
-    if (reason !== 'connectionLimit') this.noteSign(attempt, reason);
+    if (reason !== 'connectionLimit') this.context.noteSign(attempt.row, reason);
     this.attempts.unsentCount += 1;
     logRetry(this.context, this.listFacts(), attempt.row, 'unsent', reason);
     if (this.attempts.live.length > 0) return;
@@ -163,7 +162,7 @@
     this.drop(attempt, 'notRun');
     this.attempts.notRunCount += 1;
     this.noteLoad(attempt, head);
-    this.noteSign(attempt, 'refused');
+    this.context.noteSign(attempt.row, 'refused');
     // Its word covers its own run only; another attempt may still be running.
     if (this.attempts.live.length > 0) return;
     if (this.mayRetry('notRun')) return this.retry(attempt, 'notRun', `status ${head.status}`);
@@ -173,10 +172,10 @@
   private handleHead(attempt: Attempt, head: AnswerHead): void {
     this.noteLoad(attempt, head);
     if (head.status >= LEAST_SERVER_ERROR) {
-      this.noteSign(attempt, 'errored');
+      this.context.noteSign(attempt.row, 'errored');
       if (this.discardError(attempt, head)) return;
     } else {
-      this.noteSign(attempt, 'answered');
+      this.context.noteSign(attempt.row, 'answered');
     }
     for (const other of [...this.attempts.live]) if (other !== attempt) this.abandon(other, 'lost the race');
     this.winner = attempt;
@@ -231,7 +230,7 @@
 
   private handleBroken(attempt: Attempt, detail: string): void {
     this.drop(attempt, 'broken');
-    this.noteSign(attempt, 'broke');
+    this.context.noteSign(attempt.row, 'broke');
     this.goOnElsewhere(attempt, 'broken', detail);
   }
 
@@ -275,7 +274,7 @@
 
   private hedge(attempt: Attempt, silentMs: number): void {
     if (!this.mayRetry('hedge')) return;
-    this.noteSign(attempt, 'silent');
+    this.context.noteSign(attempt.row, 'silent');
     this.retry(attempt, 'hedge', `silent for ${Math.round(silentMs)} ms`);
   }
 
@@ -285,7 +284,7 @@
     if (delivery?.hasStarted === true && !delivery.canResume) return;
     if (assignment === undefined || !this.attempts.mayOpenAnother(assignment.route)) return;
     this.abandon(attempt, 'silent');
-    this.noteSign(attempt, 'silent');
+    this.context.noteSign(attempt.row, 'silent');
     this.goOnElsewhere(attempt, 'silent', `silent for ${Math.round(silentMs)} ms`);
   }
 
@@ -312,7 +311,7 @@
     const isRouteTimeout =
       assignment !== undefined && this.context.now() - this.arrivedAtMs >= assignment.route.timeoutMs;
     if (this.attempts.live.some((attempt) => attempt.sentAtMs > 0) && this.delivery === undefined) {
-      for (const attempt of this.attempts.live) this.noteSign(attempt, 'silent');
+      for (const attempt of this.attempts.live) this.context.noteSign(attempt.row, 'silent');
     }
     this.abandonAll('expired');
     if (!this.attempts.mayHaveRun) return this.refuse('overloaded', pickRetryAfterMs());
@@ -403,10 +402,6 @@
     if (this.winner === attempt && end !== 'whole') this.winner = undefined;
   }
 
-  private noteSign(attempt: Attempt, sign: HealthSign): void {
-    this.context.noteSign(attempt.row, sign);
-  }
-
   private noteLoad(attempt: Attempt, head: AnswerHead): void {
     const { load } = head.facts;
     if (load === undefined) return;
