--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -12,7 +12,6 @@
 
 const createHeartbeat = (address: string): Heartbeat => ({
   type: 'heartbeat',
-  boxId: address,
   address,
   configurationVersion: 3,
   endpointsRevision: 9,
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -32,6 +32,12 @@
 const TICK_MS = 40;
 /** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
 const STALL_MS = 400;
+/**
+ * Changes of published values come in bursts, and each wakes every box that waits for them. Boxes of a larger fleet let
+ * more changes gather before they ask again; the longest pause is well within the time in which a change has to hold.
+ */
+const GATHER_MS_PER_BOX = 10;
+const MAX_GATHER_MS = 800;
 /**
  * After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart.
  * Later connections are refused, also where the platform goes on for lack of other boxes: work that begins now could
@@ -175,6 +181,11 @@
     return this.isFeedUp;
   }
 
+  /** Pause before the platform is asked for further changes after one. */
+  get changeGatherMs(): number {
+    return Math.min(MAX_GATHER_MS, GATHER_MS_PER_BOX * this.mesh.countBoxes());
+  }
+
   /** Endpoints of a service that get new requests from this box. */
   countUsableEndpoints(service: string): number {
     const rows = this.table.listService(service);
@@ -277,7 +288,6 @@
     );
     this.mesh.broadcast({
       type: 'heartbeat',
-      boxId: this.options.boxId,
       address: this.mesh.address,
       configurationVersion: this.configurationVersion,
       endpointsRevision: this.endpointsRevision,
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -13,7 +13,6 @@
 
 const heartbeat = z.object({
   type: z.literal('heartbeat'),
-  boxId: z.string(),
   /** Address at which the sender accepts peers. */
   address: z.string(),
   /** Version of the configuration in force; 0 before the first. */
@@ -64,7 +63,7 @@
 /** Fields travel as numbers: a heartbeat goes to every box several times a second. Numbers are never used again. */
 const FIELD_NUMBERS = {
   type: 1,
-  boxId: 2,
+
   address: 3,
   configurationVersion: 4,
   endpointsRevision: 5,
