--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -48,12 +48,7 @@
   ),
   fileTooLarge: info(1104, 0, 'The file is larger than the platform holds', 'Stay under 1 MB.'),
   listInvalid: info(1105, 0, 'A published list does not fit its schema', 'Correct the list in the platform.'),
-  listUndecodable: info(
-    1107,
-    0,
-    'A published value cannot be decoded',
-    'Correct the value in the platform.',
-  ),
+  listUndecodable: info(1107, 0, 'A published value cannot be decoded', 'Correct the value in the platform.'),
   platformUnavailable: info(1108, 0, 'The platform gave no usable answer', 'Look at the platform.'),
   revisionConflict: info(
     1106,
