--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -20,8 +20,12 @@
 });
 
 async function startMesh(seeds: readonly string[], heard: PeerFrame[] = [], port = 0): Promise<PeerMesh> {
-  const handlers = { onFrame: (frame: PeerFrame) => void heard.push(frame), onProblem: () => {} };
-  const mesh = new PeerMesh(seeds, handlers, () => performance.now());
+  const handlers = {
+    createHeartbeat: () => createHeartbeat(mesh.address),
+    onFrame: (frame: PeerFrame) => void heard.push(frame),
+    onProblem: () => {},
+  };
+  const mesh: PeerMesh = new PeerMesh(seeds, handlers, () => performance.now());
   meshes.push(mesh);
   await mesh.listen('127.0.0.1', port);
   timers.push(setInterval(() => mesh.broadcast(createHeartbeat(mesh.address)), 20));
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -7,7 +7,7 @@
 import type { HttpDialect } from './httpDialect.js';
 import { DecisionLog } from './observability/decisionLog.js';
 import { RouterMetrics } from './observability/metrics.js';
-import type { PeerFrame } from './peers/peerFrames.js';
+import type { Heartbeat, PeerFrame } from './peers/peerFrames.js';
 import { PeerMesh } from './peers/peerMesh.js';
 import { PeerValues } from './peers/peerValues.js';
 import { CallerServer } from './proxy/callerServer.js';
@@ -124,6 +124,7 @@
     this.mesh = new PeerMesh(
       options.seedAddresses,
       {
+        createHeartbeat: () => this.createHeartbeat(),
         onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
         onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
       },
@@ -168,7 +169,7 @@
 
   /** Whether callers should be sent here: it knows what to serve and is not stopping. */
   isReady(): boolean {
-    return this.index !== undefined && this.table.byId.size > 0 && this.stopRequestedAtMs === undefined;
+    return this.isInformed() && this.stopRequestedAtMs === undefined;
   }
 
   /** Version of the configuration in force; 0 before the first. */
@@ -233,6 +234,7 @@
       now,
       hash,
       readIndex: () => this.index,
+      isInformed: () => this.isInformed(),
       isStopping: () => this.stopRequestedAtMs !== undefined,
       noteSign: (row, sign) => this.noteSign(row, sign),
     };
@@ -286,14 +288,18 @@
       this.table,
       this.mesh.listFresh().map((peer) => peer.heartbeat.loads),
     );
-    this.mesh.broadcast({
+    this.mesh.broadcast(this.createHeartbeat());
+  }
+
+  private createHeartbeat(): Heartbeat {
+    return {
       type: 'heartbeat',
       address: this.mesh.address,
       configurationVersion: this.configurationVersion,
       endpointsRevision: this.endpointsRevision,
       loads: listOwnLoads(this.table),
       isStopping: this.stopRequestedAtMs !== undefined,
-    });
+    };
   }
 
   private handlePeerFrame(frame: PeerFrame): void {
@@ -329,8 +335,14 @@
     });
   }
 
-  /** Requests that came before the first configuration go on at once. */
+  /** Whether it knows what to serve and where. */
+  private isInformed(): boolean {
+    return this.index !== undefined && this.table.byId.size > 0;
+  }
+
+  /** Requests that came before the box knew what to serve go on at once. */
   private releaseWaiting(): void {
+    if (!this.isInformed()) return;
     const nowMs = this.now();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
   }
@@ -338,7 +350,9 @@
   private applyEndpoints(change: EndpointChange, revision: number, source: ValueSource): void {
     if (source === 'peer' && (this.isFeedUp || revision <= this.endpointsRevision)) return;
     this.endpointsRevision = Math.max(this.endpointsRevision, revision);
+    const wasInformed = this.isInformed();
     this.directory.apply(change, this.now());
+    if (!wasInformed) this.releaseWaiting();
     this.log.write('lifecycle', 'endpointsChanged', {
       change: change.type,
       id: change.type === 'listed' ? change.endpoint.id : change.type === 'removed' ? change.id : undefined,
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -37,6 +37,8 @@
 
 /** What the mesh tells. */
 export interface PeerMeshHandlers {
+  /** What to say on a link that just came up. */
+  readonly createHeartbeat: () => Heartbeat;
   readonly onFrame: (frame: PeerFrame) => void;
   readonly onProblem: (problem: Problem) => void;
 }
@@ -143,7 +145,9 @@
 
   private learnAddress(address: string): void {
     if (address === this.ownAddress || this.links.has(address)) return;
-    this.links.set(address, { address, socket: undefined, dialledAtMs: -Infinity, heardAtMs: this.now() });
+    const link: PeerLink = { address, socket: undefined, dialledAtMs: -Infinity, heardAtMs: this.now() };
+    this.links.set(address, link);
+    if (this.ownAddress !== '') this.dial(link);
   }
 
   private dialMissing(): void {
@@ -180,6 +184,8 @@
     });
     link.dialledAtMs = this.now();
     link.socket = socket;
+    // A box that just started learns at once what its peers know.
+    socket.on('connect', () => socket.write(encodePeerFrame(this.handlers.createHeartbeat())));
     // An error is always followed by `close`, after which the link is dialled again.
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
@@ -213,7 +219,11 @@
     const nowMs = this.now();
     this.learnAddress(heartbeat.address);
     const link = this.links.get(heartbeat.address);
-    if (link !== undefined) link.heardAtMs = nowMs;
+    if (link !== undefined) {
+      link.heardAtMs = nowMs;
+      // A peer that started again is there before the next attempt to reach it would be due.
+      if (link.socket === undefined) this.dial(link);
+    }
     this.peers.set(heartbeat.address, { heartbeat, heardAtMs: nowMs });
     for (const address of heartbeat.knownAddresses ?? []) this.learnAddress(address);
   }
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -93,8 +93,8 @@
 
   /** Goes on as soon as the box knows what to serve; refuses if that takes too long. */
   private waitForStart(nowMs: number): void {
-    const isKnown = this.context.readIndex() !== undefined;
-    this.isWaitingForStart = !isKnown && nowMs - this.arrivedAtMs < START_WAIT_MS;
+    const isInformed = this.context.isInformed();
+    this.isWaitingForStart = !isInformed && nowMs - this.arrivedAtMs < START_WAIT_MS;
     if (!this.isWaitingForStart) this.begin();
   }
 
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -26,6 +26,8 @@
   readonly hash: (text: string) => number;
   /** The configuration in force; undefined before the first. */
   readonly readIndex: () => RouteIndex | undefined;
+  /** Whether the box knows what to serve and where: a configuration and endpoints. */
+  readonly isInformed: () => boolean;
   /** Whether a planned stop is under way. */
   readonly isStopping: () => boolean;
   /** Notes what a request tells about an endpoint. */
