Two boxes of each hall follow the platform; loads cross halls as sums

Boxes also learned of each other only with a seed's eighth heartbeat, two seconds after the start, and told every box of the fleet their loads and addresses.

Now: in fleets over 16 boxes two of each hall follow the store and pass on changes; the others rest, and follow themselves if nothing was confirmed for 0.55 of the time in which a change has to hold. A large configuration is read from the store, a small one comes from the follower. Seeds tell the addresses they know on every new link; loads stay in the hall, sums go between halls.

Small sites keep following with every box.

--- /dev/null
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -0,0 +1,181 @@
+import { Ok } from '@hazelwalk/core';
+import { DecisionLog } from '../observability/decisionLog.js';
+import { RouterMetrics } from '../observability/metrics.js';
+import { FeedRelay } from '../peers/feedRelay.js';
+import type { FeedNotice, Heartbeat, PeerFrame } from '../peers/peerFrames.js';
+import type { PeerMesh } from '../peers/peerMesh.js';
+import { PeerValues } from '../peers/peerValues.js';
+import type { FleetConfiguration, ListedEndpoint } from '../records.js';
+import { PublishedState } from '../systems/publishedState.js';
+import { EndpointTable } from '../tables/endpointTable.js';
+
+const BOUND_MS = 3_000;
+/** After the first answer of the platform a box takes vanished entries for lapsed ones; after this for gone ones. */
+const SETTLED_MS = 2_100;
+const FOLLOWER = '10.0.0.2:1';
+
+/** Hashes an address to the number behind its last dot, so that the rank of a box is what its address says. */
+const rankOf = (address: string): number => Number(address.split('.')[3]?.split(':')[0] ?? 0);
+
+const listed = (id: string): ListedEndpoint => ({
+  id,
+  service: 'app',
+  host: '10.1.0.1',
+  port: 80,
+  hall: 'mixco',
+  slots: 4,
+  state: 'live',
+});
+
+const heartbeatOf = (address: string, changes: Partial<Heartbeat> = {}): Heartbeat => ({
+  type: 'heartbeat',
+  hall: 'mixco',
+  feed: 'able',
+  address,
+  configurationVersion: 1,
+  endpointsRevision: 10,
+  loads: [],
+  isStopping: false,
+  ...changes,
+});
+
+const notice = (changes: Partial<FeedNotice> = {}): FeedNotice => ({
+  type: 'feedNotice',
+  address: FOLLOWER,
+  from: 10,
+  revision: 10,
+  unsettledMs: 0,
+  configurationVersion: 1,
+  configurationChars: 100,
+  changes: [],
+  ...changes,
+});
+
+/** One box of a fleet of 40, third in its hall, on a clock and links of the test's own. */
+class TestBox {
+  nowMs = 100_000;
+  linked = [heartbeatOf('10.0.0.1:1'), heartbeatOf(FOLLOWER)];
+  readonly sent: { to: string; frame: PeerFrame }[] = [];
+  readonly state: PublishedState;
+  readonly relay: FeedRelay;
+  readonly values: PeerValues;
+
+  constructor(address = '10.0.0.3:1') {
+    const mesh = {
+      address,
+      countBoxes: () => 40,
+      listLinked: () => this.linked,
+      send: (to: string, frame: PeerFrame) => void this.sent.push({ to, frame }),
+      sendToHall: (to: string, frame: PeerFrame) => void this.sent.push({ to, frame }),
+    } as unknown as PeerMesh;
+    const now = (): number => this.nowMs;
+    const metrics = new RouterMetrics();
+    const log = new DecisionLog('box', metrics, now);
+    this.state = new PublishedState({
+      table: new EndpointTable(() => 1),
+      log,
+      metrics,
+      now,
+      parseConfiguration: (text) => Ok(createConfiguration(Number(text))),
+      onLimits: () => {},
+      onEndpointRemoved: () => {},
+      onInformed: () => {},
+    });
+    const options = { mesh, state: this.state, now, applyBoundMs: BOUND_MS };
+    this.values = new PeerValues(options);
+    this.relay = new FeedRelay({ ...options, values: this.values, log, hall: 'mixco', hash: rankOf });
+    this.publish(undefined, 10, '1');
+    this.nowMs += SETTLED_MS;
+  }
+
+  publish(from: number | undefined, revision: number, configurationText?: string): void {
+    const change = { type: 'listed', endpoint: listed(`e-${revision}`) } as const;
+    const publication = { from, revision, endpointChanges: [change], configurationText };
+    this.state.applyPublication(publication);
+    this.relay.announce(publication);
+  }
+
+  listIds(): string[] {
+    return this.state.listEndpoints().map((endpoint) => endpoint.id);
+  }
+}
+
+function createConfiguration(version: number): FleetConfiguration {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { version, routes: [], services: [], teams: undefined, limits };
+}
+
+let box: TestBox;
+
+beforeEach(() => {
+  box = new TestBox();
+});
+
+test('a box takes changes from the follower of its hall, and rests', () => {
+  const changes = [{ type: 'listed', endpoint: listed('e-new') }] as const;
+  box.relay.handleNotice(notice({ revision: 12, changes: [...changes] }));
+  expect(box.listIds()).toContain('e-new');
+  expect(box.state.endpointsRevision).toBe(12);
+  expect(box.relay.decideDuty()).toEqual({ type: 'rest' });
+});
+
+test('changes that are older than what a box knows change nothing', () => {
+  box.state.applyEndpoints([{ type: 'removed', id: 'e-10' }], 14, 'platform');
+  const changes = [{ type: 'listed', endpoint: listed('e-10') }] as const;
+  box.relay.handleNotice(notice({ revision: 12, changes: [...changes] }));
+  expect(box.listIds()).toEqual([]);
+});
+
+test('a box that missed changes asks for the whole list and does not take the notice for a confirmation', () => {
+  box.relay.handleNotice(notice({ from: 11, revision: 12 }));
+  expect(box.sent).toEqual([
+    { to: FOLLOWER, frame: { type: 'valueRequest', address: '10.0.0.3:1', value: 'endpoints' } },
+  ]);
+  expect(box.relay.decideDuty().type).toBe('follow');
+});
+
+test('a box follows itself when the followers tell nothing for too long', () => {
+  box.relay.handleNotice(notice());
+  expect(box.relay.decideDuty().type).toBe('rest');
+  box.nowMs += 0.6 * BOUND_MS;
+  expect(box.relay.decideDuty().type).toBe('follow');
+});
+
+test('an entry that vanished while the platform was away for the follower may only have lapsed', () => {
+  box.relay.handleNotice(notice());
+  box.relay.handleNotice(
+    notice({ revision: 12, unsettledMs: 1_500, changes: [{ type: 'removed', id: 'e-10' }] }),
+  );
+  expect(box.listIds()).toEqual(['e-10']);
+  box.nowMs += 1_600;
+  box.state.tick(box.nowMs);
+  expect(box.listIds()).toEqual([]);
+});
+
+test('a small configuration comes from the follower at once, a large one from the platform', () => {
+  box.relay.handleNotice(notice({ configurationVersion: 2 }));
+  expect(box.sent.map((sent) => sent.frame)).toMatchObject([{ value: 'configuration' }]);
+  const other = new TestBox();
+  other.relay.handleNotice(notice({ configurationVersion: 2, configurationChars: 400_000 }));
+  expect(other.sent).toEqual([]);
+  other.nowMs += BOUND_MS / 10;
+  expect(other.relay.decideDuty().type).toBe('readConfiguration');
+  other.nowMs += BOUND_MS / 10;
+  other.relay.handleNotice(notice({ configurationVersion: 2, configurationChars: 400_000 }));
+  expect(other.sent.map((sent) => sent.frame)).toMatchObject([{ value: 'configuration' }]);
+});
+
+test('a follower tells its hall; a box that lost the platform says so and no longer counts as one', () => {
+  const follower = new TestBox('10.0.0.0:1');
+  follower.sent.length = 0;
+  follower.publish(10, 15);
+  expect(follower.sent).toMatchObject([
+    { to: 'mixco', frame: { type: 'feedNotice', from: 10, revision: 15 } },
+  ]);
+  follower.relay.noteFeedLost();
+  expect(follower.relay.standing).toBe('lost');
+  follower.relay.handleNotice(notice({ from: 15, revision: 15 }));
+  expect(follower.relay.decideDuty().type).toBe('rest');
+  follower.nowMs += 10_000;
+  expect(follower.relay.standing).toBe('able');
+});
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -12,6 +12,8 @@
 
 const createHeartbeat = (address: string): Heartbeat => ({
   type: 'heartbeat',
+  hall: 'mixco',
+  feed: 'able',
   address,
   configurationVersion: 3,
   endpointsRevision: 9,
@@ -25,7 +27,7 @@
     onFrame: (frame: PeerFrame) => void heard.push(frame),
     onProblem: () => {},
   };
-  const mesh: PeerMesh = new PeerMesh(seeds, handlers, () => performance.now());
+  const mesh: PeerMesh = new PeerMesh('mixco', seeds, handlers, () => performance.now());
   meshes.push(mesh);
   await mesh.listen('127.0.0.1', port);
   timers.push(setInterval(() => mesh.broadcast(createHeartbeat(mesh.address)), 20));
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -8,23 +8,25 @@
 import { DecisionLog } from './observability/decisionLog.js';
 import { RouterMetrics } from './observability/metrics.js';
 import type { Heartbeat, PeerFrame } from './peers/peerFrames.js';
+import { FeedRelay } from './peers/feedRelay.js';
+import { LoadRelay } from './peers/loadRelay.js';
 import { PeerMesh } from './peers/peerMesh.js';
 import { PeerValues } from './peers/peerValues.js';
 import { CallerServer } from './proxy/callerServer.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
 import type { Exchange } from './proxy/exchange.js';
-import type { FleetConfiguration } from './records.js';
+import type { FleetConfiguration, ListedEndpoint } from './records.js';
 import type { RouterContext } from './routerContext.js';
-import type { EndpointChange } from './systems/endpointDirectory.js';
-import { EndpointDirectory } from './systems/endpointDirectory.js';
 import type { HealthSign, StandingChange } from './systems/endpointHealth.js';
 import { isUsable, noteSign } from './systems/endpointHealth.js';
-import { listOwnLoads, sumPeerLoads } from './systems/loadExchange.js';
+import type { FeedDuty } from './systems/feedDuty.js';
+import { listOwnLoads } from './systems/loadExchange.js';
+import type { Publication } from './systems/publishedState.js';
+import { PublishedState } from './systems/publishedState.js';
 import { Placement } from './systems/placement.js';
 import { Reachability } from './systems/reachability.js';
 import type { RetryBound } from './systems/retryBudget.js';
 import { RetryBudget } from './systems/retryBudget.js';
-import { RouteIndex } from './systems/routeIndex.js';
 import type { EndpointRow } from './tables/endpointTable.js';
 import { EndpointTable } from './tables/endpointTable.js';
 
@@ -32,12 +34,6 @@
 const TICK_MS = 40;
 /** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
 const STALL_MS = 400;
-/**
- * Changes of published values come in bursts, and each wakes every box that waits for them. Boxes of a larger fleet let
- * more changes gather before they ask again; the longest pause is well within the time in which a change has to hold.
- */
-const GATHER_MS_PER_BOX = 10;
-const MAX_GATHER_MS = 800;
 /**
  * After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart.
  * Later connections are refused, also where the platform goes on for lack of other boxes: work that begins now could
@@ -47,16 +43,14 @@
 /** A stopping box ends this long before it would be killed. */
 const STOP_MARGIN_MS = 500;
 
-/** Where a published value came from. */
-export type ValueSource = 'platform' | 'peer';
-
 /** What drives the loop. */
 export type RouterInput =
   | { readonly type: 'tick' }
+  /** The platform told what is new since the last time. */
+  | { readonly type: 'published'; readonly publication: Publication }
+  /** The platform told the configuration alone. */
   | { readonly type: 'configurationPublished'; readonly text: string }
-  | { readonly type: 'endpointsChanged'; readonly change: EndpointChange; readonly revision: number }
   | { readonly type: 'feedLost'; readonly reason: string }
-  | { readonly type: 'feedRegained' }
   | { readonly type: 'peerFrame'; readonly frame: PeerFrame }
   | { readonly type: 'stopRequested' };
 
@@ -68,6 +62,8 @@
   readonly peerAddress: { readonly host: string; readonly port: number };
   readonly seedAddresses: readonly string[];
   readonly retryBound: RetryBound;
+  /** A published change has to be in force after this. */
+  readonly applyBoundMs: number;
   /** A stopping process is killed after this. */
   readonly stopGraceMs: number;
   readonly dialect: HttpDialect;
@@ -81,19 +77,17 @@
   readonly log: DecisionLog;
   private readonly inputs = new SynchronousSource<RouterInput>();
   private readonly table: EndpointTable;
-  private readonly directory: EndpointDirectory;
+  private readonly state: PublishedState;
   private readonly connections: EndpointConnections;
   private readonly reachability: Reachability;
   private readonly mesh: PeerMesh;
   private readonly callers: CallerServer;
   private readonly exchanges = new Set<Exchange>();
-  private index: RouteIndex | undefined;
-  private configurationText = '';
-  private endpointsRevision = 0;
-  private isFeedUp = false;
   private heartbeatAtMs = 0;
   private tickedAtMs = performance.now();
   private readonly peerValues: PeerValues;
+  private readonly relay: FeedRelay;
+  private readonly loads: LoadRelay;
   private stopRequestedAtMs: number | undefined;
   private ticker: NodeJS.Timeout | undefined;
   private resolveStopped: () => void = () => {};
@@ -109,8 +103,15 @@
     const now = this.now;
     this.log = new DecisionLog(options.boxId, this.metrics, now);
     this.table = new EndpointTable(hash);
-    this.directory = new EndpointDirectory(this.table, {
-      onRemoved: (id, reason) => this.handleEndpointRemoved(id, reason),
+    this.state = new PublishedState({
+      table: this.table,
+      log: this.log,
+      metrics: this.metrics,
+      now,
+      parseConfiguration: options.parseConfiguration,
+      onLimits: (limits) => this.callers.applyLimits(limits),
+      onEndpointRemoved: (id) => this.connections.forget(id),
+      onInformed: () => this.releaseWaiting(),
     });
     const countBoxes = (): number => this.mesh.countBoxes();
     this.connections = new EndpointConnections({
@@ -122,6 +123,7 @@
       this.noteStanding(row, change, because),
     );
     this.mesh = new PeerMesh(
+      options.hall,
       options.seedAddresses,
       {
         createHeartbeat: () => this.createHeartbeat(),
@@ -130,16 +132,12 @@
       },
       now,
     );
-    this.peerValues = new PeerValues({
-      mesh: this.mesh,
-      now,
-      readConfiguration: () => ({ version: this.configurationVersion, text: this.configurationText }),
-      readEndpoints: () => ({
-        revision: this.endpointsRevision,
-        endpoints: [...this.table.byId.values()].map((row) => row.listing),
-      }),
-      isFeedUp: () => this.isFeedUp,
-    });
+    const { mesh, state } = this;
+    const { applyBoundMs, hall } = options;
+    this.peerValues = new PeerValues({ mesh, state, now, applyBoundMs });
+    const values = this.peerValues;
+    this.loads = new LoadRelay({ mesh, table: this.table, hall, hash, now });
+    this.relay = new FeedRelay({ mesh, state, values, log: this.log, hall, hash, now, applyBoundMs });
     this.callers = new CallerServer(this.createContext(countBoxes));
   }
 
@@ -169,22 +167,22 @@
 
   /** Whether callers should be sent here: it knows what to serve and is not stopping. */
   isReady(): boolean {
-    return this.isInformed() && this.stopRequestedAtMs === undefined;
+    return this.state.isInformed && this.stopRequestedAtMs === undefined;
   }
 
   /** Version of the configuration in force; 0 before the first. */
   get configurationVersion(): number {
-    return this.index?.configuration.version ?? 0;
+    return this.state.configurationVersion;
   }
 
   /** Whether the platform answered last time. */
   get isInTouchWithPlatform(): boolean {
-    return this.isFeedUp;
+    return this.state.isFeedUp;
   }
 
-  /** Pause before the platform is asked for further changes after one. */
-  get changeGatherMs(): number {
-    return Math.min(MAX_GATHER_MS, GATHER_MS_PER_BOX * this.mesh.countBoxes());
+  /** What this box does about the platform now: follow it, read a value, or rely on peers. */
+  decideFeedDuty(): FeedDuty {
+    return this.relay.decideDuty();
   }
 
   /** Endpoints of a service that get new requests from this box. */
@@ -233,8 +231,8 @@
       exchanges: this.exchanges,
       now,
       hash,
-      readIndex: () => this.index,
-      isInformed: () => this.isInformed(),
+      readIndex: () => this.state.index,
+      isInformed: () => this.state.isInformed,
       isStopping: () => this.stopRequestedAtMs !== undefined,
       noteSign: (row, sign) => this.noteSign(row, sign),
     };
@@ -244,14 +242,12 @@
     switch (input.type) {
       case 'tick':
         return this.tick();
+      case 'published':
+        return this.handlePublication(input.publication);
       case 'configurationPublished':
-        return this.applyConfiguration(input.text, 'platform');
-      case 'endpointsChanged':
-        return this.applyEndpoints(input.change, input.revision, 'platform');
+        return this.state.applyConfiguration(input.text, 'platform');
       case 'feedLost':
         return this.handleFeedLost(input.reason);
-      case 'feedRegained':
-        return this.handleFeedRegained();
       case 'peerFrame':
         return this.handlePeerFrame(input.frame);
       case 'stopRequested':
@@ -264,7 +260,7 @@
     const sinceTickMs = nowMs - this.tickedAtMs;
     this.tickedAtMs = nowMs;
     if (sinceTickMs > STALL_MS) return this.handleStall(sinceTickMs);
-    this.directory.tick(nowMs);
+    this.state.tick(nowMs);
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
     this.sendHeartbeat(nowMs);
@@ -284,19 +280,18 @@
   private sendHeartbeat(nowMs: number): void {
     if (nowMs - this.heartbeatAtMs < this.mesh.paceMs) return;
     this.heartbeatAtMs = nowMs;
-    sumPeerLoads(
-      this.table,
-      this.mesh.listFresh().map((peer) => peer.heartbeat.loads),
-    );
+    this.loads.tick();
     this.mesh.broadcast(this.createHeartbeat());
   }
 
   private createHeartbeat(): Heartbeat {
     return {
       type: 'heartbeat',
+      hall: this.options.hall,
+      feed: this.relay.standing,
       address: this.mesh.address,
-      configurationVersion: this.configurationVersion,
-      endpointsRevision: this.endpointsRevision,
+      configurationVersion: this.state.configurationVersion,
+      endpointsRevision: this.state.endpointsRevision,
       loads: listOwnLoads(this.table),
       isStopping: this.stopRequestedAtMs !== undefined,
     };
@@ -306,78 +301,42 @@
     this.metrics.peerFrames.inc({ type: frame.type });
     switch (frame.type) {
       case 'heartbeat':
-        return this.peerValues.askForNewer(frame);
+        return this.peerValues.noteHeartbeat(frame);
+      case 'feedNotice':
+        return this.relay.handleNotice(frame);
+      case 'hallLoads':
+        return this.loads.handleHallLoads(frame);
       case 'valueRequest':
         return this.peerValues.send(frame.address, frame.value);
       case 'configurationValue':
-        return this.applyConfiguration(frame.text, 'peer');
+        return this.state.applyConfiguration(frame.text, 'peer');
       case 'endpointsValue':
-        return this.applyEndpoints({ type: 'snapshot', endpoints: frame.endpoints }, frame.revision, 'peer');
+        return this.applyPeerEndpoints(frame.revision, frame.endpoints);
     }
   }
 
-  private applyConfiguration(text: string, source: ValueSource): void {
-    const parsed = this.options.parseConfiguration(text);
-    if (parsed.err) return this.log.write('notable', 'configurationRejected', { ...parsed.val, source });
-    const configuration = parsed.val;
-    const current = this.index?.configuration.version;
-    if (current !== undefined && configuration.version <= current) return;
-    this.index = new RouteIndex(configuration);
-    this.configurationText = text;
-    this.callers.applyLimits(configuration.limits);
-    if (current === undefined) this.releaseWaiting();
-    this.metrics.configurationVersion.set(configuration.version);
-    this.log.write('lifecycle', 'configurationApplied', {
-      version: configuration.version,
-      before: current,
-      source,
-      routes: configuration.routes.length,
-    });
-  }
-
-  /** Whether it knows what to serve and where. */
-  private isInformed(): boolean {
-    return this.index !== undefined && this.table.byId.size > 0;
+  private applyPeerEndpoints(revision: number, endpoints: readonly ListedEndpoint[]): void {
+    if (revision <= this.state.endpointsRevision) return;
+    this.state.applyEndpoints([{ type: 'snapshot', endpoints }], revision, 'peer');
   }
 
   /** Requests that came before the box knew what to serve go on at once. */
   private releaseWaiting(): void {
-    if (!this.isInformed()) return;
     const nowMs = this.now();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
   }
 
-  private applyEndpoints(change: EndpointChange, revision: number, source: ValueSource): void {
-    if (source === 'peer' && (this.isFeedUp || revision <= this.endpointsRevision)) return;
-    this.endpointsRevision = Math.max(this.endpointsRevision, revision);
-    const wasInformed = this.isInformed();
-    this.directory.apply(change, this.now());
-    if (!wasInformed) this.releaseWaiting();
-    this.log.write('lifecycle', 'endpointsChanged', {
-      change: change.type,
-      id: change.type === 'listed' ? change.endpoint.id : change.type === 'removed' ? change.id : undefined,
-      state: change.type === 'listed' ? change.endpoint.state : undefined,
-      revision,
-      source,
-      endpoints: this.table.byId.size,
-    });
-  }
-
-  private handleEndpointRemoved(id: string, reason: string): void {
-    this.connections.forget(id);
-    this.log.write('lifecycle', 'endpointRemoved', { id, reason });
+  private handlePublication(publication: Publication): void {
+    this.state.applyPublication(publication);
+    this.relay.announce(publication);
   }
 
   private handleFeedLost(reason: string): void {
-    if (this.isFeedUp) this.log.write('lifecycle', 'platformLost', { reason });
-    this.isFeedUp = false;
-    this.directory.noteFeedLost();
-  }
-
-  private handleFeedRegained(): void {
-    if (!this.isFeedUp) this.log.write('lifecycle', 'platformRegained', { revision: this.endpointsRevision });
-    this.isFeedUp = true;
-    this.directory.noteFeedRegained(this.now());
+    const wasAble = this.relay.standing === 'able';
+    this.state.noteFeedLost(reason);
+    this.relay.noteFeedLost();
+    // The hall needs another box that follows the platform, sooner than the next heartbeat would say so.
+    if (wasAble) this.mesh.sendToHall(this.options.hall, this.createHeartbeat());
   }
 
   private noteSign(row: EndpointRow, sign: HealthSign): void {
--- /dev/null
+++ b/packages/router/src/peers/feedRelay.ts
@@ -0,0 +1,123 @@
+/**
+ * Passes on what the platform publishes: the boxes that follow it tell those of their hall what changed, and how new
+ * what they know is, so that the others can rest or step in.
+ */
+import type { DecisionLog } from '../observability/decisionLog.js';
+import type { PublishedState, Publication } from '../systems/publishedState.js';
+import type { FeedCandidate, FeedDuty, FeedFacts, FeedStanding } from '../systems/feedDuty.js';
+import { decideFeedDuty, findFollowerPlace, isCovered } from '../systems/feedDuty.js';
+import type { EndpointChange } from '../systems/endpointDirectory.js';
+import type { FeedNotice, Heartbeat } from './peerFrames.js';
+import type { PeerMesh } from './peerMesh.js';
+import type { PeerValues } from './peerValues.js';
+
+/** What the relay works with. */
+export interface FeedRelayOptions {
+  readonly mesh: PeerMesh;
+  readonly state: PublishedState;
+  readonly values: PeerValues;
+  readonly log: DecisionLog;
+  readonly hall: string;
+  readonly hash: (text: string) => number;
+  readonly now: () => number;
+  /** Time in which a change has to be in force. */
+  readonly applyBoundMs: number;
+}
+
+/** One box's part in spreading what is published. */
+export class FeedRelay {
+  private confirmedAtMs = -Infinity;
+  private lostAtMs = -Infinity;
+  private dutyType: FeedDuty['type'] | undefined;
+
+  constructor(private readonly options: FeedRelayOptions) {}
+
+  /** What this box does about the platform now. */
+  decideDuty(): FeedDuty {
+    const { now, mesh, values, applyBoundMs } = this.options;
+    const facts: FeedFacts = {
+      nowMs: now(),
+      boxes: mesh.countBoxes(),
+      own: this.describeOwn(),
+      hallPeers: this.listHallPeers(),
+      confirmedAtMs: this.confirmedAtMs,
+      applyBoundMs,
+      lacksConfiguration: values.mustReadConfiguration(),
+    };
+    const duty = decideFeedDuty(facts);
+    if (duty.type !== this.dutyType) this.noteDuty(duty, facts);
+    return duty;
+  }
+
+  /** What this box tells of its own reading. */
+  get standing(): FeedStanding {
+    return isCovered(this.lostAtMs, this.options.now()) ? 'lost' : 'able';
+  }
+
+  /** Tells the hall what the platform answered, if this box follows it for the others. */
+  announce(publication: Publication): void {
+    const { mesh, state, hall } = this.options;
+    this.lostAtMs = -Infinity;
+    if (findFollowerPlace(this.describeOwn(), this.listHallPeers()) === undefined) return;
+    const { from, revision, endpointChanges } = publication;
+    mesh.sendToHall(hall, {
+      type: 'feedNotice',
+      address: mesh.address,
+      // Peers that know an older list ask for the whole one.
+      from: from ?? revision,
+      revision,
+      unsettledMs: state.unsettledMs,
+      configurationVersion: state.configurationVersion,
+      configurationChars: state.configurationText.length,
+      changes: from === undefined ? [] : endpointChanges.flatMap(toNoticeChange),
+    });
+  }
+
+  /** This box cannot read the platform. */
+  noteFeedLost(): void {
+    this.lostAtMs = this.options.now();
+  }
+
+  /** Takes over what a follower told; asks it for what cannot be had from the notice alone. */
+  handleNotice(notice: FeedNotice): void {
+    const { state, values, now } = this.options;
+    if (notice.from <= state.endpointsRevision) {
+      this.confirmedAtMs = now();
+      state.noteFeedRegained();
+      state.distrustFor(notice.unsettledMs);
+      if (notice.revision > state.endpointsRevision) {
+        state.applyEndpoints(notice.changes, notice.revision, 'peer');
+      }
+    }
+    values.noteNotice(notice);
+  }
+
+  private noteDuty(duty: FeedDuty, facts: FeedFacts): void {
+    this.options.log.write('notable', 'feedDuty', {
+      duty: duty.type,
+      before: this.dutyType,
+      boxes: facts.boxes,
+      hallPeers: facts.hallPeers.length,
+      standing: facts.own.standing,
+      confirmedAgoMs: Math.round(facts.nowMs - facts.confirmedAtMs),
+      lacksConfiguration: facts.lacksConfiguration,
+    });
+    this.dutyType = duty.type;
+  }
+
+  private describeOwn(): FeedCandidate {
+    return { rank: this.options.hash(this.options.mesh.address), standing: this.standing };
+  }
+
+  private listHallPeers(): FeedCandidate[] {
+    const { mesh, hall, hash } = this.options;
+    return mesh
+      .listLinked()
+      .filter((heartbeat) => heartbeat.hall === hall && !heartbeat.isStopping)
+      .map((heartbeat: Heartbeat) => ({ rank: hash(heartbeat.address), standing: heartbeat.feed }));
+  }
+}
+
+function toNoticeChange(change: EndpointChange): FeedNotice['changes'] {
+  return change.type === 'snapshot' ? [] : [change];
+}
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -6,13 +6,28 @@
 import type { Problem, Result } from '@hazelwalk/core';
 import { Encoder } from 'cbor-x';
 import * as z from 'zod';
+import type { ListedEndpoint } from '../records.js';
 
 const LENGTH_BYTES = 4;
 /** A configuration holds at most a megabyte; the rest is small. */
 const MAX_FRAME_BYTES = 2_000_000;
 
+const listedEndpoint = z.object({
+  id: z.string(),
+  service: z.string(),
+  host: z.string(),
+  port: z.number(),
+  hall: z.string(),
+  slots: z.number(),
+  state: z.enum(['live', 'leaving']),
+}) satisfies z.ZodType<ListedEndpoint>;
+
 const heartbeat = z.object({
   type: z.literal('heartbeat'),
+  /** Hall of the sender. */
+  hall: z.string(),
+  /** Whether the sender could follow the platform for its hall. */
+  feed: z.enum(['able', 'lost']),
   /** Address at which the sender accepts peers. */
   address: z.string(),
   /** Version of the configuration in force; 0 before the first. */
@@ -41,35 +56,63 @@
 const endpointsValue = z.object({
   type: z.literal('endpointsValue'),
   revision: z.number(),
-  endpoints: z.array(
-    z.object({
-      id: z.string(),
-      service: z.string(),
-      host: z.string(),
-      port: z.number(),
-      hall: z.string(),
-      slots: z.number(),
-      state: z.enum(['live', 'leaving']),
-    }),
+  endpoints: z.array(listedEndpoint),
+});
+const feedNotice = z.object({
+  type: z.literal('feedNotice'),
+  /** Address of the box that follows the platform. */
+  address: z.string(),
+  /** The changes are all those after this revision. */
+  from: z.number(),
+  /** What the sender knows is as new as this. */
+  revision: z.number(),
+  /** For so long an entry that vanishes may only have lapsed. */
+  unsettledMs: z.number(),
+  configurationVersion: z.number(),
+  configurationChars: z.number(),
+  changes: z.array(
+    z.discriminatedUnion('type', [
+      z.object({ type: z.literal('listed'), endpoint: listedEndpoint }),
+      z.object({ type: z.literal('removed'), id: z.string() }),
+    ]),
   ),
 });
-const peerFrame = z.discriminatedUnion('type', [heartbeat, valueRequest, configurationValue, endpointsValue]);
+const hallLoads = z.object({
+  type: z.literal('hallLoads'),
+  /** Hall whose boxes hold these loads together. */
+  hall: z.string(),
+  /** Tag of an endpoint and the requests that the hall has there, in turn. */
+  loads: z.array(z.number()),
+});
+const peerFrame = z.discriminatedUnion('type', [
+  heartbeat,
+  valueRequest,
+  configurationValue,
+  endpointsValue,
+  feedNotice,
+  hallLoads,
+]);
 
 /** A box's sign of life. */
 export type Heartbeat = z.infer<typeof heartbeat>;
+/** What a box that follows the platform tells the boxes of its hall. */
+export type FeedNotice = z.infer<typeof feedNotice>;
+/** What a hall has at the endpoints, told to the other halls of a large fleet. */
+export type HallLoads = z.infer<typeof hallLoads>;
 /** A frame between boxes. */
 export type PeerFrame = z.infer<typeof peerFrame>;
 
 /** Fields travel as numbers: a heartbeat goes to every box several times a second. Numbers are never used again. */
 const FIELD_NUMBERS = {
   type: 1,
-
+  hall: 2,
   address: 3,
   configurationVersion: 4,
   endpointsRevision: 5,
   loads: 6,
   knownAddresses: 7,
   isStopping: 8,
+  feed: 9,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -10,10 +10,15 @@
 
 /** Pace of heartbeats in a small fleet. */
 const HEARTBEAT_MS = 300;
-/** Heartbeats slow down with the fleet, so that a box's control traffic does not grow with it. */
+/** Heartbeats slow down with the boxes that get them, so that a box's control traffic does not grow with the fleet. */
 const HEARTBEAT_MS_PER_BOX = 30;
+/** In a fleet larger than this, heartbeats with loads stay within a hall, and halls tell each other sums. */
+const MAX_FLAT_BOXES = 16;
+/** Pace of the heartbeats to other halls in a large fleet: they only say that a box is there and what it knows. */
+const FAR_HEARTBEAT_MS = 5_000;
 /** A peer that missed so many heartbeats no longer counts its load, and its link is made anew. */
 const MISSED_HEARTBEATS = 8;
+const MISSED_FAR_HEARTBEATS = 3;
 /**
  * A peer unheard for this long no longer counts as a box of the fleet. Longer than halls are cut off from each other
  * for a moment: the retry budget is shared by all boxes, also by those that cannot be heard.
@@ -25,7 +30,7 @@
 const REDIAL_MS = 1_000;
 /** A link that takes no bytes for so many unsent ones is stuck. */
 const MAX_UNSENT_BYTES = 262_144;
-/** Every so many heartbeats carry the known addresses. */
+/** Every so many heartbeats one peer is told the known addresses. */
 const ADDRESSES_EVERY = 8;
 
 interface PeerLink {
@@ -58,9 +63,13 @@
   private heartbeatCount = 0;
   private ownAddress = '';
   private readonly seedCount: number;
+  /** Others come to this box first to learn of the fleet. */
+  private isSeed = false;
+  private farBeatAtMs = -Infinity;
   private isClosed = false;
 
   constructor(
+    private readonly hall: string,
     seeds: readonly string[],
     private readonly handlers: PeerMeshHandlers,
     private readonly now: () => number,
@@ -88,15 +97,34 @@
     return this.ownAddress;
   }
 
-  /** Time between two heartbeats. */
+  /** Time between two heartbeats to the peers that get loads: all of them, or those of the hall in a large fleet. */
   get paceMs(): number {
-    return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.countBoxes());
+    const boxes = this.isFlat ? this.countBoxes() : this.listHall().length + 1;
+    return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * boxes);
   }
 
-  /** Peers whose loads count. */
+  /** Whether the fleet is small enough for every box to tell every other its loads. */
+  get isFlat(): boolean {
+    return this.countBoxes() <= MAX_FLAT_BOXES;
+  }
+
+  /** Peers that were heard lately. */
   listFresh(): PeerState[] {
-    const leastMs = this.now() - MISSED_HEARTBEATS * this.paceMs;
-    return [...this.peers.values()].filter((peer) => peer.heardAtMs >= leastMs);
+    const nowMs = this.now();
+    return [...this.peers.values()].filter((peer) => nowMs - peer.heardAtMs <= this.findLifeMs(peer));
+  }
+
+  /** Peers whose heartbeats carry the loads that count: all, or those of the hall in a large fleet. */
+  listLoadPeers(): PeerState[] {
+    const isFlat = this.isFlat;
+    return this.listFresh().filter((peer) => isFlat || peer.heartbeat.hall === this.hall);
+  }
+
+  /** Last heartbeats of the fresh peers to which a link is up. */
+  listLinked(): Heartbeat[] {
+    return this.listFresh()
+      .map((peer) => peer.heartbeat)
+      .filter((heartbeat) => isUp(this.links.get(heartbeat.address)));
   }
 
   /** Boxes of the fleet, this one included, as far as it knows; seeds count even before they are heard. */
@@ -107,14 +135,18 @@
     return Math.max(count, this.seedCount);
   }
 
-  /** Sends a heartbeat to all peers; the mesh adds the addresses it knows. */
+  /**
+   * Sends a heartbeat to the peers that get loads, and from time to time one without loads to the others. Now and then
+   * one peer is told the known addresses: news of a box spread from there.
+   */
   broadcast(heartbeat: Heartbeat): void {
     this.dialMissing();
+    const packet = encodePeerFrame(heartbeat);
+    const isFlat = this.isFlat;
+    for (const link of this.links.values()) if (isFlat || this.isNear(link)) this.write(link, packet);
+    if (!isFlat) this.broadcastFar(heartbeat);
     this.heartbeatCount += 1;
-    const tellsAddresses = this.heartbeatCount % ADDRESSES_EVERY === 1;
-    const known = tellsAddresses ? [...this.links.keys()] : undefined;
-    const packet = encodePeerFrame(known === undefined ? heartbeat : { ...heartbeat, knownAddresses: known });
-    for (const link of this.links.values()) this.write(link, packet);
+    if (this.heartbeatCount % ADDRESSES_EVERY === 1) this.tellAddresses(heartbeat);
   }
 
   /** Sends a frame to the box at an address. */
@@ -123,6 +155,15 @@
     if (link !== undefined) this.write(link, encodePeerFrame(frame));
   }
 
+  /** Sends a frame to the peers of a hall. */
+  sendToHall(hall: string, frame: PeerFrame): void {
+    const packet = encodePeerFrame(frame);
+    for (const { heartbeat } of this.peers.values()) {
+      const link = this.links.get(heartbeat.address);
+      if (heartbeat.hall === hall && link !== undefined) this.write(link, packet);
+    }
+  }
+
   /** Closes all links. */
   close(): void {
     this.isClosed = true;
@@ -131,16 +172,53 @@
     for (const socket of this.accepted) socket.destroy();
   }
 
+  private broadcastFar(heartbeat: Heartbeat): void {
+    const nowMs = this.now();
+    if (nowMs - this.farBeatAtMs < FAR_HEARTBEAT_MS) return;
+    this.farBeatAtMs = nowMs;
+    const packet = encodePeerFrame({ ...heartbeat, loads: [] });
+    for (const link of this.links.values()) if (!this.isNear(link)) this.write(link, packet);
+  }
+
+  private tellAddresses(heartbeat: Heartbeat): void {
+    const links = [...this.links.values()];
+    const link = links[Math.floor(Math.random() * links.length)];
+    if (link !== undefined) this.write(link, encodePeerFrame(this.addAddresses(heartbeat)));
+  }
+
+  private addAddresses(heartbeat: Heartbeat): Heartbeat {
+    return { ...heartbeat, knownAddresses: [...this.links.keys()] };
+  }
+
+  /** Whether a link leads to a box of the own hall, or to one that was never heard. */
+  private isNear(link: PeerLink): boolean {
+    const peer = this.peers.get(link.address);
+    return peer === undefined || peer.heartbeat.hall === this.hall;
+  }
+
+  private listHall(): PeerState[] {
+    const leastMs = this.now() - MEMBER_LIFE_MS;
+    return [...this.peers.values()].filter(
+      (peer) => peer.heardAtMs >= leastMs && peer.heartbeat.hall === this.hall,
+    );
+  }
+
+  /** How long a peer counts as heard: so many of its heartbeats may be missed. */
+  private findLifeMs(peer: PeerState): number {
+    const isFar = !this.isFlat && peer.heartbeat.hall !== this.hall;
+    return isFar ? MISSED_FAR_HEARTBEATS * FAR_HEARTBEAT_MS : MISSED_HEARTBEATS * this.paceMs;
+  }
+
   private write(link: PeerLink, packet: Buffer): void {
     const { socket } = link;
-    if (socket === undefined || socket.connecting || socket.destroyed) return;
+    if (socket === undefined || !isUp(link)) return;
     if (socket.writableLength > MAX_UNSENT_BYTES) return void socket.destroy();
     socket.write(packet);
   }
 
   /** Seeds may name this box itself. */
   private forgetOwnAddress(): void {
-    this.links.delete(this.ownAddress);
+    this.isSeed = this.links.delete(this.ownAddress);
   }
 
   private learnAddress(address: string): void {
@@ -165,7 +243,8 @@
     const ageMs = nowMs - link.dialledAtMs;
     if (socket.connecting) return ageMs >= REDIAL_MS;
     // An open link to a peer that is not heard may be stuck behind a cut.
-    const silentMs = MISSED_HEARTBEATS * this.paceMs;
+    const peer = this.peers.get(link.address);
+    const silentMs = peer === undefined ? MISSED_HEARTBEATS * this.paceMs : this.findLifeMs(peer);
     return ageMs >= silentMs && nowMs - link.heardAtMs >= silentMs;
   }
 
@@ -184,8 +263,11 @@
     });
     link.dialledAtMs = this.now();
     link.socket = socket;
-    // A box that just started learns at once what its peers know.
-    socket.on('connect', () => socket.write(encodePeerFrame(this.handlers.createHeartbeat())));
+    // A box that just started learns at once what its peers know, and from the seeds who they are.
+    socket.on('connect', () => {
+      const heartbeat = this.handlers.createHeartbeat();
+      socket.write(encodePeerFrame(this.isSeed ? this.addAddresses(heartbeat) : heartbeat));
+    });
     // An error is always followed by `close`, after which the link is dialled again.
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
@@ -228,3 +310,8 @@
     for (const address of heartbeat.knownAddresses ?? []) this.learnAddress(address);
   }
 }
+
+function isUp(link: PeerLink | undefined): boolean {
+  const socket = link?.socket;
+  return socket !== undefined && !socket.connecting && !socket.destroyed;
+}
--- a/packages/router/src/systems/endpointDirectory.ts
+++ b/packages/router/src/systems/endpointDirectory.ts
@@ -43,6 +43,16 @@
     this.isFeedUp = true;
   }
 
+  /** For how much longer an entry that vanishes may only have lapsed; infinite while the platform cannot be read. */
+  readUnsettledMs(nowMs: number): number {
+    return this.isFeedUp ? Math.max(0, this.trustedFromMs - nowMs) : Infinity;
+  }
+
+  /** For so long an entry that vanishes may only have lapsed. */
+  distrustFor(unsettledMs: number, nowMs: number): void {
+    this.trustedFromMs = Math.max(this.trustedFromMs, nowMs + unsettledMs);
+  }
+
   /** Applies a change. */
   apply(change: EndpointChange, nowMs: number): void {
     switch (change.type) {
@@ -59,7 +69,7 @@
 
   /** Runs once a tick: ends lapses that were not made good. */
   tick(nowMs: number): void {
-    if (!this.isFeedUp || nowMs < this.trustedFromMs) return;
+    if (this.readUnsettledMs(nowMs) > 0) return;
     for (const row of [...this.table.byId.values()]) {
       if (row.lapsedUntilMs === undefined || nowMs < row.lapsedUntilMs) continue;
       this.table.remove(row.listing.id);
@@ -76,7 +86,7 @@
   private removeOrLapse(id: string, nowMs: number): void {
     const row = this.table.byId.get(id);
     if (row === undefined) return;
-    if (this.isFeedUp && nowMs >= this.trustedFromMs) {
+    if (this.readUnsettledMs(nowMs) === 0) {
       this.table.remove(id);
       this.handlers.onRemoved(id, 'removed');
       return;
