--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -11,8 +11,8 @@
 
 /** Boxes of a hall that speak for it; the second one covers for the first. */
 const SPEAKERS_PER_HALL = 2;
-/** Pace of the sums between halls: as fresh as loads within a hall of thirty boxes. */
-const SUMS_MS = 1_000;
+/** Pace of the sums between halls: as fresh as loads within a hall of some twenty boxes. */
+const SUMS_MS = 500;
 
 /** What the relay works with. */
 export interface LoadRelayOptions {
@@ -34,10 +34,8 @@
   tick(): void {
     const { mesh, table, now } = this.options;
     const nowMs = now();
-    const near = mesh.listLoadPeers().map((peer) => peer.heartbeat.loads);
-    if (mesh.isFlat) return applyPeerLoads(table, near);
-    applyPeerLoads(table, [...near, ...this.sums.listFresh(nowMs)]);
-    if (nowMs - this.toldAtMs < SUMS_MS || !this.isSpeaker()) return;
+    const near = this.takeStock(nowMs);
+    if (mesh.isFlat || nowMs - this.toldAtMs < SUMS_MS || !this.isSpeaker()) return;
     this.toldAtMs = nowMs;
     this.tellOtherHalls([listOwnLoads(table), ...near]);
   }
@@ -50,9 +48,19 @@
     const isDue = this.sums.isOlderThan(frame.hall, SUMS_MS / 2, nowMs);
     if (!isDue) return;
     this.sums.note(frame.hall, frame.loads, nowMs);
+    this.takeStock(nowMs);
     if (this.isSpeaker()) mesh.sendToHall(hall, frame);
   }
 
+  /** Writes what is known of the peers' loads into the table; returns those of the boxes that tell them here. */
+  private takeStock(nowMs: number): LoadList[] {
+    const { mesh, table } = this.options;
+    const near = mesh.listLoadPeers().map((peer) => peer.heartbeat.loads);
+    const far = mesh.isFlat ? [] : this.sums.listFresh(nowMs);
+    applyPeerLoads(table, [...near, ...far]);
+    return near;
+  }
+
   private tellOtherHalls(loads: readonly LoadList[]): void {
     const { mesh, hall } = this.options;
     const frame: HallLoads = { type: 'hallLoads', hall, loads: addLoads(loads) };
