A fault soak of our own: real boxes and endpoints on loopback, faults by signals and links, promises judged from outside

It judges once only, true refusals, whole answers, order of streams, answers in time, planned stops, drains, configuration in force and never back, retry budget, recovery.

The stand-in store moves to platform/src/standins, where a stand-in endpoint stands as a program of its own; the seeded random numbers move to the private stand-ins, for measure and soak alike.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -12,6 +12,7 @@
   },
   moduleNameMapper: {
     '^(\\.{1,2}/.*)\\.js$': '$1',
+    '^@hazelwalk/platform/standins$': '<rootDir>/platform/src/standins/index.ts',
     '^@hazelwalk/([a-z]+)$': '<rootDir>/packages/$1/src/index.ts',
   },
   testTimeout: 60_000,
--- a/packages/measure/src/coreDriver.ts
+++ b/packages/measure/src/coreDriver.ts
@@ -15,7 +15,7 @@
 import { parseBoxList, parseEndpointList } from '@hazelwalk/config';
 import { encodeFrame } from '@hazelwalk/wire';
 import { EngineFleet } from './fleet.js';
-import { createRandom } from './random.js';
+import { createRandom } from '@hazelwalk/standins';
 import type { Arrival, Scenario } from './scenario.js';
 import { CHURN, LIST_LAG_MS } from './scenario.js';
 import { Tally } from './tally.js';
--- a/packages/measure/src/scenario.ts
+++ b/packages/measure/src/scenario.ts
@@ -1,8 +1,8 @@
 /**
  * What is measured: two users' deployments of today, one trace of returning chats each, and the churn it meets.
  */
-import type { Random } from './random.js';
-import { createRandom, drawExponential, drawLogNormal } from './random.js';
+import type { Random } from '@hazelwalk/standins';
+import { createRandom, drawExponential, drawLogNormal } from '@hazelwalk/standins';
 
 /** One user's deployment as the driver needs it. */
 export interface Scenario {
--- /dev/null
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -0,0 +1,133 @@
+import { checkPromises } from '../checks.js';
+import type { CallerOutcome, CallerRecord, SoakRoute } from '../ledger.js';
+import { Ledger } from '../ledger.js';
+
+const NOW_MS = 1_000_000;
+
+let ledger: Ledger;
+
+beforeEach(() => {
+  ledger = new Ledger();
+});
+
+function note(
+  requestId: string,
+  route: SoakRoute,
+  outcome: CallerOutcome,
+  changes: Partial<CallerRecord> = {},
+): void {
+  ledger.requests.push({
+    requestId,
+    route,
+    box: 'box-1',
+    sentAtMs: NOW_MS,
+    endedAtMs: NOW_MS + 50,
+    deadlineMs: 4_000,
+    outcome,
+    ...changes,
+  });
+}
+
+function run(requestId: string, endpoint = 'e-1', atMs = NOW_MS): void {
+  ledger.runs.push({ requestId, endpoint, atMs });
+}
+
+const answer = (status: number, body = '', seal?: string): CallerOutcome => ({
+  type: 'answer',
+  status,
+  seal,
+  body,
+});
+const events = (id: string, from: number, to: number, of: number): string =>
+  Array.from(
+    { length: to - from + 1 },
+    (_, at) => `id: ${from + at}\ndata: ${id} ${from + at}/${of}\n\n`,
+  ).join('');
+const listBroken = (): string[] => checkPromises(ledger).map((violation) => violation.check);
+
+test('nothing is broken where everything is as promised', () => {
+  note('a', 'safe', answer(200, 'a|e-1', 'e-1|a'));
+  note('b', 'streamOnce', answer(200, events('b', 1, 8, 8), 'e-1|b'));
+  note('c', 'claim', answer(503));
+  note('d', 'streamOnce', { type: 'cut', status: 200, body: events('d', 1, 3, 8) });
+  for (const id of ['a', 'a', 'b', 'd']) run(id);
+  expect(listBroken()).toEqual([]);
+});
+
+test('a claim that ran twice', () => {
+  note('a', 'claim', answer(200, 'a|e-1', 'e-1|a'));
+  run('a');
+  run('a', 'e-2');
+  expect(listBroken()).toEqual(['runs at most once']);
+});
+
+test('a refusal of a request that ran, unless an endpoint said it', () => {
+  note('a', 'claim', answer(503));
+  note('b', 'claim', answer(503, '', 'e-1|b'));
+  run('a');
+  run('b');
+  expect(listBroken()).toEqual(['refusals are true']);
+});
+
+test.each([
+  ['the answer to another request', 'safe', answer(200, 'b|e-1', 'e-1|b')],
+  ['half a body', 'safe', answer(200, 'a|', 'e-1|a')],
+  ['no seal', 'safe', answer(200, 'a|e-1')],
+  ['a stream without its end', 'streamOnce', answer(200, events('a', 1, 7, 8), 'e-1|a')],
+  [
+    'a stream with a piece twice',
+    'streamResumable',
+    answer(200, events('a', 1, 4, 8) + events('a', 4, 8, 8)),
+  ],
+  ['a stream with a piece of another', 'streamResumable', answer(200, events('b', 1, 8, 8), 'e-1|a')],
+] as [string, SoakRoute, CallerOutcome][])('%s', (_, route, outcome) => {
+  note('a', route, outcome);
+  expect(listBroken()).toEqual(['whole answers']);
+});
+
+test('a request without an answer in time, unless something was done to its box', () => {
+  note('a', 'safe', { type: 'unanswered' }, { endedAtMs: NOW_MS + 6_000 });
+  note('b', 'safe', { type: 'unanswered' }, { endedAtMs: NOW_MS + 6_000, box: 'box-2' });
+  ledger.disturbances.push({ entity: 'box-2', fromMs: NOW_MS - 3_000, toMs: NOW_MS - 1_000 });
+  expect(listBroken()).toEqual(['answered in time']);
+});
+
+test('a request that a planned stop cut off', () => {
+  ledger.events.push({ type: 'boxStop', box: 'box-1', atMs: NOW_MS + 10 });
+  note('a', 'safe', { type: 'cut', status: undefined, body: '' });
+  note('b', 'safe', { type: 'cut', status: undefined, body: '' }, { sentAtMs: NOW_MS + 2_500 });
+  note('c', 'safe', { type: 'cut', status: undefined, body: '' }, { box: 'box-2' });
+  expect(listBroken()).toEqual(['a planned stop cuts nothing off']);
+});
+
+test('new work for an endpoint that leaves', () => {
+  ledger.events.push({ type: 'endpointLeaves', endpoint: 'e-1', atMs: NOW_MS });
+  note('a', 'safe', answer(200, 'a|e-1', 'e-1|a'));
+  run('a', 'e-1', NOW_MS + 2_500);
+  run('a', 'e-1', NOW_MS + 3_500);
+  expect(listBroken()).toEqual(['no new work for a leaving endpoint']);
+});
+
+test('a configuration that is late, and one that goes back', () => {
+  ledger.events.push({ type: 'configurationPublished', version: 4, atMs: NOW_MS });
+  const probe = { box: 'box-1', life: 1, version: 4 };
+  ledger.probes.push({ ...probe, sentAtMs: NOW_MS + 100, isInForce: false });
+  ledger.probes.push({ ...probe, sentAtMs: NOW_MS + 200, isInForce: true });
+  ledger.probes.push({ ...probe, sentAtMs: NOW_MS + 300, isInForce: false });
+  ledger.probes.push({ ...probe, sentAtMs: NOW_MS + 3_500, isInForce: false });
+  expect(listBroken()).toEqual(['configuration never goes back', 'configuration in force']);
+});
+
+test('a fleet that sends again more than its budget', () => {
+  for (let at = 0; at < 60; at += 1) {
+    note(`r-${at}`, 'safe', answer(200, `r-${at}|e-1`, `e-1|r-${at}`));
+    for (let times = 0; times < 3; times += 1) run(`r-${at}`);
+  }
+  expect(new Set(listBroken())).toEqual(new Set(['retry budget']));
+});
+
+test('a site that does not recover', () => {
+  ledger.events.push({ type: 'faultsOver', atMs: NOW_MS - 13_000 });
+  note('a', 'safe', answer(503));
+  expect(listBroken()).toEqual(['recovery']);
+});
--- /dev/null
+++ b/packages/soak/src/checks.ts
@@ -0,0 +1,198 @@
+/**
+ * The promises of the pages, judged by what callers and endpoints saw. Those about content hold always; those about
+ * time only where nothing was done to the parts concerned for a while.
+ */
+import type { CallerRecord, Ledger, PlannedEvent, SoakRoute } from './ledger.js';
+
+/** A broken promise. */
+export interface Violation {
+  readonly check: string;
+  readonly detail: string;
+}
+
+/** A box is in touch again so long after a fault. */
+const SETTLE_MS = 3_000;
+/** Bounds of the deployment. */
+const APPLY_BOUND_MS = 2_000;
+const DRAIN_BOUND_MS = 2_000;
+const RECOVER_MS = 12_000;
+const BUDGET_RATIO = 0.2;
+const BUDGET_EXTRA = 56;
+const BUDGET_WINDOW_MS = 10_000;
+/** The soak's processes share few processors: so much later than promised counts as in time. */
+const SLACK_MS = 1_000;
+/** A stopping box still takes new requests for this long; later ones may meet the end of their connection. */
+const STOP_ACCEPTS_MS = 2_000;
+const RECOVERED_SHARE = 0.9;
+
+const STATUS_OK = 200;
+/** Statuses by which the router says that a request did not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Judges all promises. */
+export function checkPromises(ledger: Ledger): Violation[] {
+  return [
+    ...checkRunsOnce(ledger),
+    ...checkRefusals(ledger),
+    ...checkWholeAnswers(ledger),
+    ...checkAnsweredInTime(ledger),
+    ...checkStops(ledger),
+    ...checkDrains(ledger),
+    ...checkConfiguration(ledger),
+    ...checkBudget(ledger),
+    ...checkRecovery(ledger),
+  ];
+}
+
+function isOnce(route: SoakRoute): boolean {
+  return route === 'claim' || route === 'streamOnce';
+}
+
+function isStream(route: SoakRoute): boolean {
+  return route === 'streamOnce' || route === 'streamResumable';
+}
+
+function countRuns(ledger: Ledger): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { requestId } of ledger.runs) counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+  return counts;
+}
+
+function checkRunsOnce(ledger: Ledger): Violation[] {
+  const counts = countRuns(ledger);
+  return ledger.requests
+    .filter((request) => isOnce(request.route) && (counts.get(request.requestId) ?? 0) > 1)
+    .map((request) => describe('runs at most once', request, `${counts.get(request.requestId)} runs`));
+}
+
+function checkRefusals(ledger: Ledger): Violation[] {
+  const counts = countRuns(ledger);
+  return ledger.requests.flatMap((request) => {
+    const { outcome } = request;
+    if (outcome.type !== 'answer' || outcome.seal !== undefined || !NOT_RUN_STATUSES.has(outcome.status))
+      return [];
+    return counts.has(request.requestId)
+      ? [describe('refusals are true', request, `${outcome.status}, yet it ran`)]
+      : [];
+  });
+}
+
+function checkWholeAnswers(ledger: Ledger): Violation[] {
+  return ledger.requests.flatMap((request) => {
+    const problem = isStream(request.route) ? findStreamProblem(request) : findBodyProblem(request);
+    return problem === undefined ? [] : [describe('whole answers', request, problem)];
+  });
+}
+
+function findBodyProblem({ outcome, requestId }: CallerRecord): string | undefined {
+  if (outcome.type !== 'answer' || outcome.status !== STATUS_OK) return undefined;
+  const [endpoint, sealedId] = (outcome.seal ?? '').split('|');
+  if (sealedId !== requestId) return `sealed for ${sealedId}`;
+  return outcome.body === `${requestId}|${endpoint}` ? undefined : `body ${outcome.body}`;
+}
+
+function findStreamProblem({ outcome, requestId }: CallerRecord): string | undefined {
+  if (outcome.type !== 'answer' && outcome.type !== 'cut') return undefined;
+  if (outcome.status !== STATUS_OK) return undefined;
+  const events = [...outcome.body.matchAll(/id: (\d+)\ndata: (\S+) (\d+)\/(\d+)\n\n/g)];
+  for (const [at, event] of events.entries()) {
+    if (event[2] !== requestId) return `an event of ${event[2]}`;
+    if (Number(event[1]) !== at + 1) return `event ${event[1]} in place ${at + 1}`;
+  }
+  if (outcome.type === 'cut') return undefined;
+  return events.length > 0 && events.length === Number(events[0]?.[4])
+    ? undefined
+    : `${events.length} events`;
+}
+
+function checkAnsweredInTime(ledger: Ledger): Violation[] {
+  return ledger.requests.flatMap((request) => {
+    const tookMs = request.endedAtMs - request.sentAtMs;
+    const isLate = request.outcome.type === 'unanswered' || tookMs > request.deadlineMs + SLACK_MS;
+    if (!isLate || !ledger.wasCalm(request.box, request.sentAtMs, request.endedAtMs, SETTLE_MS)) return [];
+    return [describe('answered in time', request, `${tookMs} ms, ${request.outcome.type}`)];
+  });
+}
+
+function checkStops(ledger: Ledger): Violation[] {
+  return listEvents(ledger, 'boxStop').flatMap(({ box, atMs }) =>
+    ledger.requests
+      .filter((request) => request.box === box && request.outcome.type === 'cut')
+      .filter((request) => request.sentAtMs <= atMs + STOP_ACCEPTS_MS && request.endedAtMs >= atMs)
+      .filter((request) => ledger.wasAllCalm(request.sentAtMs, request.endedAtMs, SETTLE_MS))
+      .map((request) => describe('a planned stop cuts nothing off', request, `stopped at ${atMs}`)),
+  );
+}
+
+function checkDrains(ledger: Ledger): Violation[] {
+  const boxOf = new Map(ledger.requests.map((request) => [request.requestId, request.box]));
+  return listEvents(ledger, 'endpointLeaves').flatMap(({ endpoint, atMs }) => {
+    const boundMs = atMs + DRAIN_BOUND_MS + SLACK_MS;
+    return ledger.runs
+      .filter((run) => run.endpoint === endpoint && run.atMs > boundMs)
+      .filter((run) => isInTouch(ledger, boxOf.get(run.requestId) ?? '', atMs, run.atMs))
+      .map((run) => ({ check: 'no new work for a leaving endpoint', detail: JSON.stringify(run) }));
+  });
+}
+
+function checkConfiguration(ledger: Ledger): Violation[] {
+  const published = listEvents(ledger, 'configurationPublished');
+  return ledger.probes.flatMap((probe) => {
+    if (probe.isInForce) return [];
+    const atMs = published.find((event) => event.version === probe.version)?.atMs ?? Infinity;
+    const isOverdue = probe.sentAtMs > atMs + APPLY_BOUND_MS + SLACK_MS;
+    if (isOverdue && isInTouch(ledger, probe.box, atMs, probe.sentAtMs)) {
+      return [{ check: 'configuration in force', detail: JSON.stringify(probe) }];
+    }
+    const hadIt = ledger.probes.some(
+      (other) =>
+        other.box === probe.box &&
+        other.life === probe.life &&
+        other.isInForce &&
+        other.version === probe.version &&
+        other.sentAtMs < probe.sentAtMs,
+    );
+    return hadIt ? [{ check: 'configuration never goes back', detail: JSON.stringify(probe) }] : [];
+  });
+}
+
+/** Whether nothing was done to a box or to the store for the whole span. */
+function isInTouch(ledger: Ledger, box: string, fromMs: number, toMs: number): boolean {
+  const begunMs = fromMs - SETTLE_MS;
+  return ledger.wasCalm(box, begunMs, toMs, SETTLE_MS) && ledger.wasCalm('store', begunMs, toMs, SETTLE_MS);
+}
+
+function checkBudget(ledger: Ledger): Violation[] {
+  const firstSeen = new Set<string>();
+  const repeats = ledger.runs.filter(({ requestId }) => {
+    if (!firstSeen.has(requestId)) return void firstSeen.add(requestId);
+    return true;
+  });
+  return repeats.flatMap(({ atMs }) => {
+    const inWindow = (at: number): boolean => at >= atMs && at < atMs + BUDGET_WINDOW_MS;
+    const again = repeats.filter((run) => inWindow(run.atMs)).length;
+    const asked = ledger.requests.filter((request) => inWindow(request.sentAtMs)).length;
+    if (again <= BUDGET_RATIO * asked + BUDGET_EXTRA) return [];
+    return [{ check: 'retry budget', detail: `${again} sent again for ${asked} from ${atMs}` }];
+  });
+}
+
+function checkRecovery(ledger: Ledger): Violation[] {
+  const over = listEvents(ledger, 'faultsOver').at(-1);
+  if (over === undefined) return [];
+  const late = ledger.requests.filter((request) => request.sentAtMs > over.atMs + RECOVER_MS);
+  const served = late.filter(({ outcome }) => outcome.type === 'answer' && outcome.status === STATUS_OK);
+  if (late.length > 0 && served.length >= RECOVERED_SHARE * late.length) return [];
+  return [{ check: 'recovery', detail: `${served.length} of ${late.length} served` }];
+}
+
+function listEvents<T extends PlannedEvent['type']>(
+  ledger: Ledger,
+  type: T,
+): Extract<PlannedEvent, { type: T }>[] {
+  return ledger.events.filter((event): event is Extract<PlannedEvent, { type: T }> => event.type === type);
+}
+
+function describe(check: string, request: CallerRecord, detail: string): Violation {
+  return { check, detail: `${request.requestId} (${request.route}) at ${request.box}: ${detail}` };
+}
--- /dev/null
+++ b/packages/soak/src/faults.ts
@@ -0,0 +1,186 @@
+/** Faults from outside the programs: signals, links, the store; in series that overlap, drawn by seed. */
+import type { ChildProcess } from 'node:child_process';
+import type { StoreFault } from '@hazelwalk/platform/standins';
+import { endProcess, pause } from '@hazelwalk/standins';
+import type { Random } from '@hazelwalk/standins';
+import type { Ledger } from './ledger.js';
+import type { LinkFault, LinkProxy } from './linkProxy.js';
+import type { SoakBox, SoakEndpoint, SoakSite } from './site.js';
+
+/** Every kind of fault and planned work. */
+export const FAULT_KINDS = [
+  'boxKill',
+  'boxPause',
+  'boxStop',
+  'boxReload',
+  'endpointKill',
+  'endpointPause',
+  'endpointLeave',
+  'endpointLink',
+  'endpointReset',
+  'storeLink',
+  'storeFault',
+  'configuration',
+  'configurationSeries',
+] as const;
+/** One of them. */
+export type FaultKind = (typeof FAULT_KINDS)[number];
+
+const LEAST_FAULT_MS = 300;
+const MOST_FAULT_MS = 4_000;
+const MOST_DELAY_MS = 300;
+/** A killed endpoint stays listed until its heartbeats are missed. */
+const LAPSE_MS = 1_500;
+/** An endpoint that leaves serves on for this long. */
+const LEAVE_MS = 3_500;
+const SERIES = 4;
+const SERIES_GAP_MS = 150;
+const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
+const STORE_FAULTS: readonly StoreFault[] = ['busy', 'limited', 'silent', 'reset', 'garbage'];
+
+/** Strikes a site. */
+export class FaultInjector {
+  /** Parts that are under a fault: none is struck twice at once, so that each fault ends as it should. */
+  private readonly struck = new Set<string>();
+
+  constructor(
+    private readonly site: SoakSite,
+    private readonly ledger: Ledger,
+    private readonly random: Random,
+  ) {}
+
+  /** Carries out one fault from its beginning to its end. */
+  strike(kind: FaultKind): Promise<void> {
+    switch (kind) {
+      case 'boxKill':
+        return this.onBox((box) => this.killBox(box));
+      case 'boxPause':
+        return this.onBox((box) => this.pauseProcess(box.name, box.process?.child));
+      case 'boxStop':
+        return this.onBox((box) => this.stopBox(box));
+      case 'boxReload':
+        return this.onBox(async (box) => void box.process?.child.kill('SIGHUP'));
+      case 'endpointKill':
+        return this.onEndpoint((endpoint) => this.killEndpoint(endpoint));
+      case 'endpointPause':
+        return this.onEndpoint((endpoint) => this.pauseProcess(endpoint.id, endpoint.process.child));
+      case 'endpointLeave':
+        return this.onEndpoint((endpoint) => this.drainEndpoint(endpoint));
+      case 'endpointLink':
+        return this.onEndpoint((endpoint) => this.harmLink(endpoint.id, endpoint.link));
+      case 'endpointReset':
+        return this.onEndpoint((endpoint) => this.resetLink(endpoint));
+      case 'storeLink':
+        return this.onBox((box) => this.harmLink(box.name, box.storeLink));
+      case 'storeFault':
+        return this.once('store', () => this.harmStore());
+      case 'configuration':
+        return this.publish(1);
+      case 'configurationSeries':
+        return this.publish(SERIES);
+    }
+  }
+
+  private async killBox(box: SoakBox): Promise<void> {
+    await this.disturb(box.name, async () => {
+      if (box.process !== undefined) await endProcess(box.process.child, 'SIGKILL');
+      await pause(this.drawMs());
+      await this.site.startBox(box);
+    });
+  }
+
+  private async stopBox(box: SoakBox): Promise<void> {
+    if (box.process === undefined) return;
+    this.ledger.events.push({ type: 'boxStop', box: box.name, atMs: Date.now() });
+    await endProcess(box.process.child, 'SIGTERM');
+    await this.disturb(box.name, () => this.site.startBox(box));
+  }
+
+  private async pauseProcess(entity: string, child: ChildProcess | undefined): Promise<void> {
+    await this.disturb(entity, async () => {
+      child?.kill('SIGSTOP');
+      await pause(this.drawMs());
+      child?.kill('SIGCONT');
+    });
+  }
+
+  private async killEndpoint(endpoint: SoakEndpoint): Promise<void> {
+    await this.disturb(endpoint.id, async () => {
+      await endProcess(endpoint.process.child, 'SIGKILL');
+      await pause(LAPSE_MS);
+      await this.site.removeEndpoint(endpoint, 'SIGKILL');
+      await this.site.addEndpoint(endpoint.service);
+    });
+  }
+
+  private async drainEndpoint(endpoint: SoakEndpoint): Promise<void> {
+    await this.site.addEndpoint(endpoint.service);
+    this.site.announceLeaving(endpoint);
+    await pause(LEAVE_MS);
+    await this.site.removeEndpoint(endpoint, 'SIGTERM');
+  }
+
+  private async resetLink(endpoint: SoakEndpoint): Promise<void> {
+    await this.disturb(endpoint.id, async () => endpoint.link.resetAll());
+  }
+
+  private async harmLink(entity: string, link: LinkProxy): Promise<void> {
+    await this.disturb(entity, async () => {
+      link.setFault(this.drawLinkFault());
+      await pause(this.drawMs());
+      link.setFault({ type: 'none' });
+    });
+  }
+
+  private async harmStore(): Promise<void> {
+    await this.disturb('store', async () => {
+      this.site.store.fault = this.pick(STORE_FAULTS);
+      await pause(this.drawMs());
+      this.site.store.fault = 'none';
+      if (this.random() < 0.5) this.site.store.compact();
+    });
+  }
+
+  private async publish(times: number): Promise<void> {
+    for (let count = 0; count < times; count += 1) {
+      this.site.publishConfiguration();
+      if (times > 1) await pause(SERIES_GAP_MS);
+    }
+  }
+
+  private drawLinkFault(): LinkFault {
+    const type = this.pick(LINK_FAULTS);
+    return type === 'delay' ? { type, delayMs: this.random() * MOST_DELAY_MS } : { type };
+  }
+
+  private drawMs(): number {
+    return LEAST_FAULT_MS + this.random() * (MOST_FAULT_MS - LEAST_FAULT_MS);
+  }
+
+  private pick<T>(values: readonly T[]): T {
+    return values[Math.floor(this.random() * values.length)] as T;
+  }
+
+  private async onBox(act: (box: SoakBox) => Promise<void>): Promise<void> {
+    const box = this.pick(this.site.boxes);
+    await this.once(box.name, () => act(box));
+  }
+
+  private async onEndpoint(act: (endpoint: SoakEndpoint) => Promise<void>): Promise<void> {
+    const endpoint = this.pick([...this.site.endpoints.values()].filter((one) => !one.isLeaving));
+    await this.once(endpoint.id, () => act(endpoint));
+  }
+
+  private async once(entity: string, act: () => Promise<void>): Promise<void> {
+    if (this.struck.has(entity)) return;
+    this.struck.add(entity);
+    await act();
+    this.struck.delete(entity);
+  }
+
+  private async disturb(entity: string, act: () => Promise<void>): Promise<void> {
+    const disturbance = this.ledger.beginDisturbance(entity);
+    await act();
+    disturbance.toMs = Date.now();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,61 @@
+#!/usr/bin/env node
+/** `npm run soak`: real boxes and endpoints on loopback under random faults; exits with 1 if a promise was broken. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { hideBin } from 'yargs/helpers';
+import yargs from 'yargs';
+import type { SoakResult } from './runSeed.js';
+import { runSeed } from './runSeed.js';
+
+const MS_PER_S = 1_000;
+const MS_PER_MINUTE = 60_000;
+
+const argv = await yargs(hideBin(process.argv))
+  .usage('npm run soak -- --seeds N --from S')
+  .option('seeds', { type: 'number', default: 1, describe: 'how many seeds to run, one after the other' })
+  .option('from', { type: 'number', default: 1, describe: 'the first seed' })
+  .option('minutes', { type: 'number', describe: 'begin no further seed after this time' })
+  .option('seconds', { type: 'number', default: 20, describe: 'how long faults strike, in seconds' })
+  .option('boxes', { type: 'number', default: 4, describe: 'boxes' })
+  .option('endpoints', { type: 'number', default: 3, describe: 'endpoints of each of the two services' })
+  .option('callers', { type: 'number', default: 12, describe: 'callers, each with one request at a time' })
+  .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
+  .strict()
+  .parse();
+
+function report(result: SoakResult): void {
+  const { seed, requests, served, runs, faults, violations } = result;
+  const summary = { seed, requests, served, runs, faults: faults.length, violations: violations.length };
+  process.stdout.write(`${JSON.stringify(summary)}\n`);
+  for (const { check, detail } of violations) process.stdout.write(`  ${check}: ${detail}\n`);
+}
+
+function keepLogs(result: SoakResult): void {
+  const folder = join(argv.keep, `seed-${result.seed}`);
+  mkdirSync(folder, { recursive: true });
+  writeFileSync(join(folder, 'faults.txt'), `${result.faults.join('\n')}\n`);
+  writeFileSync(join(folder, 'violations.json'), JSON.stringify(result.violations, undefined, 2));
+  for (const [box, lines] of result.logs) writeFileSync(join(folder, `${box}.log`), `${lines.join('\n')}\n`);
+}
+
+const begunAtMs = Date.now();
+let failed = 0;
+let passed = 0;
+for (let seed = argv.from; seed < argv.from + argv.seeds; seed += 1) {
+  if (argv.minutes !== undefined && Date.now() - begunAtMs > argv.minutes * MS_PER_MINUTE) break;
+  const result = await runSeed({
+    seed,
+    boxes: argv.boxes,
+    endpointsPerService: argv.endpoints,
+    callers: argv.callers,
+    faultsMs: argv.seconds * MS_PER_S,
+  });
+  report(result);
+  if (result.violations.length === 0) passed += 1;
+  else {
+    failed += 1;
+    keepLogs(result);
+  }
+}
+process.stdout.write(`seeds: ${passed} passed, ${failed} failed\n`);
+process.exit(failed === 0 ? 0 : 1);
--- /dev/null
+++ b/packages/soak/src/site.ts
@@ -0,0 +1,199 @@
+/** A site of real processes on loopback: boxes and endpoints, each behind links that can fail, and a store. */
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import {
+  createEndpointEntry,
+  createStandinConfiguration,
+  formatBoxSettings,
+  StandinStore,
+} from '@hazelwalk/platform/standins';
+import type { StandinRoute } from '@hazelwalk/platform/standins';
+import { endProcess, startProcess } from '@hazelwalk/standins';
+import type { StartedProcess } from '@hazelwalk/standins';
+import type { BoxAddress } from './callers.js';
+import type { Ledger } from './ledger.js';
+import { LinkProxy } from './linkProxy.js';
+
+const HALLS = ['mixco', 'antigua'] as const;
+const CALLER_PORT = 8_227;
+const READY_PORT = 8_220;
+const PEER_PORT = 8_229;
+const GRACE_S = 8;
+const SEEDS = 3;
+const BOX_PROGRAM = 'target/hazelwalk.cjs';
+const ENDPOINT_PROGRAM = fileURLToPath(
+  import.meta.resolve('@hazelwalk/platform/standins').replace('index.js', 'workerProcess.js'),
+);
+
+const ROUTES: readonly StandinRoute[] = [
+  { name: 'safe', kind: 'safe', service: 'app', maxAttempts: 2, isResumable: false, timeoutMs: 3_000 },
+  { name: 'claim', kind: 'unsafe', service: 'app', maxAttempts: 1, isResumable: false, timeoutMs: 3_000 },
+  {
+    name: 'streamResumable',
+    kind: 'streaming',
+    service: 'llm',
+    maxAttempts: 2,
+    isResumable: true,
+    timeoutMs: 3_000,
+  },
+  {
+    name: 'streamOnce',
+    kind: 'streaming',
+    service: 'llm',
+    maxAttempts: 1,
+    isResumable: false,
+    timeoutMs: 3_000,
+  },
+];
+
+/** One box: its address, its link to the store, and the process of its present life. */
+export interface SoakBox extends BoxAddress {
+  readonly storeLink: LinkProxy;
+  readonly settingsPath: string;
+  life: number;
+  process: StartedProcess<string> | undefined;
+  readonly log: string[];
+}
+
+/** One run of an endpoint. */
+export interface SoakEndpoint {
+  readonly id: string;
+  readonly service: string;
+  readonly hall: string;
+  readonly link: LinkProxy;
+  readonly address: string;
+  readonly process: StartedProcess<number>;
+  isLeaving: boolean;
+}
+
+/** The processes of one seed. */
+export class SoakSite {
+  readonly store = new StandinStore();
+  readonly boxes: SoakBox[] = [];
+  readonly endpoints = new Map<string, SoakEndpoint>();
+  version = 0;
+  private storePort = 0;
+  private endpointCount = 0;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'hazelwalk-soak-'));
+
+  constructor(
+    private readonly ledger: Ledger,
+    /** First three numbers of the addresses of this seed's boxes, so that seeds do not share ports. */
+    private readonly network: string,
+  ) {}
+
+  /** Starts store, endpoints and boxes. */
+  async start(boxes: number, endpointsPerService: number): Promise<void> {
+    this.storePort = await this.store.listen();
+    this.publishConfiguration();
+    for (let count = 0; count < endpointsPerService; count += 1) {
+      await this.addEndpoint('app');
+      await this.addEndpoint('llm');
+    }
+    for (let index = 0; index < boxes; index += 1) await this.addBox(index, boxes);
+    await Promise.all(this.boxes.map((box) => this.startBox(box)));
+  }
+
+  /** Publishes the next version: the same routes, and one that only this version has. */
+  publishConfiguration(): void {
+    this.version += 1;
+    const mark = { ...ROUTES[0], name: markOf(this.version) } as StandinRoute;
+    this.store.put('op/config', createStandinConfiguration(this.version, [...ROUTES, mark]));
+    this.ledger.events.push({ type: 'configurationPublished', version: this.version, atMs: Date.now() });
+  }
+
+  /** Starts an endpoint and lists it. */
+  async addEndpoint(service: string): Promise<SoakEndpoint> {
+    this.endpointCount += 1;
+    const id = `e-${this.endpointCount}`;
+    const hall = HALLS[this.endpointCount % HALLS.length] ?? HALLS[0];
+    const process = await startProcess<number>(
+      [ENDPOINT_PROGRAM, id],
+      (line) => (JSON.parse(line) as { listening?: number }).listening,
+      { onLine: (line) => this.noteEndpointLine(id, line) },
+    );
+    const link = new LinkProxy(process.announced);
+    const address = `127.0.0.1:${await link.listen()}`;
+    const endpoint = { id, service, hall, link, address, process, isLeaving: false };
+    this.endpoints.set(id, endpoint);
+    this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'ready'));
+    return endpoint;
+  }
+
+  /** Announces that an endpoint leaves. */
+  announceLeaving(endpoint: SoakEndpoint): void {
+    endpoint.isLeaving = true;
+    const { id, service, address, hall } = endpoint;
+    this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'draining'));
+    this.ledger.events.push({ type: 'endpointLeaves', endpoint: id, atMs: Date.now() });
+  }
+
+  /** Ends an endpoint's process and takes it off the list. */
+  async removeEndpoint(endpoint: SoakEndpoint, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    await endProcess(endpoint.process.child, signal);
+    endpoint.link.close();
+    this.endpoints.delete(endpoint.id);
+    this.store.remove(`servers/${endpoint.id}`);
+  }
+
+  /** Starts a box's process; resolves when it takes callers. */
+  async startBox(box: SoakBox): Promise<void> {
+    box.life += 1;
+    box.process = await startProcess<string>(
+      [BOX_PROGRAM],
+      (line) => (line.includes('"event":"started"') ? line : undefined),
+      { env: { HAZELWALK_BOOT: box.settingsPath }, onLine: (line) => box.log.push(line) },
+    );
+  }
+
+  /** Ends everything that this site started. */
+  async close(): Promise<void> {
+    await Promise.all(this.boxes.map((box) => box.process && endProcess(box.process.child, 'SIGKILL')));
+    for (const endpoint of this.endpoints.values()) {
+      await endProcess(endpoint.process.child, 'SIGKILL');
+      endpoint.link.close();
+    }
+    for (const box of this.boxes) box.storeLink.close();
+    this.store.close();
+  }
+
+  private async addBox(index: number, boxes: number): Promise<void> {
+    const storeLink = new LinkProxy(this.storePort);
+    const storeAddress = `127.0.0.1:${await storeLink.listen()}`;
+    const name = `box-${index + 1}`;
+    const settingsPath = join(this.folder, `${name}.toml`);
+    const addressOf = (at: number): string => `${this.network}.${at + 1}`;
+    const seeds = Array.from({ length: Math.min(SEEDS, boxes) }, (_, at) => `${addressOf(at)}:${PEER_PORT}`);
+    const ip = addressOf(index);
+    const ports = { callerPort: CALLER_PORT, readyPort: READY_PORT, peerPort: PEER_PORT };
+    const hall = HALLS[index % HALLS.length] ?? HALLS[0];
+    writeFileSync(
+      settingsPath,
+      formatBoxSettings({ name, hall, ip, ...ports, seeds, storeAddress, graceS: GRACE_S }),
+    );
+    this.boxes.push({
+      name,
+      host: ip,
+      port: CALLER_PORT,
+      storeLink,
+      settingsPath,
+      life: 0,
+      process: undefined,
+      log: [],
+    });
+  }
+
+  private noteEndpointLine(id: string, line: string): void {
+    const { run, atMs } = JSON.parse(line) as { run?: string; atMs?: number };
+    if (run !== undefined && atMs !== undefined) {
+      this.ledger.runs.push({ requestId: run, endpoint: id, atMs });
+    }
+  }
+}
+
+/** Name and path of the route that only one version has. */
+export function markOf(version: number): string {
+  return `mark-${version}`;
+}
--- a/packages/standins/src/childProcess.ts
+++ b/packages/standins/src/childProcess.ts
@@ -29,8 +29,12 @@
 export function startProcess<T>(
   args: readonly string[],
   read: (line: string) => T | undefined,
+  options: { readonly env?: NodeJS.ProcessEnv; readonly onLine?: (line: string) => void } = {},
 ): Promise<StartedProcess<T>> {
-  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+  const child = spawn(process.execPath, args, {
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: { ...process.env, ...options.env },
+  });
   track(child);
   const lines: string[] = [];
   return new Promise((resolve, reject) => {
@@ -40,6 +44,7 @@
     createInterface({ input: child.stderr }).on('line', (line) => lines.push(line));
     createInterface({ input: child.stdout }).on('line', (line) => {
       lines.push(line);
+      options.onLine?.(line);
       const announced = read(line);
       if (announced !== undefined) resolve({ child, announced, lines });
     });
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,3 +2,4 @@
 export * from './childProcess.js';
 export * from './deployment.js';
 export { pause } from './httpTools.js';
+export * from './random.js';
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs what is missing, then runs formatter, linter, types, model checks and tests.
+# Installs what is missing, then runs formatter, linter, types, model checks, tests and a short soak.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -d node_modules/most ] || npm ci --no-audit --no-fund
@@ -9,3 +9,5 @@
 npm run --silent lint
 scripts/check-models.sh
 npm test
+npm run --silent build:box
+npm run --silent soak -- --seeds 1 --from 1 --seconds 8
