Remove what was decoded and never read; close a connection that comes back after its endpoint is gone

Loads in answers, health paths, priorities and the engine mark were decoded and read by nobody. A connection given back after its endpoint was forgotten stayed open until it idled out: test endpointConnections, red before.

--- /dev/null
+++ b/packages/router/src/__tests__/endpointConnections.test.ts
@@ -0,0 +1,45 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+import { createListing } from '../__fixtures__/createEndpoints.js';
+import { EndpointConnections } from '../proxy/endpointConnections.js';
+import { EndpointTable } from '../tables/endpointTable.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+
+const LONG_MS = 60_000;
+
+let server: Server;
+let connections: EndpointConnections;
+let row: EndpointRow;
+
+beforeEach(async () => {
+  server = createServer((socket) => socket.on('error', () => socket.destroy()));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  connections = new EndpointConnections({ countBoxes: () => 1, now: () => 0, onOpened: () => {} });
+  row = new EndpointTable(() => 1).upsert(createListing('e-1', { host: '127.0.0.1', port }), 0);
+});
+
+afterEach(() => {
+  connections.close();
+  server.close();
+});
+
+test('a connection is used again after it was given back', async () => {
+  const first = (await connections.acquire(row, LONG_MS, 10)).unwrap();
+  connections.release(row, first);
+  expect((await connections.acquire(row, LONG_MS, 10)).unwrap()).toBe(first);
+  first.socket.destroy();
+});
+
+test('a connection that is given back after its endpoint is gone is closed', async () => {
+  const connection = (await connections.acquire(row, LONG_MS, 10)).unwrap();
+  connections.forget(row.listing.id);
+  connections.release(row, connection);
+  expect(connection.socket.destroyed).toBe(true);
+});
+
+test('no more connections are made than the endpoint takes from one box', async () => {
+  const first = (await connections.acquire(row, LONG_MS, 1)).unwrap();
+  expect((await connections.acquire(row, LONG_MS, 1)).val).toBe('connectionLimit');
+  first.socket.destroy();
+});
--- a/packages/router/src/__tests__/routeIndex.test.ts
+++ b/packages/router/src/__tests__/routeIndex.test.ts
@@ -9,7 +9,6 @@
   timeoutMs: 1_000,
   targetLatencyMs: 100,
   maxAttempts: 1,
-  priority: 0,
   targets: [{ service: 's', weight: 1 }],
   isPublic: false,
   isResumable: false,
@@ -20,7 +19,7 @@
   version: 1,
   routes: [route('short', '/x/'), route('long', '/x/y/'), route('open', '/open/', { isPublic: true })],
   services: [],
-  teams: [{ name: 't', apiKeys: ['k'], priority: undefined }],
+  teams: [{ name: 't', apiKeys: ['k'] }],
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
--- a/packages/router/src/__tests__/silence.test.ts
+++ b/packages/router/src/__tests__/silence.test.ts
@@ -9,7 +9,6 @@
   timeoutMs: 5_000,
   targetLatencyMs: 300,
   maxAttempts: 2,
-  priority: 0,
   targets: [],
   isPublic: false,
   isResumable: false,
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -73,9 +73,12 @@
   release(row: EndpointRow, connection: EndpointConnection): void {
     // An endpoint that answered before it read the whole body may never read the rest.
     if (connection.socket.writableLength > 0) connection.socket.destroy();
-    if (connection.socket.destroyed) return;
+    const pool = this.pools.get(row.listing.id);
+    // An endpoint that is gone meanwhile is not asked again.
+    if (pool === undefined) connection.socket.destroy();
+    if (pool === undefined || connection.socket.destroyed) return;
     connection.idleSinceMs = this.options.now();
-    this.findPool(row.listing.id).idle.push(connection);
+    pool.idle.push(connection);
   }
 
   /** Closes the idle connections of an endpoint that is gone. */
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -161,7 +161,6 @@
   private handleNotRun(attempt: Attempt, head: AnswerHead): void {
     this.drop(attempt, 'notRun');
     this.attempts.notRunCount += 1;
-    this.noteLoad(attempt, head);
     this.context.noteSign(attempt.row, 'refused');
     // Its word covers its own run only; another attempt may still be running.
     if (this.attempts.live.length > 0) return;
@@ -170,7 +169,6 @@
   }
 
   private handleHead(attempt: Attempt, head: AnswerHead): void {
-    this.noteLoad(attempt, head);
     if (head.status >= LEAST_SERVER_ERROR) {
       this.context.noteSign(attempt.row, 'errored');
       if (this.discardError(attempt, head)) return;
@@ -401,11 +399,4 @@
     this.attempts.drop(attempt, end);
     if (this.winner === attempt && end !== 'whole') this.winner = undefined;
   }
-
-  private noteLoad(attempt: Attempt, head: AnswerHead): void {
-    const { load } = head.facts;
-    if (load === undefined) return;
-    attempt.row.told = load;
-    attempt.row.toldAtMs = this.context.now();
-  }
 }
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -32,8 +32,6 @@
   readonly targetLatencyMs: number;
   /** Most endpoints that one request may be sent to. */
   readonly maxAttempts: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
   readonly targets: readonly RouteTarget[];
   /** Needs no key. */
   readonly isPublic: boolean;
@@ -44,11 +42,8 @@
 /** A set of endpoints that answer the same requests. */
 export interface Service {
   readonly name: string;
-  readonly healthPath: string;
   /** Connections that one endpoint accepts from all boxes together. */
   readonly maxConnections: number;
-  /** Whether its endpoints generate text and keep prompt prefixes in memory. */
-  readonly isEngine: boolean;
   /** Whether its endpoints take cached prompts from each other. */
   readonly canMoveCache: boolean;
 }
@@ -57,8 +52,6 @@
 export interface Team {
   readonly name: string;
   readonly apiKeys: readonly string[];
-  /** Goes before the priority of the route. */
-  readonly priority: number | undefined;
 }
 
 /** Bounds on what callers may send. */
@@ -109,13 +102,6 @@
   readonly promptParts: readonly PromptPart[];
 }
 
-/** Load that an endpoint tells with an answer. */
-export interface ToldLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** What the head of an endpoint's answer says beside its status. */
 export interface AnswerFacts {
   readonly requestId: string | undefined;
@@ -123,7 +109,6 @@
   readonly isSealed: boolean;
   /** The endpoint vouches that the request did not run. */
   readonly isNotRun: boolean;
-  readonly load: ToldLoad | undefined;
 }
 
 /** What the router adds to a request for one endpoint. */
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -1,7 +1,7 @@
 /**
  * The table of endpoints: what is published of each, what this box saw of it, and what peers say of its load.
  */
-import type { ListedEndpoint, ToldLoad } from '../records.js';
+import type { ListedEndpoint } from '../records.js';
 
 /** Why an endpoint gets no new requests from this box. */
 export type Standing =
@@ -23,9 +23,6 @@
   inFlight: number;
   /** Requests of the other boxes that it holds, by their last heartbeats. */
   peersInFlight: number;
-  /** Last load that it told, and when. */
-  told: ToldLoad | undefined;
-  toldAtMs: number;
   /** When anything was last heard from it. */
   heardAtMs: number;
   /** When this box last sent it a request while it held none of this box. */
@@ -95,8 +92,6 @@
     listedAtMs: nowMs,
     inFlight: 0,
     peersInFlight: 0,
-    told: undefined,
-    toldAtMs: 0,
     heardAtMs: nowMs,
     busySinceMs: nowMs,
     failureRate: 0,
