--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -2,7 +2,7 @@
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint } from '../records.js';
-import { addLoads } from '../systems/loadExchange.js';
+import { addLoads, subtractLoads } from '../systems/loadExchange.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 
 const TAG = 77;
@@ -35,14 +35,12 @@
   readonly table = new EndpointTable(() => TAG);
   readonly relay: LoadRelay;
 
-  constructor(address: string) {
+  constructor(address: string, isFlat = false) {
     const mesh = {
       address,
-      isFlat: false,
-      listLoadPeers: () =>
-        this.peers
-          .filter((heartbeat) => heartbeat.hall === 'mixco')
-          .map((heartbeat) => ({ heartbeat, heardAtMs: this.nowMs })),
+      isFlat,
+      paceMs: 300,
+      listFresh: () => this.peers.map((heartbeat) => ({ heartbeat, heardAtMs: this.nowMs })),
       listLinked: () => this.peers,
       send: (to: string, frame: PeerFrame) => void this.sent.push({ to, frame }),
       sendToHall: (to: string, frame: PeerFrame) => void this.sent.push({ to, frame }),
@@ -60,53 +58,98 @@
   get peersInFlight(): number {
     return this.table.byId.get(endpoint.id)?.peersInFlight ?? -1;
   }
+
+  setOwn(requests: number): void {
+    this.table.byId.get(endpoint.id)!.inFlight = requests;
+  }
+
+  tick(): void {
+    this.nowMs += 500;
+    this.relay.tick();
+  }
+
+  listSent(type: PeerFrame['type']): string[] {
+    return this.sent.filter(({ frame }) => frame.type === type).map(({ to }) => to);
+  }
 }
 
-test('adds loads endpoint by endpoint', () => {
+const hallOf = (...addresses: string[]): Heartbeat[] => addresses.map((one) => heartbeatOf(one, 'mixco', 0));
+const othersOf = (...addresses: string[]): Heartbeat[] =>
+  addresses.map((one) => heartbeatOf(one, 'antigua', 0));
+
+test('adds and subtracts loads endpoint by endpoint', () => {
   expect(addLoads([[7, 2], [7, 1, 9, 4], []])).toEqual([7, 3, 9, 4]);
+  expect(subtractLoads([7, 3, 9, 4], [7, 5, 9, 1])).toEqual([9, 3]);
 });
 
-test('a box counts the loads of its hall and the sums of the others, each once', () => {
+test('in a small fleet heartbeats carry the loads', () => {
+  const box = new TestBox('5', true);
+  box.peers = [heartbeatOf('1', 'mixco', 2), heartbeatOf('9', 'antigua', 3)];
+  box.tick();
+  expect(box.peersInFlight).toBe(5);
+  expect(box.sent).toEqual([]);
+});
+
+test('a box tells its loads to the first two of its hall and to nobody else', () => {
   const box = new TestBox('5');
-  box.peers = [heartbeatOf('1', 'mixco', 2), heartbeatOf('2', 'mixco', 3), heartbeatOf('9', 'antigua', 50)];
-  box.relay.handleHallLoads({ type: 'hallLoads', hall: 'antigua', loads: [TAG, 4] });
-  box.relay.handleHallLoads({ type: 'hallLoads', hall: 'mixco', loads: [TAG, 100] });
-  box.relay.tick();
-  expect(box.peersInFlight).toBe(9);
+  box.peers = [...hallOf('1', '2', '3'), ...othersOf('7', '8')];
+  box.setOwn(2);
+  box.tick();
+  expect(box.sent).toEqual(
+    ['1', '2'].map((to) => ({ to, frame: { type: 'boxLoads', address: '5', loads: [TAG, 2] } })),
+  );
 });
 
-test('sums that are not renewed count for nothing after a while', () => {
+test('a box takes the sum of the fleet without what it told itself', () => {
   const box = new TestBox('5');
-  box.relay.handleHallLoads({ type: 'hallLoads', hall: 'antigua', loads: [TAG, 4] });
-  box.nowMs += 7_000;
-  box.relay.tick();
+  box.peers = hallOf('1', '2');
+  box.setOwn(2);
+  box.tick();
+  box.setOwn(3);
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9] });
+  expect(box.peersInFlight).toBe(7);
+});
+
+test('a sum that is not renewed counts for nothing after a while', () => {
+  const box = new TestBox('5');
+  box.peers = hallOf('1', '2');
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9] });
+  for (let count = 0; count < 7; count += 1) box.tick();
   expect(box.peersInFlight).toBe(0);
 });
 
-test('the first two boxes of a hall tell the first two of every other hall what the hall has together', () => {
+test('the first box of a hall tells the other halls what its hall has, and its hall what the fleet has', () => {
   const box = new TestBox('1');
-  box.table.byId.get(endpoint.id)!.inFlight = 1;
-  box.peers = [
-    heartbeatOf('2', 'mixco', 3),
-    heartbeatOf('7', 'antigua', 0),
-    heartbeatOf('8', 'antigua', 0),
-    heartbeatOf('9', 'antigua', 0),
-  ];
-  box.relay.tick();
-  expect(box.sent).toEqual(
-    ['7', '8'].map((to) => ({ to, frame: { type: 'hallLoads', hall: 'mixco', loads: [TAG, 4] } })),
-  );
-  const third = new TestBox('3');
-  third.peers = [heartbeatOf('1', 'mixco', 0), heartbeatOf('2', 'mixco', 0), heartbeatOf('7', 'antigua', 0)];
-  third.relay.tick();
-  expect(third.sent).toEqual([]);
+  box.peers = [...hallOf('2', '3'), ...othersOf('7', '8', '9')];
+  box.setOwn(1);
+  box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3] });
+  box.relay.handleBoxLoads({ type: 'boxLoads', address: '3', loads: [TAG, 2] });
+  box.relay.handleHallLoads({ type: 'hallLoads', hall: 'antigua', loads: [TAG, 10] });
+  box.tick();
+  expect(box.peersInFlight).toBe(15);
+  expect(box.sent).toContainEqual({ to: '7', frame: { type: 'hallLoads', hall: 'mixco', loads: [TAG, 6] } });
+  expect(box.listSent('hallLoads')).toEqual(['7', '8']);
+  expect(box.sent).toContainEqual({ to: 'mixco', frame: { type: 'fleetLoads', loads: [TAG, 16] } });
+});
+
+test('the second box of a hall speaks only while the first is not heard', () => {
+  const box = new TestBox('2');
+  box.peers = [...hallOf('1', '3'), ...othersOf('7')];
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [] });
+  box.tick();
+  box.tick();
+  expect(box.listSent('fleetLoads')).toEqual([]);
+  box.tick();
+  expect(box.listSent('fleetLoads')).toEqual(['mixco']);
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [] });
+  box.tick();
+  expect(box.listSent('fleetLoads')).toEqual(['mixco']);
 });
 
-test('a speaker passes the sums of another hall on at home, one copy a period', () => {
+test('the loads of a box that fell silent leave the sum', () => {
   const box = new TestBox('1');
-  const frame = { type: 'hallLoads', hall: 'antigua', loads: [TAG, 4] } as const;
-  box.relay.handleHallLoads({ ...frame, loads: [...frame.loads] });
-  box.nowMs += 10;
-  box.relay.handleHallLoads({ ...frame, loads: [...frame.loads] });
-  expect(box.sent).toEqual([{ to: 'mixco', frame }]);
+  box.peers = hallOf('2', '3');
+  box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3] });
+  for (let count = 0; count < 7; count += 1) box.tick();
+  expect(box.peersInFlight).toBe(0);
 });
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -27,7 +27,7 @@
     onFrame: (frame: PeerFrame) => void heard.push(frame),
     onProblem: () => {},
   };
-  const mesh: PeerMesh = new PeerMesh('mixco', seeds, handlers, () => performance.now());
+  const mesh: PeerMesh = new PeerMesh(seeds, handlers, () => performance.now());
   meshes.push(mesh);
   await mesh.listen('127.0.0.1', port);
   timers.push(setInterval(() => mesh.broadcast(createHeartbeat(mesh.address)), 20));
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -123,7 +123,6 @@
       this.noteStanding(row, change, because),
     );
     this.mesh = new PeerMesh(
-      options.hall,
       options.seedAddresses,
       {
         createHeartbeat: () => this.createHeartbeat(),
@@ -263,6 +262,7 @@
     this.state.tick(nowMs);
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
+    this.loads.tick();
     this.sendHeartbeat(nowMs);
     this.advanceStop(nowMs);
   }
@@ -280,7 +280,6 @@
   private sendHeartbeat(nowMs: number): void {
     if (nowMs - this.heartbeatAtMs < this.mesh.paceMs) return;
     this.heartbeatAtMs = nowMs;
-    this.loads.tick();
     this.mesh.broadcast(this.createHeartbeat());
   }
 
@@ -292,7 +291,7 @@
       address: this.mesh.address,
       configurationVersion: this.state.configurationVersion,
       endpointsRevision: this.state.endpointsRevision,
-      loads: listOwnLoads(this.table),
+      loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       isStopping: this.stopRequestedAtMs !== undefined,
     };
   }
@@ -304,8 +303,12 @@
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
         return this.relay.handleNotice(frame);
+      case 'boxLoads':
+        return this.loads.handleBoxLoads(frame);
       case 'hallLoads':
         return this.loads.handleHallLoads(frame);
+      case 'fleetLoads':
+        return this.loads.handleFleetLoads(frame);
       case 'valueRequest':
         return this.peerValues.send(frame.address, frame.value);
       case 'configurationValue':
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,18 +1,22 @@
 /**
- * Spreads loads. In a small fleet heartbeats carry them to every box. In a larger one they stay within the hall; two
- * boxes of each hall send its sums to two of every other hall, which pass them on at home, so that what crosses halls
- * grows with the number of halls and not of boxes.
+ * Spreads loads. In a small fleet heartbeats carry them to every box. In a larger one each box tells its loads to two
+ * speakers of its hall; these tell the hall's sum to the speakers of the other halls and the fleet's sum to the boxes of
+ * their own, so that a box sends and reads a few frames a second whatever the size of the fleet.
  */
-import { addLoads, applyPeerLoads, HallSums, listOwnLoads } from '../systems/loadExchange.js';
 import type { LoadList } from '../systems/loadExchange.js';
+import { addLoads, applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
-import type { HallLoads, Heartbeat } from './peerFrames.js';
+import type { BoxLoads, FleetLoads, HallLoads, Heartbeat } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 
 /** Boxes of a hall that speak for it; the second one covers for the first. */
 const SPEAKERS_PER_HALL = 2;
-/** Pace of the sums between halls: as fresh as loads within a hall of some twenty boxes. */
-const SUMS_MS = 500;
+/** Pace in a large fleet. Loads pass two or three boxes: a second old at the most, half of it in the mean. */
+const LOADS_MS = 500;
+/** What was not renewed for several periods counts for nothing. */
+const LOADS_LIFE_MS = 3_000;
+/** The second speaker speaks when the first one missed two periods. */
+const COVER_MS = 2 * LOADS_MS + LOADS_MS / 2;
 
 /** What the relay works with. */
 export interface LoadRelayOptions {
@@ -25,72 +29,96 @@
 
 /** One box's part in spreading loads. */
 export class LoadRelay {
-  private readonly sums = new HallSums();
-  private toldAtMs = -Infinity;
+  private readonly boxes = new LoadBook(LOADS_LIFE_MS);
+  private readonly halls = new LoadBook(LOADS_LIFE_MS);
+  private tickedAtMs = -Infinity;
+  /** When a speaker last told the fleet's sum. */
+  private heardFleetAtMs = -Infinity;
+  /** What this box told last, and so is in the sums that come back. */
+  private toldLoads: LoadList = [];
 
   constructor(private readonly options: LoadRelayOptions) {}
 
-  /** Runs with each heartbeat: takes stock of what peers told, and speaks for the hall if it is up to this box. */
+  /** Runs once a tick of the loop and acts at its own pace. */
   tick(): void {
-    const { mesh, table, now } = this.options;
+    const { mesh, now } = this.options;
     const nowMs = now();
-    const near = this.takeStock(nowMs);
-    if (mesh.isFlat || nowMs - this.toldAtMs < SUMS_MS || !this.isSpeaker()) return;
-    this.toldAtMs = nowMs;
-    this.tellOtherHalls([listOwnLoads(table), ...near]);
+    if (nowMs - this.tickedAtMs < (mesh.isFlat ? mesh.paceMs : LOADS_MS)) return;
+    this.tickedAtMs = nowMs;
+    if (mesh.isFlat) return this.takeFromHeartbeats();
+    this.tellSpeakers();
+    if (this.mustSpeak(nowMs)) this.speak(nowMs);
+    else if (nowMs - this.heardFleetAtMs > LOADS_LIFE_MS) applyPeerLoads(this.options.table, []);
   }
 
-  /** Takes over another hall's sums; a speaker passes them on in its own hall, one copy a period. */
+  /** A box of the hall tells its loads to this speaker. */
+  handleBoxLoads(frame: BoxLoads): void {
+    this.boxes.note(frame.address, frame.loads, this.options.now());
+  }
+
+  /** The speaker of another hall tells its sum. */
   handleHallLoads(frame: HallLoads): void {
-    const { hall, mesh, now } = this.options;
-    if (frame.hall === hall) return;
-    const nowMs = now();
-    const isDue = this.sums.isOlderThan(frame.hall, SUMS_MS / 2, nowMs);
-    if (!isDue) return;
-    this.sums.note(frame.hall, frame.loads, nowMs);
-    this.takeStock(nowMs);
-    if (this.isSpeaker()) mesh.sendToHall(hall, frame);
+    if (frame.hall !== this.options.hall) this.halls.note(frame.hall, frame.loads, this.options.now());
   }
 
-  /** Writes what is known of the peers' loads into the table; returns those of the boxes that tell them here. */
-  private takeStock(nowMs: number): LoadList[] {
+  /** The speaker of this hall tells what all boxes have. */
+  handleFleetLoads(frame: FleetLoads): void {
+    this.heardFleetAtMs = this.options.now();
+    applyPeerLoads(this.options.table, [subtractLoads(frame.loads, this.toldLoads)]);
+  }
+
+  private takeFromHeartbeats(): void {
     const { mesh, table } = this.options;
-    const near = mesh.listLoadPeers().map((peer) => peer.heartbeat.loads);
-    const far = mesh.isFlat ? [] : this.sums.listFresh(nowMs);
-    applyPeerLoads(table, [...near, ...far]);
-    return near;
+    applyPeerLoads(
+      table,
+      mesh.listFresh().map((peer) => peer.heartbeat.loads),
+    );
   }
 
-  private tellOtherHalls(loads: readonly LoadList[]): void {
-    const { mesh, hall } = this.options;
-    const frame: HallLoads = { type: 'hallLoads', hall, loads: addLoads(loads) };
-    for (const address of this.listSpeakers()) mesh.send(address, frame);
+  private tellSpeakers(): void {
+    const { mesh, table, hall } = this.options;
+    this.toldLoads = listOwnLoads(table);
+    const frame: BoxLoads = { type: 'boxLoads', address: mesh.address, loads: [...this.toldLoads] };
+    for (const address of this.listSpeakers((other) => other === hall)) mesh.send(address, frame);
   }
 
-  /** The first boxes of every other hall, by the rank on which all boxes agree. */
-  private listSpeakers(): string[] {
-    const byHall = new Map<string, Heartbeat[]>();
-    for (const heartbeat of this.listLive()) {
-      if (heartbeat.hall === this.options.hall) continue;
-      const boxes = byHall.get(heartbeat.hall);
-      if (boxes === undefined) byHall.set(heartbeat.hall, [heartbeat]);
-      else boxes.push(heartbeat);
+  /** Whether this box speaks: the first of its hall, or the second if the first is not heard. */
+  private mustSpeak(nowMs: number): boolean {
+    const place = this.findPlace();
+    return place === 0 || (place < SPEAKERS_PER_HALL && nowMs - this.heardFleetAtMs > COVER_MS);
+  }
+
+  private speak(nowMs: number): void {
+    const { mesh, table, hall } = this.options;
+    const hallPeers = addLoads(this.boxes.listFresh(nowMs));
+    const own = addLoads([hallPeers, this.toldLoads]);
+    const peers = addLoads([hallPeers, ...this.halls.listFresh(nowMs)]);
+    applyPeerLoads(table, [peers]);
+    for (const address of this.listSpeakers((other) => other !== hall)) {
+      mesh.send(address, { type: 'hallLoads', hall, loads: own });
+    }
+    mesh.sendToHall(hall, { type: 'fleetLoads', loads: addLoads([peers, this.toldLoads]) });
+  }
+
+  /** The first boxes of halls, this box left out, by the rank on which all boxes agree. */
+  private listSpeakers(isWanted: (hall: string) => boolean): string[] {
+    const byHall = new Map<string, string[]>();
+    for (const { hall, address } of this.listLive()) {
+      if (!isWanted(hall)) continue;
+      const addresses = byHall.get(hall);
+      if (addresses === undefined) byHall.set(hall, [address]);
+      else addresses.push(address);
     }
-    return [...byHall.values()].flatMap((boxes) =>
-      boxes
-        .map((heartbeat) => heartbeat.address)
-        .sort((a, b) => this.rank(a) - this.rank(b))
-        .slice(0, SPEAKERS_PER_HALL),
+    return [...byHall.values()].flatMap((addresses) =>
+      addresses.sort((a, b) => this.rank(a) - this.rank(b)).slice(0, SPEAKERS_PER_HALL),
     );
   }
 
-  private isSpeaker(): boolean {
+  /** How many live boxes of the hall rank before this one. */
+  private findPlace(): number {
     const { hall, mesh } = this.options;
     const own = this.rank(mesh.address);
-    const before = this.listLive().filter(
-      (heartbeat) => heartbeat.hall === hall && this.rank(heartbeat.address) < own,
-    );
-    return before.length < SPEAKERS_PER_HALL;
+    return this.listLive().filter((peer) => peer.hall === hall && this.rank(peer.address) < own).length;
   }
 
   private listLive(): Heartbeat[] {
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -77,12 +77,24 @@
     ]),
   ),
 });
+/** Tag of an endpoint and the requests there, in turn. */
+const loadList = z.array(z.number());
+const boxLoads = z.object({
+  type: z.literal('boxLoads'),
+  /** Address of the box that holds these loads. */
+  address: z.string(),
+  loads: loadList,
+});
 const hallLoads = z.object({
   type: z.literal('hallLoads'),
   /** Hall whose boxes hold these loads together. */
   hall: z.string(),
-  /** Tag of an endpoint and the requests that the hall has there, in turn. */
-  loads: z.array(z.number()),
+  loads: loadList,
+});
+const fleetLoads = z.object({
+  type: z.literal('fleetLoads'),
+  /** What all boxes hold, the reader included. */
+  loads: loadList,
 });
 const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
@@ -90,15 +102,21 @@
   configurationValue,
   endpointsValue,
   feedNotice,
+  boxLoads,
   hallLoads,
+  fleetLoads,
 ]);
 
 /** A box's sign of life. */
 export type Heartbeat = z.infer<typeof heartbeat>;
 /** What a box that follows the platform tells the boxes of its hall. */
 export type FeedNotice = z.infer<typeof feedNotice>;
-/** What a hall has at the endpoints, told to the other halls of a large fleet. */
+/** What one box has at the endpoints, told to the speakers of its hall. */
+export type BoxLoads = z.infer<typeof boxLoads>;
+/** What a hall has at the endpoints, told to the speakers of the other halls. */
 export type HallLoads = z.infer<typeof hallLoads>;
+/** What the fleet has at the endpoints, told to the boxes of a hall by its speaker. */
+export type FleetLoads = z.infer<typeof fleetLoads>;
 /** A frame between boxes. */
 export type PeerFrame = z.infer<typeof peerFrame>;
 
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -12,13 +12,14 @@
 const HEARTBEAT_MS = 300;
 /** Heartbeats slow down with the boxes that get them, so that a box's control traffic does not grow with the fleet. */
 const HEARTBEAT_MS_PER_BOX = 30;
-/** In a fleet larger than this, heartbeats with loads stay within a hall, and halls tell each other sums. */
+/** In a larger fleet heartbeats only say that a box is there and what it knows; loads travel by `LoadRelay`. */
 const MAX_FLAT_BOXES = 16;
-/** Pace of the heartbeats to other halls in a large fleet: they only say that a box is there and what it knows. */
-const FAR_HEARTBEAT_MS = 5_000;
+/** Pace of these sparse heartbeats, for each box and at least: a broken link says sooner that a box is gone. */
+const SPARSE_HEARTBEAT_MS_PER_BOX = 60;
+const SPARSE_HEARTBEAT_MS = 5_000;
 /** A peer that missed so many heartbeats no longer counts its load, and its link is made anew. */
 const MISSED_HEARTBEATS = 8;
-const MISSED_FAR_HEARTBEATS = 3;
+const MISSED_SPARSE_HEARTBEATS = 3;
 /**
  * A peer unheard for this long no longer counts as a box of the fleet. Longer than halls are cut off from each other
  * for a moment: the retry budget is shared by all boxes, also by those that cannot be heard.
@@ -65,11 +66,9 @@
   private readonly seedCount: number;
   /** Others come to this box first to learn of the fleet. */
   private isSeed = false;
-  private farBeatAtMs = -Infinity;
   private isClosed = false;
 
   constructor(
-    private readonly hall: string,
     seeds: readonly string[],
     private readonly handlers: PeerMeshHandlers,
     private readonly now: () => number,
@@ -97,10 +96,11 @@
     return this.ownAddress;
   }
 
-  /** Time between two heartbeats to the peers that get loads: all of them, or those of the hall in a large fleet. */
+  /** Time between two heartbeats. */
   get paceMs(): number {
-    const boxes = this.isFlat ? this.countBoxes() : this.listHall().length + 1;
-    return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * boxes);
+    const boxes = this.countBoxes();
+    if (this.isFlat) return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * boxes);
+    return Math.max(SPARSE_HEARTBEAT_MS, SPARSE_HEARTBEAT_MS_PER_BOX * boxes);
   }
 
   /** Whether the fleet is small enough for every box to tell every other its loads. */
@@ -110,14 +110,8 @@
 
   /** Peers that were heard lately. */
   listFresh(): PeerState[] {
-    const nowMs = this.now();
-    return [...this.peers.values()].filter((peer) => nowMs - peer.heardAtMs <= this.findLifeMs(peer));
-  }
-
-  /** Peers whose heartbeats carry the loads that count: all, or those of the hall in a large fleet. */
-  listLoadPeers(): PeerState[] {
-    const isFlat = this.isFlat;
-    return this.listFresh().filter((peer) => isFlat || peer.heartbeat.hall === this.hall);
+    const leastMs = this.now() - this.lifeMs;
+    return [...this.peers.values()].filter((peer) => peer.heardAtMs >= leastMs);
   }
 
   /** Last heartbeats of the fresh peers to which a link is up. */
@@ -135,16 +129,11 @@
     return Math.max(count, this.seedCount);
   }
 
-  /**
-   * Sends a heartbeat to the peers that get loads, and from time to time one without loads to the others. Now and then
-   * one peer is told the known addresses: news of a box spread from there.
-   */
+  /** Sends a heartbeat to all peers. Now and then one of them is told the known addresses: news of a box spread so. */
   broadcast(heartbeat: Heartbeat): void {
     this.dialMissing();
     const packet = encodePeerFrame(heartbeat);
-    const isFlat = this.isFlat;
-    for (const link of this.links.values()) if (isFlat || this.isNear(link)) this.write(link, packet);
-    if (!isFlat) this.broadcastFar(heartbeat);
+    for (const link of this.links.values()) this.write(link, packet);
     this.heartbeatCount += 1;
     if (this.heartbeatCount % ADDRESSES_EVERY === 1) this.tellAddresses(heartbeat);
   }
@@ -172,14 +161,6 @@
     for (const socket of this.accepted) socket.destroy();
   }
 
-  private broadcastFar(heartbeat: Heartbeat): void {
-    const nowMs = this.now();
-    if (nowMs - this.farBeatAtMs < FAR_HEARTBEAT_MS) return;
-    this.farBeatAtMs = nowMs;
-    const packet = encodePeerFrame({ ...heartbeat, loads: [] });
-    for (const link of this.links.values()) if (!this.isNear(link)) this.write(link, packet);
-  }
-
   private tellAddresses(heartbeat: Heartbeat): void {
     const links = [...this.links.values()];
     const link = links[Math.floor(Math.random() * links.length)];
@@ -190,23 +171,9 @@
     return { ...heartbeat, knownAddresses: [...this.links.keys()] };
   }
 
-  /** Whether a link leads to a box of the own hall, or to one that was never heard. */
-  private isNear(link: PeerLink): boolean {
-    const peer = this.peers.get(link.address);
-    return peer === undefined || peer.heartbeat.hall === this.hall;
-  }
-
-  private listHall(): PeerState[] {
-    const leastMs = this.now() - MEMBER_LIFE_MS;
-    return [...this.peers.values()].filter(
-      (peer) => peer.heardAtMs >= leastMs && peer.heartbeat.hall === this.hall,
-    );
-  }
-
   /** How long a peer counts as heard: so many of its heartbeats may be missed. */
-  private findLifeMs(peer: PeerState): number {
-    const isFar = !this.isFlat && peer.heartbeat.hall !== this.hall;
-    return isFar ? MISSED_FAR_HEARTBEATS * FAR_HEARTBEAT_MS : MISSED_HEARTBEATS * this.paceMs;
+  private get lifeMs(): number {
+    return (this.isFlat ? MISSED_HEARTBEATS : MISSED_SPARSE_HEARTBEATS) * this.paceMs;
   }
 
   private write(link: PeerLink, packet: Buffer): void {
@@ -243,9 +210,7 @@
     const ageMs = nowMs - link.dialledAtMs;
     if (socket.connecting) return ageMs >= REDIAL_MS;
     // An open link to a peer that is not heard may be stuck behind a cut.
-    const peer = this.peers.get(link.address);
-    const silentMs = peer === undefined ? MISSED_HEARTBEATS * this.paceMs : this.findLifeMs(peer);
-    return ageMs >= silentMs && nowMs - link.heardAtMs >= silentMs;
+    return ageMs >= this.lifeMs && nowMs - link.heardAtMs >= this.lifeMs;
   }
 
   private forget(link: PeerLink): void {
--- a/packages/router/src/systems/loadExchange.ts
+++ b/packages/router/src/systems/loadExchange.ts
@@ -1,15 +1,9 @@
-/**
- * Loads that boxes tell each other, so that each knows what all of them together have at an endpoint. In a large fleet
- * boxes tell them within their hall only, and the halls tell each other sums.
- */
+/** Loads that boxes tell each other, so that each knows what all of them together have at an endpoint. */
 import type { EndpointTable } from '../tables/endpointTable.js';
 
 /** Tag of an endpoint and the requests there, in turn. */
 export type LoadList = readonly number[];
 
-/** Sums of another hall that were not renewed for this long count for nothing: several of its messages are missing. */
-const HALL_LOADS_LIFE_MS = 6_000;
-
 /** This box's loads. Idle endpoints are left out. */
 export function listOwnLoads(table: EndpointTable): number[] {
   const loads: number[] = [];
@@ -33,6 +27,22 @@
   return [...byTag].flat();
 }
 
+/**
+ * What is left of a sum without one part of it; nothing is less than zero, since the part may be newer than the sum.
+ *
+ * @example subtractLoads([7, 3, 9, 4], [7, 3, 9, 1]) // [9, 3]
+ */
+export function subtractLoads(sum: LoadList, part: LoadList): number[] {
+  const negative = part.map((value, at) => (at % 2 === 0 ? value : -value));
+  const rest = addLoads([sum, negative]);
+  const kept: number[] = [];
+  for (let at = 0; at + 1 < rest.length; at += 2) {
+    const requests = rest[at + 1] ?? 0;
+    if (requests > 0) kept.push(rest[at] ?? 0, requests);
+  }
+  return kept;
+}
+
 /** Writes what the peers told into the table. */
 export function applyPeerLoads(table: EndpointTable, lists: readonly LoadList[]): void {
   for (const row of table.byId.values()) row.peersInFlight = 0;
@@ -43,30 +53,27 @@
   }
 }
 
-interface HallSum {
+interface ToldLoads {
   readonly loads: LoadList;
   readonly heardAtMs: number;
 }
 
-/** The last sums of the other halls. */
-export class HallSums {
-  private readonly byHall = new Map<string, HallSum>();
+/** The last loads that others told, each under its teller's name; they count for a limited time. */
+export class LoadBook {
+  private readonly byTeller = new Map<string, ToldLoads>();
 
-  /** Takes over a hall's sums. */
-  note(hall: string, loads: LoadList, nowMs: number): void {
-    this.byHall.set(hall, { loads, heardAtMs: nowMs });
-  }
+  constructor(private readonly lifeMs: number) {}
 
-  /** Whether nothing was heard of a hall for some time. */
-  isOlderThan(hall: string, ageMs: number, nowMs: number): boolean {
-    const sum = this.byHall.get(hall);
-    return sum === undefined || nowMs - sum.heardAtMs > ageMs;
+  /** Takes over what a teller said. */
+  note(teller: string, loads: LoadList, nowMs: number): void {
+    this.byTeller.set(teller, { loads, heardAtMs: nowMs });
   }
 
-  /** The sums that still count. */
+  /** The loads that still count. */
   listFresh(nowMs: number): LoadList[] {
-    return [...this.byHall.values()]
-      .filter((sum) => nowMs - sum.heardAtMs <= HALL_LOADS_LIFE_MS)
-      .map((sum) => sum.loads);
+    for (const [teller, told] of this.byTeller) {
+      if (nowMs - told.heardAtMs > this.lifeMs) this.byTeller.delete(teller);
+    }
+    return [...this.byTeller.values()].map((told) => told.loads);
   }
 }
