Whoever knows more boxes tells those that know fewer, so that a fleet finds itself without a living seed

Cause: the first run of the large-fleet test: of 18 boxes with one seed that did not name itself, all but the seed took the fleet for small and read the store one by one; the seed flapped between reading and resting. Addresses spread by seeds at the start, and beside that one random peer was told them every eighth heartbeat: 40 s in a fleet with sparse heartbeats.

Ruled out: a slow loop (largest lag 0.1 s), lost notices, the stand-in store.

Heartbeats now say how many boxes the sender knows; a peer that knows more tells it the addresses, one a box in 300 ms.

--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -32,6 +32,7 @@
   hall: 'mixco',
   feed: 'able',
   address,
+  boxes: 40,
   configurationVersion: 1,
   endpointsRevision: 10,
   loads: [],
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -21,6 +21,7 @@
   hall,
   feed: 'able',
   address,
+  boxes: 40,
   configurationVersion: 1,
   endpointsRevision: 1,
   loads: requests === 0 ? [] : [TAG, requests],
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -15,6 +15,7 @@
   hall: 'mixco',
   feed: 'able',
   address,
+  boxes: 1,
   configurationVersion: 3,
   endpointsRevision: 9,
   loads: [4_000_000_000, 2],
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -289,6 +289,7 @@
       hall: this.options.hall,
       feed: this.relay.standing,
       address: this.mesh.address,
+      boxes: this.mesh.countBoxes(),
       configurationVersion: this.state.configurationVersion,
       endpointsRevision: this.state.endpointsRevision,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -30,6 +30,8 @@
   feed: z.enum(['able', 'lost']),
   /** Address at which the sender accepts peers. */
   address: z.string(),
+  /** Boxes that the sender knows of, itself included. */
+  boxes: z.number(),
   /** Version of the configuration in force; 0 before the first. */
   configurationVersion: z.number(),
   /** How new the sender's list of endpoints is: the platform's revision. */
@@ -131,6 +133,7 @@
   knownAddresses: 7,
   isStopping: 8,
   feed: 9,
+  boxes: 10,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -31,8 +31,10 @@
 const REDIAL_MS = 1_000;
 /** A link that takes no bytes for so many unsent ones is stuck. */
 const MAX_UNSENT_BYTES = 262_144;
-/** Every so many heartbeats one peer is told the known addresses. */
+/** Every so many heartbeats one peer is told the known addresses, also if it knows as many others. */
 const ADDRESSES_EVERY = 8;
+/** One peer that knows fewer boxes is told the addresses in this time: news spread in seconds and cost little. */
+const TELL_MS = 300;
 
 interface PeerLink {
   readonly address: string;
@@ -66,6 +68,7 @@
   private readonly seedCount: number;
   /** Others come to this box first to learn of the fleet. */
   private isSeed = false;
+  private toldAddressesAtMs = -Infinity;
   private isClosed = false;
 
   constructor(
@@ -167,6 +170,16 @@
     if (link !== undefined) this.write(link, encodePeerFrame(this.addAddresses(heartbeat)));
   }
 
+  /** Not every box starts with a seed that lives; whoever knows more helps. */
+  private tellIfBehind(heartbeat: Heartbeat): void {
+    const nowMs = this.now();
+    if (heartbeat.boxes >= this.countBoxes() || nowMs - this.toldAddressesAtMs < TELL_MS) return;
+    const link = this.links.get(heartbeat.address);
+    if (!isUp(link) || link === undefined) return;
+    this.toldAddressesAtMs = nowMs;
+    this.write(link, encodePeerFrame(this.addAddresses(this.handlers.createHeartbeat())));
+  }
+
   private addAddresses(heartbeat: Heartbeat): Heartbeat {
     return { ...heartbeat, knownAddresses: [...this.links.keys()] };
   }
@@ -272,6 +285,7 @@
       if (link.socket === undefined) this.dial(link);
     }
     this.peers.set(heartbeat.address, { heartbeat, heardAtMs: nowMs });
+    this.tellIfBehind(heartbeat);
     for (const address of heartbeat.knownAddresses ?? []) this.learnAddress(address);
   }
 }
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -54,7 +54,10 @@
     this.ask(notice.address, isNewer && (isSmall || isOverdue), lacksEndpoints);
   }
 
-  /** Whether a newer configuration is known of and did not come from a peer. */
+  /**
+   * Whether a newer configuration is known of and did not come from a peer. A box reads it before it asks peers for a
+   * large one, hence half of the patience.
+   */
   mustReadConfiguration(): boolean {
     const isLacking = this.heardVersion > this.options.state.configurationVersion;
     return isLacking && this.options.now() - this.lacksSinceMs >= this.patienceMs / 2;
