--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -175,7 +175,7 @@
     const nowMs = this.now();
     if (heartbeat.boxes >= this.countBoxes() || nowMs - this.toldAddressesAtMs < TELL_MS) return;
     const link = this.links.get(heartbeat.address);
-    if (!isUp(link) || link === undefined) return;
+    if (link === undefined || !isUp(link)) return;
     this.toldAddressesAtMs = nowMs;
     this.write(link, encodePeerFrame(this.addAddresses(this.handlers.createHeartbeat())));
   }
@@ -210,22 +210,15 @@
 
   private dialMissing(): void {
     const nowMs = this.now();
+    // Counts all peers, so it is read once and not for each link.
+    const { lifeMs } = this;
     for (const link of this.links.values()) {
       if (nowMs - link.heardAtMs > ADDRESS_LIFE_MS) this.forget(link);
       else if (link.socket === undefined && nowMs - link.dialledAtMs >= REDIAL_MS) this.dial(link);
-      else if (this.isStuck(link, nowMs)) link.socket?.destroy();
+      else if (isStuck(link, nowMs, lifeMs)) link.socket?.destroy();
     }
   }
 
-  private isStuck(link: PeerLink, nowMs: number): boolean {
-    const { socket } = link;
-    if (socket === undefined) return false;
-    const ageMs = nowMs - link.dialledAtMs;
-    if (socket.connecting) return ageMs >= REDIAL_MS;
-    // An open link to a peer that is not heard may be stuck behind a cut.
-    return ageMs >= this.lifeMs && nowMs - link.heardAtMs >= this.lifeMs;
-  }
-
   private forget(link: PeerLink): void {
     this.links.delete(link.address);
     link.socket?.destroy();
@@ -294,3 +287,12 @@
   const socket = link?.socket;
   return socket !== undefined && !socket.connecting && !socket.destroyed;
 }
+
+function isStuck(link: PeerLink, nowMs: number, lifeMs: number): boolean {
+  const { socket } = link;
+  if (socket === undefined) return false;
+  const ageMs = nowMs - link.dialledAtMs;
+  if (socket.connecting) return ageMs >= REDIAL_MS;
+  // An open link to a peer that is not heard may be stuck behind a cut.
+  return ageMs >= lifeMs && nowMs - link.heardAtMs >= lifeMs;
+}
