--- /dev/null
+++ b/packages/router/src/__tests__/configurationChange.test.ts
@@ -0,0 +1,95 @@
+import * as fc from 'fast-check';
+import type { FleetConfiguration, Route } from '../records.js';
+import {
+  applyConfigurationChange,
+  ConfigurationDigest,
+  diffConfigurations,
+  shareRecords,
+} from '../systems/configurationChange.js';
+
+const SEED = 20_261_202;
+
+/** Any hash will do that tells texts apart. */
+const hash = (text: string): number =>
+  [...text].reduce((sum, letter) => (sum * 33 + letter.charCodeAt(0)) >>> 0, 5_381);
+
+const digest = new ConfigurationDigest(hash);
+
+const route = (name: string, timeoutMs: number): Route => ({
+  name,
+  host: 'a.example',
+  pathPrefix: `/${name}/`,
+  kind: 'once',
+  timeoutMs,
+  targetLatencyMs: 100,
+  maxAttempts: 1,
+  targets: [{ service: 's', weight: 1 }],
+  isPublic: false,
+  isResumable: false,
+});
+
+const names = fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f', 'g'));
+
+const configurationOf = (version: number): fc.Arbitrary<FleetConfiguration> =>
+  fc.record({
+    version: fc.constant(version),
+    routes: names.chain((chosen) =>
+      fc.tuple(
+        ...chosen.map((name) => fc.integer({ min: 1, max: 3 }).map((timeoutMs) => route(name, timeoutMs))),
+      ),
+    ),
+    services: names.map((chosen) => chosen.map((name) => ({ name, maxConnections: 4, canMoveCache: true }))),
+    teams: fc.option(
+      names.map((chosen) => chosen.map((name) => ({ name, apiKeys: [name] }))),
+      { nil: undefined },
+    ),
+    limits: fc.constant({ maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: version }),
+  });
+
+const byName = <T extends { name: string }>(records: readonly T[] | undefined): T[] | undefined =>
+  records === undefined ? undefined : [...records].sort((a, b) => (a.name < b.name ? -1 : 1));
+
+const sorted = (configuration: FleetConfiguration): FleetConfiguration => ({
+  ...configuration,
+  routes: byName(configuration.routes) ?? [],
+  services: byName(configuration.services) ?? [],
+  teams: byName(configuration.teams),
+});
+
+test('a change leads from any configuration to any other, and nowhere else', () => {
+  fc.assert(
+    fc.property(configurationOf(3), configurationOf(5), configurationOf(4), (before, after, other) => {
+      const change = diffConfigurations(digest, before, after);
+      const applied = applyConfigurationChange(digest, before, change).unwrap();
+      expect(sorted(applied)).toEqual(sorted(after));
+      expect(digest.read(applied)).toBe(digest.read(after));
+      expect(applyConfigurationChange(digest, other, change).val).toBe('otherVersion');
+    }),
+    { seed: SEED },
+  );
+});
+
+test('a change whose records were lost on the way is found out', () => {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const before = { version: 1, routes: [route('a', 1)], services: [], teams: undefined, limits };
+  const after = { ...before, version: 2, routes: [route('a', 2), route('b', 1)] };
+  const change = diffConfigurations(digest, before, after);
+  const cut = { ...change, routes: { ...change.routes, written: change.routes.written.slice(1) } };
+  expect(applyConfigurationChange(digest, before, cut).val).toBe('otherDigest');
+});
+
+test('records that did not change are kept once', () => {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const before = {
+    version: 1,
+    routes: [route('a', 1), route('b', 1)],
+    services: [],
+    teams: undefined,
+    limits,
+  };
+  const after = { ...before, version: 2, routes: [route('a', 1), route('b', 2)] };
+  const shared = shareRecords(digest, before, after);
+  expect(shared).toEqual(after);
+  expect(shared.routes[0]).toBe(before.routes[0]);
+  expect(shared.routes[1]).toBe(after.routes[1]);
+});
--- a/packages/router/src/__tests__/feedDuty.test.ts
+++ b/packages/router/src/__tests__/feedDuty.test.ts
@@ -1,5 +1,5 @@
 import type { FeedCandidate, FeedFacts } from '../systems/feedDuty.js';
-import { decideFeedDuty } from '../systems/feedDuty.js';
+import { decideFeedDuty, rankFollower } from '../systems/feedDuty.js';
 
 const BOUND_MS = 3_000;
 
@@ -47,3 +47,10 @@
 test('a box that lacks a configuration which peers have reads it', () => {
   expect(decideFeedDuty({ ...third, lacksConfiguration: true }).type).toBe('readConfiguration');
 });
+
+test('a box on a thin link follows only where no other of its hall can', () => {
+  const thin = able(rankFollower(5, 7));
+  const thick = [able(rankFollower(4_000_000_000, 140)), able(rankFollower(3_000_000_000, 1_000))];
+  expect(decideFeedDuty({ ...third, own: thin, hallPeers: thick }).type).toBe('rest');
+  expect(decideFeedDuty({ ...third, own: thin, hallPeers: [able(rankFollower(9, 7))] }).type).toBe('follow');
+});
--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -2,7 +2,14 @@
 import { DecisionLog } from '../observability/decisionLog.js';
 import { RouterMetrics } from '../observability/metrics.js';
 import { FeedRelay } from '../peers/feedRelay.js';
-import type { FeedNotice, Heartbeat, PeerFrame } from '../peers/peerFrames.js';
+import type {
+  ConfigurationDifference,
+  FeedNotice,
+  Heartbeat,
+  PeerFrame,
+  ValueRequest,
+} from '../peers/peerFrames.js';
+import type { ConfigurationChange } from '../systems/configurationChange.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import { PeerValues } from '../peers/peerValues.js';
 import type { FleetConfiguration, ListedEndpoint } from '../records.js';
@@ -31,6 +38,7 @@
   type: 'heartbeat',
   hall: 'mixco',
   feed: 'able',
+  linkMbps: 1_000,
   address,
   boxes: 40,
   configurationVersion: 1,
@@ -48,10 +56,15 @@
   unsettledMs: 0,
   configurationVersion: 1,
   configurationChars: 100,
+  isConfigurationChangeSmall: false,
   changes: [],
   ...changes,
 });
 
+/** Any hash will do that tells texts apart. */
+const hashText = (text: string): number =>
+  [...text].reduce((sum, letter) => (sum * 31 + letter.charCodeAt(0)) >>> 0, 7);
+
 /** One box of a fleet of 40, third in its hall, on a clock and links of the test's own. */
 class TestBox {
   nowMs = 100_000;
@@ -77,14 +90,21 @@
       log,
       metrics,
       now,
+      hash: hashText,
       parseConfiguration: (text) => Ok(createConfiguration(Number(text))),
       onLimits: () => {},
       onEndpointRemoved: () => {},
       onInformed: () => {},
     });
-    const options = { mesh, state: this.state, now, applyBoundMs: BOUND_MS };
+    const options = { mesh, state: this.state, log, now, applyBoundMs: BOUND_MS };
     this.values = new PeerValues(options);
-    this.relay = new FeedRelay({ ...options, values: this.values, log, hall: 'mixco', hash: rankOf });
+    this.relay = new FeedRelay({
+      ...options,
+      values: this.values,
+      hall: 'mixco',
+      linkMbps: 1_000,
+      hash: rankOf,
+    });
     this.publish(undefined, 10, '1');
     this.nowMs += SETTLED_MS;
   }
@@ -101,9 +121,12 @@
   }
 }
 
+/** Each version adds a team; every hundredth adds more of them than a notice holds. */
 function createConfiguration(version: number): FleetConfiguration {
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  return { version, routes: [], services: [], teams: undefined, limits };
+  const count = version + 1_000 * Math.floor(version / 100);
+  const teams = Array.from({ length: count }, (_, at) => ({ name: `team-${at}`, apiKeys: [`key-${at}`] }));
+  return { version, routes: [], services: [], teams, limits };
 }
 
 let box: TestBox;
@@ -130,7 +153,10 @@
 test('a box that missed changes asks for the whole list and does not take the notice for a confirmation', () => {
   box.relay.handleNotice(notice({ from: 11, revision: 12 }));
   expect(box.sent).toEqual([
-    { to: FOLLOWER, frame: { type: 'valueRequest', address: '10.0.0.3:1', value: 'endpoints' } },
+    {
+      to: FOLLOWER,
+      frame: { type: 'valueRequest', address: '10.0.0.3:1', value: 'endpoints', configurationVersion: 1 },
+    },
   ]);
   expect(box.relay.decideDuty().type).toBe('follow');
 });
@@ -180,3 +206,71 @@
   follower.nowMs += 10_000;
   expect(follower.relay.standing).toBe('able');
 });
+
+/** The frames that a follower sends to its hall for these versions in turn. */
+function followVersions(...versions: number[]): { follower: TestBox; notices: FeedNotice[] } {
+  const follower = new TestBox('10.0.0.0:1');
+  follower.sent.length = 0;
+  versions.forEach((version, at) => follower.publish(10 + at, 11 + at, String(version)));
+  return { follower, notices: follower.sent.map(({ frame }) => frame as FeedNotice) };
+}
+
+test('a follower tells what changed in the configuration, and its hall has the new version at once', () => {
+  const { follower, notices } = followVersions(2, 3, 4);
+  for (const told of notices) box.relay.handleNotice(told);
+  expect(box.state.configurationVersion).toBe(4);
+  expect(box.state.index?.configuration).toEqual(follower.state.index?.configuration);
+  expect(box.sent).toEqual([]);
+  expect(box.relay.decideDuty().type).toBe('rest');
+});
+
+test('a box that missed a change is told, on its question, all that changed since the version that it has', () => {
+  const { follower, notices } = followVersions(2, 3, 4, 5);
+  follower.sent.length = 0;
+  box.relay.handleNotice(notices[3] as FeedNotice);
+  expect(box.state.configurationVersion).toBe(1);
+  const question = box.sent.map(({ frame }) => frame).find((frame) => frame.type === 'valueRequest');
+  expect(question).toMatchObject({ value: 'configuration', configurationVersion: 1 });
+  follower.values.send(question as ValueRequest);
+  const answer = follower.sent[0]?.frame;
+  expect(answer).toMatchObject({ type: 'configurationDifference', change: { from: 1, version: 5 } });
+  box.values.takeChange((answer as ConfigurationDifference).change);
+  expect(box.state.index?.configuration).toEqual(follower.state.index?.configuration);
+});
+
+test('a change too large for a notice is read from the platform at once', () => {
+  const { notices } = followVersions(100);
+  expect(notices[0]?.configurationChange).toBeUndefined();
+  box.relay.handleNotice(notices[0] as FeedNotice);
+  expect(box.relay.decideDuty()).toEqual({ type: 'readConfiguration' });
+});
+
+test('a change that leads to other records than its sender has is not used', () => {
+  const { notices } = followVersions(2);
+  const change = notices[0]?.configurationChange as ConfigurationChange;
+  box.values.takeChange({ ...change, teams: { written: [], removed: [] } });
+  expect(box.state.configurationVersion).toBe(1);
+});
+
+test('a change that is older than the configuration in force changes nothing', () => {
+  const { notices } = followVersions(2);
+  box.publish(10, 11, '7');
+  box.values.takeChange(notices[0]?.configurationChange as ConfigurationChange);
+  expect(box.state.configurationVersion).toBe(7);
+});
+
+test('a follower that read everything anew tells only what changed', () => {
+  const follower = new TestBox('10.0.0.0:1');
+  follower.sent.length = 0;
+  const endpoints = [listed('e-10'), listed('e-new')];
+  const read = follower.state.applyPublication({
+    from: undefined,
+    revision: 20,
+    endpointChanges: [{ type: 'snapshot', endpoints }],
+    configurationText: undefined,
+  });
+  follower.relay.announce(read);
+  expect(follower.sent).toMatchObject([
+    { frame: { from: 10, revision: 20, changes: [{ type: 'listed', endpoint: { id: 'e-new' } }] } },
+  ]);
+});
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -20,6 +20,7 @@
   type: 'heartbeat',
   hall,
   feed: 'able',
+  linkMbps: 1_000,
   address,
   boxes: 40,
   configurationVersion: 1,
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -14,6 +14,7 @@
   type: 'heartbeat',
   hall: 'mixco',
   feed: 'able',
+  linkMbps: 1_000,
   address,
   boxes: 1,
   configurationVersion: 3,
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -58,6 +58,8 @@
 export interface FleetRouterOptions {
   readonly boxId: string;
   readonly hall: string;
+  /** Bandwidth of the box's link. */
+  readonly linkMbps: number;
   readonly callerAddress: { readonly host: string; readonly port: number };
   readonly peerAddress: { readonly host: string; readonly port: number };
   readonly seedAddresses: readonly string[];
@@ -108,6 +110,7 @@
       log: this.log,
       metrics: this.metrics,
       now,
+      hash,
       parseConfiguration: options.parseConfiguration,
       onLimits: (limits) => this.callers.applyLimits(limits),
       onEndpointRemoved: (id) => this.connections.forget(id),
@@ -132,11 +135,21 @@
       now,
     );
     const { mesh, state } = this;
-    const { applyBoundMs, hall } = options;
-    this.peerValues = new PeerValues({ mesh, state, now, applyBoundMs });
+    const { applyBoundMs, hall, linkMbps } = options;
+    this.peerValues = new PeerValues({ mesh, state, log: this.log, now, applyBoundMs });
     const values = this.peerValues;
     this.loads = new LoadRelay({ mesh, table: this.table, hall, hash, now });
-    this.relay = new FeedRelay({ mesh, state, values, log: this.log, hall, hash, now, applyBoundMs });
+    this.relay = new FeedRelay({
+      mesh,
+      state,
+      values,
+      log: this.log,
+      hall,
+      linkMbps,
+      hash,
+      now,
+      applyBoundMs,
+    });
     this.callers = new CallerServer(this.createContext(countBoxes));
   }
 
@@ -244,7 +257,7 @@
       case 'published':
         return this.handlePublication(input.publication);
       case 'configurationPublished':
-        return this.state.applyConfiguration(input.text, 'platform');
+        return this.state.applyConfiguration(input.text);
       case 'feedLost':
         return this.handleFeedLost(input.reason);
       case 'peerFrame':
@@ -288,6 +301,7 @@
       type: 'heartbeat',
       hall: this.options.hall,
       feed: this.relay.standing,
+      linkMbps: this.options.linkMbps,
       address: this.mesh.address,
       boxes: this.mesh.countBoxes(),
       configurationVersion: this.state.configurationVersion,
@@ -311,9 +325,11 @@
       case 'fleetLoads':
         return this.loads.handleFleetLoads(frame);
       case 'valueRequest':
-        return this.peerValues.send(frame.address, frame.value);
+        return this.peerValues.send(frame);
       case 'configurationValue':
-        return this.state.applyConfiguration(frame.text, 'peer');
+        return this.state.adoptConfiguration(frame.configuration, 'peer');
+      case 'configurationDifference':
+        return this.peerValues.takeChange(frame.change);
       case 'endpointsValue':
         return this.applyPeerEndpoints(frame.revision, frame.endpoints);
     }
@@ -331,8 +347,7 @@
   }
 
   private handlePublication(publication: Publication): void {
-    this.state.applyPublication(publication);
-    this.relay.announce(publication);
+    this.relay.announce(this.state.applyPublication(publication));
   }
 
   private handleFeedLost(reason: string): void {
--- /dev/null
+++ b/packages/router/src/peers/configurationSchema.ts
@@ -0,0 +1,54 @@
+/** How configurations and their changes look between boxes: the router's own records. */
+import * as z from 'zod';
+import type { CallerLimits, FleetConfiguration, Route, Service, Team } from '../records.js';
+import type { ConfigurationChange } from '../systems/configurationChange.js';
+
+const route = z.object({
+  name: z.string(),
+  host: z.string(),
+  pathPrefix: z.string(),
+  kind: z.enum(['repeatable', 'once', 'stream']),
+  timeoutMs: z.number(),
+  targetLatencyMs: z.number(),
+  maxAttempts: z.number(),
+  targets: z.array(z.object({ service: z.string(), weight: z.number() })),
+  isPublic: z.boolean(),
+  isResumable: z.boolean(),
+}) satisfies z.ZodType<Route>;
+
+const service = z.object({
+  name: z.string(),
+  maxConnections: z.number(),
+  canMoveCache: z.boolean(),
+}) satisfies z.ZodType<Service>;
+
+const team = z.object({ name: z.string(), apiKeys: z.array(z.string()) }) satisfies z.ZodType<Team>;
+
+const limits = z.object({
+  maxHeaderBytes: z.number(),
+  maxBodyBytes: z.number(),
+  headerTimeoutMs: z.number(),
+  idleTimeoutMs: z.number(),
+}) satisfies z.ZodType<CallerLimits>;
+
+const removed = z.array(z.string());
+
+/** A whole configuration. */
+export const fleetConfiguration: z.ZodType<FleetConfiguration> = z.object({
+  version: z.number(),
+  routes: z.array(route),
+  services: z.array(service),
+  teams: z.array(team).or(z.undefined()),
+  limits,
+});
+
+/** What leads from one configuration to another. */
+export const configurationChange: z.ZodType<ConfigurationChange> = z.object({
+  from: z.number(),
+  version: z.number(),
+  digest: z.number(),
+  routes: z.object({ written: z.array(route), removed }),
+  services: z.object({ written: z.array(service), removed }),
+  teams: z.object({ written: z.array(team), removed }).or(z.undefined()),
+  limits,
+});
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -5,10 +5,12 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import type { PublishedState, Publication } from '../systems/publishedState.js';
 import type { FeedCandidate, FeedDuty, FeedFacts, FeedStanding } from '../systems/feedDuty.js';
-import { decideFeedDuty, findFollowerPlace, isCovered } from '../systems/feedDuty.js';
+import { decideFeedDuty, findFollowerPlace, isCovered, rankFollower } from '../systems/feedDuty.js';
+import type { ConfigurationChange } from '../systems/configurationChange.js';
 import type { EndpointChange } from '../systems/endpointDirectory.js';
 import type { FeedNotice, Heartbeat } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
+import { MAX_PASSED_ON_CHARS } from './peerValues.js';
 import type { PeerValues } from './peerValues.js';
 
 /** What the relay works with. */
@@ -18,6 +20,8 @@
   readonly values: PeerValues;
   readonly log: DecisionLog;
   readonly hall: string;
+  /** Bandwidth of this box's link. */
+  readonly linkMbps: number;
   readonly hash: (text: string) => number;
   readonly now: () => number;
   /** Time in which a change has to be in force. */
@@ -29,6 +33,10 @@
   private confirmedAtMs = -Infinity;
   private lostAtMs = -Infinity;
   private dutyType: FeedDuty['type'] | undefined;
+  /** Version of the configuration that the hall was told last; 0 before the first. */
+  private announcedVersion = 0;
+  /** Whether the newest configuration differs little from the one before. */
+  private isNewsSmall = false;
 
   constructor(private readonly options: FeedRelayOptions) {}
 
@@ -60,6 +68,7 @@
     this.lostAtMs = -Infinity;
     if (findFollowerPlace(this.describeOwn(), this.listHallPeers()) === undefined) return;
     const { from, revision, endpointChanges } = publication;
+    const news = this.describeNews();
     mesh.sendToHall(hall, {
       type: 'feedNotice',
       address: mesh.address,
@@ -68,9 +77,12 @@
       revision,
       unsettledMs: state.unsettledMs,
       configurationVersion: state.configurationVersion,
-      configurationChars: state.configurationText.length,
+      configurationChars: state.configurationChars,
+      isConfigurationChangeSmall: this.isNewsSmall,
+      configurationChange: news,
       changes: from === undefined ? [] : endpointChanges.flatMap(toNoticeChange),
     });
+    this.announcedVersion = state.configurationVersion;
   }
 
   /** This box cannot read the platform. */
@@ -89,9 +101,19 @@
         state.applyEndpoints(notice.changes, notice.revision, 'peer');
       }
     }
+    if (notice.configurationChange !== undefined) values.takeChange(notice.configurationChange);
     values.noteNotice(notice);
   }
 
+  /** What changed in the configuration since the last notice, if it is small enough for every box of the hall. */
+  private describeNews(): ConfigurationChange | undefined {
+    const { state } = this.options;
+    if (state.configurationVersion === this.announcedVersion) return undefined;
+    const change = state.describeChange(this.announcedVersion);
+    this.isNewsSmall = change !== undefined && state.measureChange(change) <= MAX_PASSED_ON_CHARS;
+    return this.isNewsSmall ? change : undefined;
+  }
+
   private noteDuty(duty: FeedDuty, facts: FeedFacts): void {
     this.options.log.write('notable', 'feedDuty', {
       duty: duty.type,
@@ -106,7 +128,8 @@
   }
 
   private describeOwn(): FeedCandidate {
-    return { rank: this.options.hash(this.options.mesh.address), standing: this.standing };
+    const { hash, linkMbps, mesh } = this.options;
+    return { rank: rankFollower(hash(mesh.address), linkMbps), standing: this.standing };
   }
 
   private listHallPeers(): FeedCandidate[] {
@@ -114,7 +137,10 @@
     return mesh
       .listLinked()
       .filter((heartbeat) => heartbeat.hall === hall && !heartbeat.isStopping)
-      .map((heartbeat: Heartbeat) => ({ rank: hash(heartbeat.address), standing: heartbeat.feed }));
+      .map((heartbeat: Heartbeat) => ({
+        rank: rankFollower(hash(heartbeat.address), heartbeat.linkMbps),
+        standing: heartbeat.feed,
+      }));
   }
 }
 
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -7,6 +7,7 @@
 import { Encoder } from 'cbor-x';
 import * as z from 'zod';
 import type { ListedEndpoint } from '../records.js';
+import { configurationChange, fleetConfiguration } from './configurationSchema.js';
 
 const LENGTH_BYTES = 4;
 /** A configuration holds at most a megabyte; the rest is small. */
@@ -28,6 +29,8 @@
   hall: z.string(),
   /** Whether the sender could follow the platform for its hall. */
   feed: z.enum(['able', 'lost']),
+  /** Bandwidth of the sender's link. */
+  linkMbps: z.number(),
   /** Address at which the sender accepts peers. */
   address: z.string(),
   /** Boxes that the sender knows of, itself included. */
@@ -48,12 +51,16 @@
   value: z.enum(['configuration', 'endpoints']),
   /** Address of the box that asks. */
   address: z.string(),
+  /** Version of the configuration that it has; 0 for none. */
+  configurationVersion: z.number(),
 });
 const configurationValue = z.object({
   type: z.literal('configurationValue'),
-  version: z.number(),
-  /** The published text, as it is. */
-  text: z.string(),
+  configuration: fleetConfiguration,
+});
+const configurationDifference = z.object({
+  type: z.literal('configurationDifference'),
+  change: configurationChange,
 });
 const endpointsValue = z.object({
   type: z.literal('endpointsValue'),
@@ -71,7 +78,12 @@
   /** For so long an entry that vanishes may only have lapsed. */
   unsettledMs: z.number(),
   configurationVersion: z.number(),
+  /** What the whole configuration takes to send, about. */
   configurationChars: z.number(),
+  /** Little changed in the configuration lately: what did is told on request. */
+  isConfigurationChangeSmall: z.boolean(),
+  /** What changed in the configuration since the sender's last notice, unless that is large. */
+  configurationChange: configurationChange.optional(),
   changes: z.array(
     z.discriminatedUnion('type', [
       z.object({ type: z.literal('listed'), endpoint: listedEndpoint }),
@@ -102,6 +114,7 @@
   heartbeat,
   valueRequest,
   configurationValue,
+  configurationDifference,
   endpointsValue,
   feedNotice,
   boxLoads,
@@ -111,6 +124,10 @@
 
 /** A box's sign of life. */
 export type Heartbeat = z.infer<typeof heartbeat>;
+/** What changed in the configuration, told to a box that has an earlier version. */
+export type ConfigurationDifference = z.infer<typeof configurationDifference>;
+/** A question for a published value. */
+export type ValueRequest = z.infer<typeof valueRequest>;
 /** What a box that follows the platform tells the boxes of its hall. */
 export type FeedNotice = z.infer<typeof feedNotice>;
 /** What one box has at the endpoints, told to the speakers of its hall. */
@@ -134,6 +151,7 @@
   isStopping: 8,
   feed: 9,
   boxes: 10,
+  linkMbps: 11,
 } as const;
 
 const cbor = new Encoder({
@@ -146,7 +164,7 @@
 /**
  * Encodes a frame with its length in front.
  *
- * @example socket.write(encodePeerFrame({ type: 'valueRequest', value: 'configuration', address: '10.0.0.1:7000' }))
+ * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [] }))
  */
 export function encodePeerFrame(frame: PeerFrame): Buffer {
   const payload = cbor.encode(frame);
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -3,20 +3,23 @@
  * it serves others, and the list of endpoints, for a box that does not follow the platform or cannot.
  */
 import type { PublishedState } from '../systems/publishedState.js';
-import type { FeedNotice, Heartbeat } from './peerFrames.js';
+import type { DecisionLog } from '../observability/decisionLog.js';
+import type { ConfigurationChange } from '../systems/configurationChange.js';
+import type { FeedNotice, Heartbeat, ValueRequest } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 
 /** A peer with newer values is asked for them at most this often: an answer takes some milliseconds. */
 const ASK_MS = 400;
 /** Most configurations come from the platform itself; peers are asked after this share of the time to apply one. */
 const PATIENCE_SHARE = 1 / 6;
-/** A larger configuration is read from the platform: links between boxes are thin, and one box may serve a hall. */
-const MAX_PASSED_ON_CHARS = 16_384;
+/** What is larger is read from the platform: links between boxes are thin, and one box may serve a hall. */
+export const MAX_PASSED_ON_CHARS = 16_384;
 
 /** What this box has, and how it reaches its peers. */
 export interface PeerValuesOptions {
   readonly mesh: PeerMesh;
   readonly state: PublishedState;
+  readonly log: DecisionLog;
   readonly now: () => number;
   /** Time in which a change has to be in force. */
   readonly applyBoundMs: number;
@@ -28,6 +31,8 @@
   /** Newest configuration that a peer has, and since when this box lacks it. */
   private heardVersion = 0;
   private lacksSinceMs = -Infinity;
+  /** The newest configuration is too large to come from the follower, and so is what changed in it. */
+  private isLeftToPlatform = false;
 
   constructor(private readonly options: PeerValuesOptions) {}
 
@@ -47,7 +52,8 @@
   noteNotice(notice: FeedNotice): void {
     const { state, now } = this.options;
     this.noteVersion(notice.configurationVersion);
-    const isSmall = notice.configurationChars <= MAX_PASSED_ON_CHARS;
+    const isSmall = notice.configurationChars <= MAX_PASSED_ON_CHARS || notice.isConfigurationChangeSmall;
+    if (notice.configurationVersion >= this.heardVersion) this.isLeftToPlatform = !isSmall;
     const isOverdue = now() - this.lacksSinceMs >= this.patienceMs;
     const isNewer = notice.configurationVersion > state.configurationVersion;
     const lacksEndpoints = notice.from > state.endpointsRevision;
@@ -55,25 +61,37 @@
   }
 
   /**
-   * Whether a newer configuration is known of and did not come from a peer. A box reads it before it asks peers for a
-   * large one, hence half of the patience.
+   * Whether a newer configuration is known of and has to be read: at once if it will not come from a peer, otherwise
+   * after half of the patience, before peers are asked for a large one.
    */
   mustReadConfiguration(): boolean {
     const isLacking = this.heardVersion > this.options.state.configurationVersion;
-    return isLacking && this.options.now() - this.lacksSinceMs >= this.patienceMs / 2;
+    if (!isLacking) return false;
+    return this.isLeftToPlatform || this.options.now() - this.lacksSinceMs >= this.patienceMs / 2;
   }
 
-  /** Answers the question of a peer. */
-  send(address: string, value: 'configuration' | 'endpoints'): void {
+  /** Takes over what a peer says changed in the configuration. What does not fit is asked for, or read, as a whole. */
+  takeChange(change: ConfigurationChange): void {
+    const { state, log } = this.options;
+    this.noteVersion(change.version);
+    const adopted = state.adoptChange(change);
+    if (adopted.ok) return;
+    log.write('notable', 'configurationChangeUnused', {
+      reason: adopted.val,
+      from: change.from,
+      version: change.version,
+      versionInForce: state.configurationVersion,
+    });
+  }
+
+  /** Answers the question of a peer: with what changed since the version that it has, where that is known and small. */
+  send(request: ValueRequest): void {
     const { mesh, state } = this.options;
-    switch (value) {
-      case 'configuration': {
-        const { configurationVersion: version, configurationText: text } = state;
-        if (version > 0) mesh.send(address, { type: 'configurationValue', version, text });
-        return;
-      }
+    switch (request.value) {
+      case 'configuration':
+        return this.sendConfiguration(request);
       case 'endpoints':
-        mesh.send(address, {
+        mesh.send(request.address, {
           type: 'endpointsValue',
           revision: state.endpointsRevision,
           endpoints: state.listEndpoints(),
@@ -82,6 +100,17 @@
     }
   }
 
+  private sendConfiguration(request: ValueRequest): void {
+    const { mesh, state } = this.options;
+    const change = state.describeChange(request.configurationVersion);
+    if (change !== undefined && state.measureChange(change) <= MAX_PASSED_ON_CHARS) {
+      return mesh.send(request.address, { type: 'configurationDifference', change });
+    }
+    const configuration = state.index?.configuration;
+    if (configuration !== undefined)
+      mesh.send(request.address, { type: 'configurationValue', configuration });
+  }
+
   private get patienceMs(): number {
     return this.options.applyBoundMs * PATIENCE_SHARE;
   }
@@ -95,11 +124,15 @@
   }
 
   private ask(address: string, lacksConfiguration: boolean, lacksEndpoints: boolean): void {
-    const { mesh, now } = this.options;
+    const { mesh, state, now } = this.options;
     const nowMs = now();
     if ((!lacksConfiguration && !lacksEndpoints) || nowMs - this.askedAtMs < ASK_MS) return;
     this.askedAtMs = nowMs;
-    const question = { type: 'valueRequest', address: mesh.address } as const;
+    const question = {
+      type: 'valueRequest',
+      address: mesh.address,
+      configurationVersion: state.configurationVersion,
+    } as const;
     if (lacksConfiguration) mesh.send(address, { ...question, value: 'configuration' });
     if (lacksEndpoints) mesh.send(address, { ...question, value: 'endpoints' });
   }
--- /dev/null
+++ b/packages/router/src/systems/configurationChange.ts
@@ -0,0 +1,180 @@
+/**
+ * The difference between two configurations. Operators publish whole files, but most changes touch a few records: boxes
+ * pass on what changed, name both versions, and check by a digest that they arrived at the same records.
+ */
+import { Err, Ok } from '@hazelwalk/core';
+import type { Result } from '@hazelwalk/core';
+import type { CallerLimits, FleetConfiguration, Route, Service, Team } from '../records.js';
+
+/** Records of one kind that differ, by name. */
+export interface RecordChanges<T> {
+  /** New records, and those that replace one of the same name. */
+  readonly written: readonly T[];
+  readonly removed: readonly string[];
+}
+
+/** What leads from one version of the configuration to another. */
+export interface ConfigurationChange {
+  /** Version that it applies to. */
+  readonly from: number;
+  /** Version that it leads to. */
+  readonly version: number;
+  /** Digest of the configuration that it leads to. */
+  readonly digest: number;
+  readonly routes: RecordChanges<Route>;
+  readonly services: RecordChanges<Service>;
+  /** Undefined where the newer configuration has no teams. */
+  readonly teams: RecordChanges<Team> | undefined;
+  readonly limits: CallerLimits;
+}
+
+/** Why a change cannot be used. */
+export type ChangeFailure =
+  /** It does not begin at the configuration in force. */
+  | 'otherVersion'
+  /** It leads to other records than its sender has. */
+  | 'otherDigest';
+
+interface NamedRecord {
+  readonly name: string;
+}
+
+/** Digest and size of records. Records never change, so each is read once. */
+export class ConfigurationDigest {
+  private readonly byRecord = new WeakMap<object, { readonly hash: number; readonly chars: number }>();
+
+  constructor(private readonly hash: (text: string) => number) {}
+
+  /**
+   * Digest of a configuration's records; their order does not count.
+   *
+   * @example digest.read(configuration) === digest.read(readAgain) // true
+   */
+  read(configuration: FleetConfiguration): number {
+    const own = this.hash(JSON.stringify([configuration.version, configuration.limits]));
+    // Addition of 32-bit numbers does not depend on the order.
+    return this.list(configuration).reduce((sum, { hash }) => (sum + hash) >>> 0, own);
+  }
+
+  /** Characters of a configuration's records, as a measure of what it takes to send them. */
+  measure(configuration: FleetConfiguration): number {
+    return this.list(configuration).reduce((sum, { chars }) => sum + chars, 0);
+  }
+
+  /** Whether two records are the same. */
+  isSame(a: object, b: object): boolean {
+    if (a === b) return true;
+    const first = this.inspect(a);
+    const second = this.inspect(b);
+    return first.hash === second.hash && first.chars === second.chars;
+  }
+
+  private list(configuration: FleetConfiguration): { readonly hash: number; readonly chars: number }[] {
+    const { routes, services, teams } = configuration;
+    return [...routes, ...services, ...(teams ?? [])].map((record) => this.inspect(record));
+  }
+
+  private inspect(record: object): { readonly hash: number; readonly chars: number } {
+    const known = this.byRecord.get(record);
+    if (known !== undefined) return known;
+    const text = stringifySorted(record);
+    const read = { hash: this.hash(text), chars: text.length };
+    this.byRecord.set(record, read);
+    return read;
+  }
+}
+
+/** The same text for the same record, whatever the order in which its fields were set. */
+function stringifySorted(record: object): string {
+  return JSON.stringify(Object.entries(record).sort(([a], [b]) => (a < b ? -1 : 1)));
+}
+
+/**
+ * Finds what leads from one configuration to a newer one.
+ *
+ * @example diffConfigurations(digest, before, after).routes.removed // ['route-7']
+ */
+export function diffConfigurations(
+  digest: ConfigurationDigest,
+  before: FleetConfiguration,
+  after: FleetConfiguration,
+): ConfigurationChange {
+  return {
+    from: before.version,
+    version: after.version,
+    digest: digest.read(after),
+    routes: diffRecords(digest, before.routes, after.routes),
+    services: diffRecords(digest, before.services, after.services),
+    teams: after.teams === undefined ? undefined : diffRecords(digest, before.teams ?? [], after.teams),
+    limits: after.limits,
+  };
+}
+
+/** Applies a change; nothing is changed if it does not fit. */
+export function applyConfigurationChange(
+  digest: ConfigurationDigest,
+  before: FleetConfiguration,
+  change: ConfigurationChange,
+): Result<FleetConfiguration, ChangeFailure> {
+  if (before.version !== change.from) return Err('otherVersion');
+  const after: FleetConfiguration = {
+    version: change.version,
+    routes: applyRecords(before.routes, change.routes),
+    services: applyRecords(before.services, change.services),
+    teams: change.teams === undefined ? undefined : applyRecords(before.teams ?? [], change.teams),
+    limits: change.limits,
+  };
+  return digest.read(after) === change.digest ? Ok(after) : Err('otherDigest');
+}
+
+function diffRecords<T extends NamedRecord>(
+  digest: ConfigurationDigest,
+  before: readonly T[],
+  after: readonly T[],
+): RecordChanges<T> {
+  const known = new Map(before.map((record) => [record.name, record]));
+  const kept = new Set(after.map((record) => record.name));
+  return {
+    written: after.filter((record) => {
+      const old = known.get(record.name);
+      return old === undefined || !digest.isSame(old, record);
+    }),
+    removed: before.filter((record) => !kept.has(record.name)).map((record) => record.name),
+  };
+}
+
+function applyRecords<T extends NamedRecord>(before: readonly T[], changes: RecordChanges<T>): T[] {
+  const byName = new Map(before.map((record) => [record.name, record]));
+  for (const name of changes.removed) byName.delete(name);
+  for (const record of changes.written) byName.set(record.name, record);
+  return [...byName.values()];
+}
+
+/**
+ * The same configuration, with the records that an earlier one has as well taken from there: they are kept once, and
+ * finding what changed costs one look a record.
+ */
+export function shareRecords(
+  digest: ConfigurationDigest,
+  before: FleetConfiguration,
+  after: FleetConfiguration,
+): FleetConfiguration {
+  return {
+    ...after,
+    routes: shareList(digest, before.routes, after.routes),
+    services: shareList(digest, before.services, after.services),
+    teams: after.teams === undefined ? undefined : shareList(digest, before.teams ?? [], after.teams),
+  };
+}
+
+function shareList<T extends NamedRecord>(
+  digest: ConfigurationDigest,
+  before: readonly T[],
+  after: readonly T[],
+): T[] {
+  const known = new Map(before.map((record) => [record.name, record]));
+  return after.map((record) => {
+    const old = known.get(record.name);
+    return old !== undefined && digest.isSame(old, record) ? old : record;
+  });
+}
--- a/packages/router/src/systems/feedDuty.ts
+++ b/packages/router/src/systems/feedDuty.ts
@@ -24,6 +24,14 @@
 /** In a small fleet, pause after a change for each box. */
 const GATHER_MS_PER_BOX = 10;
 
+/**
+ * A box on a thinner link follows for its hall only where there are no others: a value of a megabyte, a third longer in
+ * its encoding, takes it more than a quarter of a second.
+ */
+const FOLLOWER_LINK_MBPS = 45;
+/** Ranks are 32-bit hashes; a thin link ranks behind all others. */
+const THIN_LINK_RANK = 2 ** 32;
+
 /** What a box does about the platform. */
 export type FeedDuty =
   /** Wait for changes, each call at most `waitMs`; after one let more gather for `gatherMs`. */
@@ -57,6 +65,16 @@
   readonly lacksConfiguration: boolean;
 }
 
+/**
+ * Rank of a box among those of its hall that may follow the platform: its hash, behind all boxes with better links if
+ * its own is thin.
+ *
+ * @example rankFollower(17, 7) > rankFollower(4_000_000_000, 140) // true
+ */
+export function rankFollower(hash: number, linkMbps: number): number {
+  return linkMbps < FOLLOWER_LINK_MBPS ? hash + THIN_LINK_RANK : hash;
+}
+
 /**
  * Decides whether this box reads the platform.
  *
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -2,15 +2,26 @@
  * What the platform publishes, as this box has it: the configuration in force and the list of endpoints. Both come from
  * the platform itself or from peers; the configuration only grows within one life of the process.
  */
+import { Err, Ok } from '@hazelwalk/core';
 import type { Problem, Result } from '@hazelwalk/core';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import type { RouterMetrics } from '../observability/metrics.js';
 import type { CallerLimits, FleetConfiguration, ListedEndpoint } from '../records.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
+import type { ChangeFailure, ConfigurationChange } from './configurationChange.js';
+import {
+  applyConfigurationChange,
+  ConfigurationDigest,
+  diffConfigurations,
+  shareRecords,
+} from './configurationChange.js';
 import type { EndpointChange } from './endpointDirectory.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { RouteIndex } from './routeIndex.js';
 
+/** Earlier configurations from which a peer may be told the change; records are shared, so each costs little. */
+const KEPT_CONFIGURATIONS = 32;
+
 /** Where a published value came from. */
 export type ValueSource = 'platform' | 'peer';
 
@@ -31,6 +42,7 @@
   readonly log: DecisionLog;
   readonly metrics: RouterMetrics;
   readonly now: () => number;
+  readonly hash: (text: string) => number;
   readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
   readonly onLimits: (limits: CallerLimits) => void;
   readonly onEndpointRemoved: (id: string) => void;
@@ -41,12 +53,15 @@
 /** The published values of one box. */
 export class PublishedState {
   private currentIndex: RouteIndex | undefined;
-  private text = '';
+  /** The configurations that were in force, the newest last. */
+  private readonly configurations: FleetConfiguration[] = [];
+  private readonly digest: ConfigurationDigest;
   private revision = 0;
   private feedUp = false;
   private readonly directory: EndpointDirectory;
 
   constructor(private readonly options: PublishedStateOptions) {
+    this.digest = new ConfigurationDigest(options.hash);
     this.directory = new EndpointDirectory(options.table, {
       onRemoved: (id, reason) => this.handleRemoved(id, reason),
     });
@@ -57,9 +72,10 @@
     return this.currentIndex;
   }
 
-  /** The configuration in force as it was published; empty before the first. */
-  get configurationText(): string {
-    return this.text;
+  /** About what the configuration in force takes to send, in characters; 0 before the first. */
+  get configurationChars(): number {
+    const { currentIndex } = this;
+    return currentIndex === undefined ? 0 : this.digest.measure(currentIndex.configuration);
   }
 
   /** Version of the configuration in force; 0 before the first. */
@@ -92,35 +108,64 @@
     return [...this.options.table.byId.values()].map((row) => row.listing);
   }
 
-  /** Takes over an answer of the platform. */
-  applyPublication(publication: Publication): void {
+  /** Takes over an answer of the platform; returns it as what changed since the revision that this box had. */
+  applyPublication(publication: Publication): Publication {
     this.noteFeedRegained();
-    if (publication.configurationText !== undefined) {
-      this.applyConfiguration(publication.configurationText, 'platform');
-    }
+    if (publication.configurationText !== undefined) this.applyConfiguration(publication.configurationText);
+    const difference = this.toDifference(publication);
     this.applyEndpoints(publication.endpointChanges, publication.revision, 'platform');
+    return difference;
   }
 
-  /** Takes over a configuration if it is newer than the one in force. */
-  applyConfiguration(text: string, source: ValueSource): void {
-    const { log, metrics, parseConfiguration } = this.options;
-    const parsed = parseConfiguration(text);
-    if (parsed.err) return log.write('notable', 'configurationRejected', { ...parsed.val, source });
-    const configuration = parsed.val;
-    const current = this.currentIndex?.configuration.version;
-    if (current !== undefined && configuration.version <= current) return;
-    const wasInformed = this.isInformed;
-    this.currentIndex = new RouteIndex(configuration);
-    this.text = text;
-    this.options.onLimits(configuration.limits);
-    metrics.configurationVersion.set(configuration.version);
-    log.write('lifecycle', 'configurationApplied', {
-      version: configuration.version,
-      before: current,
+  /** Takes over a configuration that the platform published, if it is newer than the one in force. */
+  applyConfiguration(text: string): void {
+    const parsed = this.options.parseConfiguration(text);
+    if (parsed.err) {
+      return this.options.log.write('notable', 'configurationRejected', {
+        ...parsed.val,
+        source: 'platform',
+      });
+    }
+    this.adoptConfiguration(parsed.val, 'platform');
+  }
+
+  /** Takes over a decoded configuration if it is newer than the one in force. */
+  adoptConfiguration(configuration: FleetConfiguration, source: ValueSource): void {
+    const current = this.currentIndex?.configuration;
+    if (current !== undefined && configuration.version <= current.version) return;
+    this.install(
+      current === undefined ? configuration : shareRecords(this.digest, current, configuration),
       source,
-      routes: configuration.routes.length,
-    });
-    this.tellIfInformed(wasInformed);
+    );
+  }
+
+  /** Takes over what a peer says changed in the configuration; older changes are passed over. */
+  adoptChange(change: ConfigurationChange): Result<void, ChangeFailure> {
+    const current = this.currentIndex?.configuration;
+    if (current === undefined) return Err('otherVersion');
+    if (change.version <= current.version) return Ok(undefined);
+    const applied = applyConfigurationChange(this.digest, current, change);
+    if (applied.err) return applied;
+    this.install(applied.val, 'peer');
+    return Ok(undefined);
+  }
+
+  /** What leads from a version that was in force to the one that is; undefined if that version is not kept. */
+  describeChange(fromVersion: number): ConfigurationChange | undefined {
+    const after = this.currentIndex?.configuration;
+    const before = this.configurations.find((kept) => kept.version === fromVersion);
+    if (after === undefined || before === undefined || before === after) return undefined;
+    return diffConfigurations(this.digest, before, after);
+  }
+
+  /** About what a change takes to send, in characters. */
+  measureChange(change: ConfigurationChange): number {
+    const { routes, services, teams } = change;
+    return [routes, services, teams].reduce(
+      (sum, records) =>
+        sum + JSON.stringify(records?.written ?? []).length + (records?.removed.join().length ?? 0),
+      0,
+    );
   }
 
   /** Takes over changes of the list of endpoints, which then is as new as `revision`. */
@@ -156,6 +201,45 @@
     this.directory.tick(nowMs);
   }
 
+  private install(configuration: FleetConfiguration, source: ValueSource): void {
+    const wasInformed = this.isInformed;
+    const before = this.currentIndex?.configuration.version;
+    this.currentIndex = new RouteIndex(configuration);
+    this.configurations.push(configuration);
+    if (this.configurations.length > KEPT_CONFIGURATIONS) this.configurations.shift();
+    this.options.onLimits(configuration.limits);
+    this.options.metrics.configurationVersion.set(configuration.version);
+    this.options.log.write('lifecycle', 'configurationApplied', {
+      version: configuration.version,
+      before,
+      source,
+      routes: configuration.routes.length,
+    });
+    this.tellIfInformed(wasInformed);
+  }
+
+  /** A whole list, told as what changed in it, so that peers which had the same list need not ask for it. */
+  private toDifference(publication: Publication): Publication {
+    const [whole] = publication.endpointChanges;
+    if (whole?.type !== 'snapshot' || this.revision === 0 || publication.revision < this.revision) {
+      return publication;
+    }
+    const { byId } = this.options.table;
+    const ids = new Set(whole.endpoints.map((endpoint) => endpoint.id));
+    const gone = [...byId.keys()].filter((id) => !ids.has(id));
+    const written = whole.endpoints.filter(
+      (endpoint) => !isSameListing(byId.get(endpoint.id)?.listing, endpoint),
+    );
+    return {
+      ...publication,
+      from: this.revision,
+      endpointChanges: [
+        ...written.map((endpoint) => ({ type: 'listed', endpoint }) as const),
+        ...gone.map((id) => ({ type: 'removed', id }) as const),
+      ],
+    };
+  }
+
   private applyEndpointChange(change: EndpointChange, revision: number, source: ValueSource): void {
     const { log, now, table } = this.options;
     this.directory.apply(change, now());
@@ -178,3 +262,9 @@
     this.options.log.write('lifecycle', 'endpointRemoved', { id, reason });
   }
 }
+
+function isSameListing(a: ListedEndpoint | undefined, b: ListedEndpoint): boolean {
+  return (
+    a !== undefined && a.state === b.state && a.host === b.host && a.port === b.port && a.slots === b.slots
+  );
+}
