--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -44,6 +44,7 @@
   configurationVersion: 1,
   endpointsRevision: 10,
   loads: [],
+  homes: [],
   isStopping: false,
   ...changes,
 });
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -20,6 +20,7 @@
   configurationVersion: 3,
   endpointsRevision: 9,
   loads: [4_000_000_000, 2],
+  homes: [],
   isStopping: false,
 });
 
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -23,6 +23,8 @@
 import { listOwnLoads } from './systems/loadExchange.js';
 import type { Publication } from './systems/publishedState.js';
 import { PublishedState } from './systems/publishedState.js';
+import type { HomeList } from './systems/promptHomes.js';
+import { PromptHomes } from './systems/promptHomes.js';
 import { Placement } from './systems/placement.js';
 import { Reachability } from './systems/reachability.js';
 import type { RetryBound } from './systems/retryBudget.js';
@@ -88,6 +90,7 @@
   private heartbeatAtMs = 0;
   private tickedAtMs = performance.now();
   private readonly peerValues: PeerValues;
+  private readonly homes = new PromptHomes();
   private readonly relay: FeedRelay;
   private readonly loads: LoadRelay;
   private stopRequestedAtMs: number | undefined;
@@ -128,7 +131,7 @@
     this.mesh = new PeerMesh(
       options.seedAddresses,
       {
-        createHeartbeat: () => this.createHeartbeat(),
+        createHeartbeat: () => this.createHeartbeat(this.loads.listHomesForNewLink()),
         onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
         onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
       },
@@ -138,7 +141,7 @@
     const { applyBoundMs, hall, linkMbps } = options;
     this.peerValues = new PeerValues({ mesh, state, log: this.log, now, applyBoundMs });
     const values = this.peerValues;
-    this.loads = new LoadRelay({ mesh, table: this.table, hall, hash, now });
+    this.loads = new LoadRelay({ mesh, table: this.table, homes: this.homes, hall, hash, now });
     this.relay = new FeedRelay({
       mesh,
       state,
@@ -235,6 +238,7 @@
         { h32: (text, seed) => hash(text, seed) },
         options.hall,
         Math.random,
+        this.homes,
       ),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
@@ -293,10 +297,10 @@
   private sendHeartbeat(nowMs: number): void {
     if (nowMs - this.heartbeatAtMs < this.mesh.paceMs) return;
     this.heartbeatAtMs = nowMs;
-    this.mesh.broadcast(this.createHeartbeat());
+    this.mesh.broadcast(this.createHeartbeat(this.mesh.isFlat ? this.homes.takeUntold() : []));
   }
 
-  private createHeartbeat(): Heartbeat {
+  private createHeartbeat(homes: HomeList): Heartbeat {
     return {
       type: 'heartbeat',
       hall: this.options.hall,
@@ -307,6 +311,7 @@
       configurationVersion: this.state.configurationVersion,
       endpointsRevision: this.state.endpointsRevision,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
+      homes: [...homes],
       isStopping: this.stopRequestedAtMs !== undefined,
     };
   }
@@ -315,6 +320,7 @@
     this.metrics.peerFrames.inc({ type: frame.type });
     switch (frame.type) {
       case 'heartbeat':
+        this.homes.learn(frame.homes);
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
         return this.relay.handleNotice(frame);
@@ -355,7 +361,7 @@
     this.state.noteFeedLost(reason);
     this.relay.noteFeedLost();
     // The hall needs another box that follows the platform, sooner than the next heartbeat would say so.
-    if (wasAble) this.mesh.sendToHall(this.options.hall, this.createHeartbeat());
+    if (wasAble) this.mesh.sendToHall(this.options.hall, this.createHeartbeat([]));
   }
 
   private noteSign(row: EndpointRow, sign: HealthSign): void {
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -5,6 +5,7 @@
  */
 import type { LoadList } from '../systems/loadExchange.js';
 import { addLoads, applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
+import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { BoxLoads, FleetLoads, HallLoads, Heartbeat } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
@@ -18,10 +19,16 @@
 /** The second speaker speaks when the first one missed two periods. */
 const COVER_MS = 2 * LOADS_MS + LOADS_MS / 2;
 
+/** Homes of prompts in one sum: two kilobytes, of which a hall's boxes send next to none in a steady state. */
+const MAX_KEPT_PAIRS = 256;
+/** Homes of prompts told on a new link: some ten kilobytes, once. */
+const MAX_HOMES_ON_NEW_LINK = 1_024;
+
 /** What the relay works with. */
 export interface LoadRelayOptions {
   readonly mesh: PeerMesh;
   readonly table: EndpointTable;
+  readonly homes: PromptHomes;
   readonly hall: string;
   readonly hash: (text: string) => number;
   readonly now: () => number;
@@ -36,6 +43,9 @@
   private heardFleetAtMs = -Infinity;
   /** What this box told last, and so is in the sums that come back. */
   private toldLoads: LoadList = [];
+  /** Homes of prompts that this box, if it speaks, has still to tell its hall, and the other halls. */
+  private readonly hallHomes: number[] = [];
+  private readonly fleetHomes: number[] = [];
 
   constructor(private readonly options: LoadRelayOptions) {}
 
@@ -53,20 +63,39 @@
 
   /** A box of the hall tells its loads to this speaker. */
   handleBoxLoads(frame: BoxLoads): void {
+    this.options.homes.learn(frame.homes);
+    this.keepHomes(frame.homes, this.hallHomes);
+    this.keepHomes(frame.homes, this.fleetHomes);
     this.boxes.note(frame.address, frame.loads, this.options.now());
   }
 
   /** The speaker of another hall tells its sum. */
   handleHallLoads(frame: HallLoads): void {
-    if (frame.hall !== this.options.hall) this.halls.note(frame.hall, frame.loads, this.options.now());
+    if (frame.hall === this.options.hall) return;
+    this.options.homes.learn(frame.homes);
+    this.keepHomes(frame.homes, this.hallHomes);
+    this.halls.note(frame.hall, frame.loads, this.options.now());
   }
 
   /** The speaker of this hall tells what all boxes have. */
   handleFleetLoads(frame: FleetLoads): void {
     this.heardFleetAtMs = this.options.now();
+    this.options.homes.learn(frame.homes);
     applyPeerLoads(this.options.table, [subtractLoads(frame.loads, this.toldLoads)]);
   }
 
+  /** What a box on a new link is told of the homes of prompts: all in a small fleet, by the speakers in a large one. */
+  listHomesForNewLink(): HomeList {
+    const { mesh, homes } = this.options;
+    return mesh.isFlat || this.findPlace() === 0 ? homes.listNewest(MAX_HOMES_ON_NEW_LINK) : [];
+  }
+
+  /** Keeps homes for the next sums; a box that does not speak keeps the newest, in case that it has to. */
+  private keepHomes(homes: HomeList, kept: number[]): void {
+    kept.push(...homes);
+    if (kept.length > 2 * MAX_KEPT_PAIRS) kept.splice(0, kept.length - 2 * MAX_KEPT_PAIRS);
+  }
+
   private takeFromHeartbeats(): void {
     const { mesh, table } = this.options;
     applyPeerLoads(
@@ -76,9 +105,17 @@
   }
 
   private tellSpeakers(): void {
-    const { mesh, table, hall } = this.options;
+    const { mesh, table, hall, homes } = this.options;
     this.toldLoads = listOwnLoads(table);
-    const frame: BoxLoads = { type: 'boxLoads', address: mesh.address, loads: [...this.toldLoads] };
+    const news = homes.takeUntold();
+    this.keepHomes(news, this.hallHomes);
+    this.keepHomes(news, this.fleetHomes);
+    const frame: BoxLoads = {
+      type: 'boxLoads',
+      address: mesh.address,
+      loads: [...this.toldLoads],
+      homes: news,
+    };
     for (const address of this.listSpeakers((other) => other === hall)) mesh.send(address, frame);
   }
 
@@ -94,10 +131,12 @@
     const own = addLoads([hallPeers, this.toldLoads]);
     const peers = addLoads([hallPeers, ...this.halls.listFresh(nowMs)]);
     applyPeerLoads(table, [peers]);
+    const hallHomes = this.hallHomes.splice(0);
+    const fleetHomes = this.fleetHomes.splice(0);
     for (const address of this.listSpeakers((other) => other !== hall)) {
-      mesh.send(address, { type: 'hallLoads', hall, loads: own });
+      mesh.send(address, { type: 'hallLoads', hall, loads: own, homes: fleetHomes });
     }
-    mesh.sendToHall(hall, { type: 'fleetLoads', loads: addLoads([peers, this.toldLoads]) });
+    mesh.sendToHall(hall, { type: 'fleetLoads', loads: addLoads([peers, this.toldLoads]), homes: hallHomes });
   }
 
   /** The first boxes of halls, this box left out, by the rank on which all boxes agree. */
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -41,6 +41,8 @@
   endpointsRevision: z.number(),
   /** Tag of an endpoint and the requests that the sender has there, in turn. */
   loads: z.array(z.number()),
+  /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
+  homes: z.array(z.number()),
   /** Addresses of other boxes; not in every heartbeat. */
   knownAddresses: z.array(z.string()).optional(),
   /** The sender is stopping. */
@@ -91,6 +93,8 @@
     ]),
   ),
 });
+/** A prompt and an endpoint that holds it, in turn; in sums of loads, what their sender learned since the last. */
+const homeList = z.array(z.number());
 /** Tag of an endpoint and the requests there, in turn. */
 const loadList = z.array(z.number());
 const boxLoads = z.object({
@@ -98,17 +102,20 @@
   /** Address of the box that holds these loads. */
   address: z.string(),
   loads: loadList,
+  homes: homeList,
 });
 const hallLoads = z.object({
   type: z.literal('hallLoads'),
   /** Hall whose boxes hold these loads together. */
   hall: z.string(),
   loads: loadList,
+  homes: homeList,
 });
 const fleetLoads = z.object({
   type: z.literal('fleetLoads'),
   /** What all boxes hold, the reader included. */
   loads: loadList,
+  homes: homeList,
 });
 const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
@@ -152,6 +159,7 @@
   feed: 9,
   boxes: 10,
   linkMbps: 11,
+  homes: 12,
 } as const;
 
 const cbor = new Encoder({
@@ -164,7 +172,7 @@
 /**
  * Encodes a frame with its length in front.
  *
- * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [] }))
+ * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [], homes: [] }))
  */
 export function encodePeerFrame(frame: PeerFrame): Buffer {
   const payload = cbor.encode(frame);
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -1,14 +1,15 @@
 /**
  * Chooses the endpoint of a request.
  *
- * A generation goes to the home of its shared prompt: every box ranks the endpoints in the same order by rendezvous
- * hashing, so that a prompt is kept in one place in the whole fleet. A loaded home passes work to the next in that
- * order, the same one for all boxes. Other requests go to the least loaded endpoint, their own hall first.
+ * A generation goes where its shared prompt is known to be held, as long as there is room. Where none with room is known
+ * it goes to the first with room in an order that all boxes share for the prompt (rendezvous hashing), and takes the
+ * prompt from an endpoint that holds it. Other requests go to the least loaded endpoint, their own hall first.
  */
 import type { Hasher } from '@hazelwalk/core';
 import type { PromptPart } from '../records.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { isUsable } from './endpointHealth.js';
+import type { PromptHomes } from './promptHomes.js';
 
 /** Multiple of the mean load that an endpoint may carry; the deployment's bound is 2. */
 const LOAD_FACTOR = 1.7;
@@ -44,7 +45,7 @@
 /** Where a request goes. */
 export interface PlacementChoice {
   readonly row: EndpointRow;
-  /** An endpoint that probably holds the shared prompt in memory, while the chosen one does not. */
+  /** An endpoint that holds the shared prompt, as far as is known, while the chosen one does not. */
   readonly cacheSource: EndpointRow | undefined;
 }
 
@@ -60,6 +61,7 @@
     private readonly hasher: Hasher,
     private readonly hall: string,
     private readonly random: () => number,
+    private readonly homes: PromptHomes,
   ) {}
 
   /** The endpoint to send to; undefined if none can take the request. */
@@ -67,9 +69,15 @@
     const rows = this.listCandidates(request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
-    const row = prompt === undefined ? this.chooseLeastLoaded(rows) : this.chooseHome(rows, prompt);
+    if (prompt === undefined) return toChoice(this.chooseLeastLoaded(rows));
+    const key = this.hasher.h32(prompt);
+    const holders = new Set(this.homes.list(key));
+    const row = this.chooseHome(rows, prompt, holders);
     if (row === undefined) return undefined;
-    const cacheSource = prompt === undefined ? undefined : this.findCacheSource(row, request, prompt, nowMs);
+    const cacheSource = holders.has(row.tag)
+      ? undefined
+      : (this.findHolder(row, request, prompt, holders) ?? this.guessHolder(row, request, prompt, nowMs));
+    this.homes.note(key, row.tag);
     return { row, cacheSource };
   }
 
@@ -82,26 +90,47 @@
     return usable.length > 0 ? usable : untried;
   }
 
-  private chooseHome(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
+  private chooseHome(
+    rows: readonly EndpointRow[],
+    prompt: string,
+    holders: ReadonlySet<number>,
+  ): EndpointRow | undefined {
     const total = rows.reduce((sum, row) => sum + readFleetLoad(row), 0);
     const cap = LOAD_FACTOR * (total / rows.length) + LOAD_ALLOWANCE;
     const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
-    return this.findBestRanked(withRoom, prompt) ?? pickLeast(rows, readFleetLoad);
+    const holding = withRoom.filter((row) => holders.has(row.tag));
+    return (
+      this.findBestRanked(holding, prompt) ??
+      this.findBestRanked(withRoom, prompt) ??
+      pickLeast(rows, readFleetLoad)
+    );
+  }
+
+  /** An endpoint that is known to hold the prompt and can still be reached, if only to take the prompt from it. */
+  private findHolder(
+    chosen: EndpointRow,
+    request: PlacementRequest,
+    prompt: string,
+    holders: ReadonlySet<number>,
+  ): EndpointRow | undefined {
+    const reachable = this.listReachable(request.service);
+    return this.findBestRanked(
+      reachable.filter((row) => row !== chosen && holders.has(row.tag)),
+      prompt,
+    );
   }
 
   /**
-   * The endpoint that was the prompt's home before: the best ranked of those that were there before the chosen one, or
-   * the home itself if the chosen one only stands in for it.
+   * An endpoint that probably holds a prompt of which this box knows nothing: the best ranked of those that were there
+   * before the chosen one, or the home itself if the chosen one only stands in for it.
    */
-  private findCacheSource(
+  private guessHolder(
     chosen: EndpointRow,
     request: PlacementRequest,
     prompt: string,
     nowMs: number,
   ): EndpointRow | undefined {
-    const reachable = this.table
-      .listService(request.service)
-      .filter((row) => row.standing.type !== 'unreachable' && row.lapsedUntilMs === undefined);
+    const reachable = this.listReachable(request.service);
     const home = this.findBestRanked(reachable, prompt);
     if (home !== undefined && home !== chosen) return home;
     if (nowMs - chosen.listedAtMs > NEWCOMER_MS) return undefined;
@@ -109,6 +138,12 @@
     return this.findBestRanked(older, prompt);
   }
 
+  private listReachable(service: string): EndpointRow[] {
+    return this.table
+      .listService(service)
+      .filter((row) => row.standing.type !== 'unreachable' && row.lapsedUntilMs === undefined);
+  }
+
   /** The first in the order of endpoints that all boxes share for a prompt. */
   private findBestRanked(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
     return pickLeast(rows, (row) => -this.hasher.h32(prompt, row.tag));
@@ -126,6 +161,10 @@
   }
 }
 
+function toChoice(row: EndpointRow | undefined): PlacementChoice | undefined {
+  return row === undefined ? undefined : { row, cacheSource: undefined };
+}
+
 function pickLeast(
   rows: readonly EndpointRow[],
   score: (row: EndpointRow) => number,
