--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -92,7 +92,7 @@
   const second = createTable(6);
   second.table.upsert(createListing('newcomer'), NOW_MS);
   const told = new PromptHomes();
-  told.learn(homes.takeUntold());
+  told.learn(homes.takeUntold(1_000));
   const other = createPlacement(second.table, told);
   for (const prompt of prompts) {
     expect(other.choose(ask(prompt), NOW_MS)?.row.listing.id).toBe(before.get(prompt));
--- a/packages/router/src/__tests__/promptHomes.test.ts
+++ b/packages/router/src/__tests__/promptHomes.test.ts
@@ -11,8 +11,8 @@
   homes.note(1, 10);
   homes.learn([2, 20]);
   homes.note(2, 20);
-  expect(homes.takeUntold()).toEqual([1, 10]);
-  expect(homes.takeUntold()).toEqual([]);
+  expect(homes.takeUntold(8)).toEqual([1, 10]);
+  expect(homes.takeUntold(8)).toEqual([]);
 });
 
 test('the endpoints noted last are remembered for each prompt', () => {
@@ -32,5 +32,6 @@
   expect(homes.size).toBeLessThan(20_000);
   expect(homes.list(0)).toEqual([]);
   expect(homes.list(39_999)).toEqual([7]);
-  expect(homes.takeUntold().length).toBeLessThan(1_000);
+  expect(homes.takeUntold(256).length).toBe(512);
+  expect(homes.takeUntold(40_000).length).toBeLessThan(10_000);
 });
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -23,6 +23,8 @@
 import { listOwnLoads } from './systems/loadExchange.js';
 import type { Publication } from './systems/publishedState.js';
 import { PublishedState } from './systems/publishedState.js';
+import type { ReadHeldParts } from './systems/homeCensus.js';
+import { HomeCensus } from './systems/homeCensus.js';
 import type { HomeList } from './systems/promptHomes.js';
 import { PromptHomes } from './systems/promptHomes.js';
 import { Placement } from './systems/placement.js';
@@ -45,6 +47,9 @@
 /** A stopping box ends this long before it would be killed. */
 const STOP_MARGIN_MS = 500;
 
+/** Homes of prompts told in one heartbeat: few in a steady state; after a census what some engines hold. */
+const MAX_TOLD_HOMES = 4_096;
+
 /** What drives the loop. */
 export type RouterInput =
   | { readonly type: 'tick' }
@@ -71,6 +76,9 @@
   /** A stopping process is killed after this. */
   readonly stopGraceMs: number;
   readonly dialect: HttpDialect;
+  /** The whole fleet starts for the first time, and its engines with it. */
+  readonly isFirstStart: boolean;
+  readonly readHeldParts: ReadHeldParts;
   /** Reads a published configuration. */
   readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
 }
@@ -91,6 +99,7 @@
   private tickedAtMs = performance.now();
   private readonly peerValues: PeerValues;
   private readonly homes = new PromptHomes();
+  private readonly census: HomeCensus;
   private readonly relay: FeedRelay;
   private readonly loads: LoadRelay;
   private stopRequestedAtMs: number | undefined;
@@ -154,6 +163,7 @@
       applyBoundMs,
     });
     this.callers = new CallerServer(this.createContext(countBoxes));
+    this.census = this.createCensus();
   }
 
   /** Creates a box; nothing is bound yet. */
@@ -254,6 +264,27 @@
     };
   }
 
+  private createCensus(): HomeCensus {
+    const { options, now, hash, log, table, homes } = this;
+    const census = new HomeCensus({
+      table,
+      homes,
+      log,
+      hall: options.hall,
+      hash: (text) => hash(text),
+      now,
+      readHeldParts: options.readHeldParts,
+      listEngineServices: () =>
+        (this.state.index?.configuration.services ?? [])
+          .filter((service) => service.canMoveCache)
+          .map((service) => service.name),
+      // What was learned serves the boxes that started at the same time: at once, not with the next heartbeat.
+      onComplete: () => this.sendHeartbeat(),
+    });
+    if (options.isFirstStart) census.skip();
+    return census;
+  }
+
   private handle(input: RouterInput): void {
     switch (input.type) {
       case 'tick':
@@ -280,10 +311,17 @@
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
     this.loads.tick();
-    this.sendHeartbeat(nowMs);
+    if (this.state.isInformed) this.runCensus();
+    if (nowMs - this.heartbeatAtMs >= this.mesh.paceMs) this.sendHeartbeat();
     this.advanceStop(nowMs);
   }
 
+  /** In a large fleet each box would ask many engines, and all of what they hold would cross every link. */
+  private runCensus(): void {
+    if (this.mesh.isFlat) this.census.tick();
+    else this.census.skip();
+  }
+
   /** While this process stood still nobody was silent: the silence that it saw is its own. */
   private handleStall(stalledMs: number): void {
     this.log.write('lifecycle', 'stalled', {
@@ -294,10 +332,10 @@
     for (const exchange of this.exchanges) exchange.noteStall(stalledMs);
   }
 
-  private sendHeartbeat(nowMs: number): void {
-    if (nowMs - this.heartbeatAtMs < this.mesh.paceMs) return;
-    this.heartbeatAtMs = nowMs;
-    this.mesh.broadcast(this.createHeartbeat(this.mesh.isFlat ? this.homes.takeUntold() : []));
+  private sendHeartbeat(): void {
+    this.heartbeatAtMs = this.now();
+    const homes = this.mesh.isFlat ? this.homes.takeUntold(MAX_TOLD_HOMES) : [];
+    this.mesh.broadcast(this.createHeartbeat(homes));
   }
 
   private createHeartbeat(homes: HomeList): Heartbeat {
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -107,7 +107,7 @@
   private tellSpeakers(): void {
     const { mesh, table, hall, homes } = this.options;
     this.toldLoads = listOwnLoads(table);
-    const news = homes.takeUntold();
+    const news = homes.takeUntold(MAX_KEPT_PAIRS);
     this.keepHomes(news, this.hallHomes);
     this.keepHomes(news, this.fleetHomes);
     const frame: BoxLoads = {
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -42,6 +42,15 @@
   return shared.length === 0 ? undefined : shared.map((part) => part.id).join(',');
 }
 
+/**
+ * Names what a request shares with others by the last part of it: an engine that holds it holds the parts before it.
+ *
+ * @example readSharedPart([{ id: 'a', tokens: 9 }, { id: 'b', tokens: 5 }, { id: 'c', tokens: 2 }]) // 'b'
+ */
+export function readSharedPart(parts: readonly PromptPart[]): string | undefined {
+  return parts[Math.max(0, parts.length - 2)]?.id;
+}
+
 /** Where a request goes. */
 export interface PlacementChoice {
   readonly row: EndpointRow;
@@ -70,7 +79,7 @@
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
     if (prompt === undefined) return toChoice(this.chooseLeastLoaded(rows));
-    const key = this.hasher.h32(prompt);
+    const key = this.hasher.h32(readSharedPart(request.promptParts) ?? prompt);
     const holders = new Set(this.homes.list(key));
     const row = this.chooseHome(rows, prompt, holders);
     if (row === undefined) return undefined;
--- a/packages/router/src/systems/promptHomes.ts
+++ b/packages/router/src/systems/promptHomes.ts
@@ -10,8 +10,6 @@
 const MAX_PROMPTS = 16_384;
 /** Endpoints that are remembered for one prompt: its home, one that stands in for it, and one that was left. */
 const MAX_HOLDERS = 3;
-/** Pairs told in one frame; the rest waits for the next. */
-const MAX_TOLD_PAIRS = 256;
 /** Pairs that wait to be told; in a rush the oldest are left out, since others learn them when they need them. */
 const MAX_UNTOLD_PAIRS = 4_096;
 
@@ -20,6 +18,7 @@
   /** Tags of endpoints by prompt, the one noted last at the end. The prompt used last is the last of the map. */
   private readonly holders = new Map<number, readonly number[]>();
   private untold: number[] = [];
+  private hasLearned = false;
 
   /** Tags of the endpoints that hold a prompt, as far as known. */
   list(prompt: number): readonly number[] {
@@ -35,12 +34,13 @@
 
   /** Other boxes tell which endpoints hold which prompts. */
   learn(homes: HomeList): void {
+    this.hasLearned ||= homes.length > 0;
     for (let at = 0; at + 1 < homes.length; at += 2) this.remember(homes[at] ?? 0, homes[at + 1] ?? 0);
   }
 
-  /** What this box noted and has not told yet; afterwards it counts as told. */
-  takeUntold(): number[] {
-    return this.untold.splice(0, 2 * MAX_TOLD_PAIRS);
+  /** What this box noted and has not told yet, so many pairs at most; afterwards it counts as told. */
+  takeUntold(maxPairs: number): number[] {
+    return this.untold.splice(0, 2 * maxPairs);
   }
 
   /** What is known, the prompts used last first, for a box that just came up or was cut off. */
@@ -53,6 +53,11 @@
     return pairs.slice(0, 2 * maxPairs);
   }
 
+  /** Whether another box has told anything. */
+  get wasTold(): boolean {
+    return this.hasLearned;
+  }
+
   /** Number of prompts that are known. */
   get size(): number {
     return this.holders.size;
