Only a box that knows the homes of prompts counts as one that tells them

A heartbeat now says whether its sender knows.

Tried and reverted: bind the callers' address in a small entry before the rest of the program is loaded, so that callers who come while all boxes start wait instead of being refused.

Tried and not taken: each prompt that is used again kept by two engines in two halls.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -350,6 +350,7 @@
       endpointsRevision: this.state.endpointsRevision,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       homes: [...homes],
+      knowsHomes: this.census.isOver,
       isStopping: this.stopRequestedAtMs !== undefined,
     };
   }
@@ -359,6 +360,7 @@
     switch (frame.type) {
       case 'heartbeat':
         this.homes.learn(frame.homes);
+        if (frame.knowsHomes) this.census.skip();
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
         return this.relay.handleNotice(frame);
--- a/packages/router/src/systems/homeCensus.ts
+++ b/packages/router/src/systems/homeCensus.ts
@@ -33,7 +33,9 @@
 }
 
 type CensusPhase =
-  { readonly type: 'waiting'; readonly sinceMs: number | undefined } | { readonly type: 'over' };
+  | { readonly type: 'waiting'; readonly sinceMs: number | undefined }
+  | { readonly type: 'asking' }
+  | { readonly type: 'over' };
 
 /** One box's census. */
 export class HomeCensus {
@@ -41,22 +43,26 @@
 
   constructor(private readonly options: HomeCensusOptions) {}
 
-  /** There is nothing to learn: the engines start with the boxes, or the fleet is too large to ask. */
+  /** Whether this box knows where prompts are held, as far as the fleet does. */
+  get isOver(): boolean {
+    return this.phase.type === 'over';
+  }
+
+  /** There is nothing to ask: a peer told, the engines start with the boxes, or the fleet is too large. */
   skip(): void {
-    this.phase = { type: 'over' };
+    if (this.phase.type === 'waiting') this.phase = { type: 'over' };
   }
 
   /** Runs once a tick while the box knows what to serve and where. */
   tick(): void {
-    if (this.phase.type === 'over') return;
+    if (this.phase.type !== 'waiting') return;
     const nowMs = this.options.now();
-    if (this.options.homes.wasTold) return this.skip();
     if (this.phase.sinceMs === undefined) this.phase = { type: 'waiting', sinceMs: nowMs };
     else if (nowMs - this.phase.sinceMs >= PEERS_FIRST_MS) void this.ask();
   }
 
   private async ask(): Promise<void> {
-    this.phase = { type: 'over' };
+    this.enter({ type: 'asking' });
     const { table, hall, log, now, onComplete } = this.options;
     const startedAtMs = now();
     const engines = this.options
@@ -69,9 +75,14 @@
       parts: counts.reduce((sum, count) => sum + count, 0),
       tookMs: Math.round(now() - startedAtMs),
     });
+    this.enter({ type: 'over' });
     onComplete();
   }
 
+  private enter(phase: CensusPhase): void {
+    this.phase = phase;
+  }
+
   /** Returns the number of parts that the engine holds. */
   private async askOne(row: EndpointRow): Promise<number> {
     const { homes, hash, log, readHeldParts } = this.options;
--- a/packages/router/src/systems/promptHomes.ts
+++ b/packages/router/src/systems/promptHomes.ts
@@ -18,7 +18,6 @@
   /** Tags of endpoints by prompt, the one noted last at the end. The prompt used last is the last of the map. */
   private readonly holders = new Map<number, readonly number[]>();
   private untold: number[] = [];
-  private hasLearned = false;
 
   /** Tags of the endpoints that hold a prompt, as far as known. */
   list(prompt: number): readonly number[] {
@@ -34,7 +33,6 @@
 
   /** Other boxes tell which endpoints hold which prompts. */
   learn(homes: HomeList): void {
-    this.hasLearned ||= homes.length > 0;
     for (let at = 0; at + 1 < homes.length; at += 2) this.remember(homes[at] ?? 0, homes[at + 1] ?? 0);
   }
 
@@ -53,11 +51,6 @@
     return pairs.slice(0, 2 * maxPairs);
   }
 
-  /** Whether another box has told anything. */
-  get wasTold(): boolean {
-    return this.hasLearned;
-  }
-
   /** Number of prompts that are known. */
   get size(): number {
     return this.holders.size;
