Homes by rank again, known holders as sources; a load cap by how fresh loads are

Asking the engines took 0.24 s from the start of a box, and held them up.

Change: homes follow the ranking alone, which all boxes know at once; what they tell each other of holders only names the source of a move. The census of engines is gone.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -23,8 +23,6 @@
 import { listOwnLoads } from './systems/loadExchange.js';
 import type { Publication } from './systems/publishedState.js';
 import { PublishedState } from './systems/publishedState.js';
-import type { ReadHeldParts } from './systems/homeCensus.js';
-import { HomeCensus } from './systems/homeCensus.js';
 import type { HomeList } from './systems/promptHomes.js';
 import { PromptHomes } from './systems/promptHomes.js';
 import { Placement } from './systems/placement.js';
@@ -47,8 +45,8 @@
 /** A stopping box ends this long before it would be killed. */
 const STOP_MARGIN_MS = 500;
 
-/** Homes of prompts told in one heartbeat: few in a steady state; after a census what some engines hold. */
-const MAX_TOLD_HOMES = 4_096;
+/** Homes of prompts told in one heartbeat; in a steady state there are next to none to tell. */
+const MAX_TOLD_HOMES = 256;
 
 /** What drives the loop. */
 export type RouterInput =
@@ -76,9 +74,6 @@
   /** A stopping process is killed after this. */
   readonly stopGraceMs: number;
   readonly dialect: HttpDialect;
-  /** The whole fleet starts for the first time, and its engines with it. */
-  readonly isFirstStart: boolean;
-  readonly readHeldParts: ReadHeldParts;
   /** Reads a published configuration. */
   readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
 }
@@ -99,7 +94,6 @@
   private tickedAtMs = performance.now();
   private readonly peerValues: PeerValues;
   private readonly homes = new PromptHomes();
-  private readonly census: HomeCensus;
   private readonly relay: FeedRelay;
   private readonly loads: LoadRelay;
   private stopRequestedAtMs: number | undefined;
@@ -163,7 +157,6 @@
       applyBoundMs,
     });
     this.callers = new CallerServer(this.createContext(countBoxes));
-    this.census = this.createCensus();
   }
 
   /** Creates a box; nothing is bound yet. */
@@ -249,6 +242,7 @@
         options.hall,
         Math.random,
         this.homes,
+        () => (this.mesh.isFlat ? 'direct' : 'relayed'),
       ),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
@@ -264,27 +258,6 @@
     };
   }
 
-  private createCensus(): HomeCensus {
-    const { options, now, hash, log, table, homes } = this;
-    const census = new HomeCensus({
-      table,
-      homes,
-      log,
-      hall: options.hall,
-      hash: (text) => hash(text),
-      now,
-      readHeldParts: options.readHeldParts,
-      listEngineServices: () =>
-        (this.state.index?.configuration.services ?? [])
-          .filter((service) => service.canMoveCache)
-          .map((service) => service.name),
-      // What was learned serves the boxes that started at the same time: at once, not with the next heartbeat.
-      onComplete: () => this.sendHeartbeat(),
-    });
-    if (options.isFirstStart) census.skip();
-    return census;
-  }
-
   private handle(input: RouterInput): void {
     switch (input.type) {
       case 'tick':
@@ -311,17 +284,10 @@
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
     this.loads.tick();
-    if (this.state.isInformed) this.runCensus();
     if (nowMs - this.heartbeatAtMs >= this.mesh.paceMs) this.sendHeartbeat();
     this.advanceStop(nowMs);
   }
 
-  /** In a large fleet each box would ask many engines, and all of what they hold would cross every link. */
-  private runCensus(): void {
-    if (this.mesh.isFlat) this.census.tick();
-    else this.census.skip();
-  }
-
   /** While this process stood still nobody was silent: the silence that it saw is its own. */
   private handleStall(stalledMs: number): void {
     this.log.write('lifecycle', 'stalled', {
@@ -350,7 +316,6 @@
       endpointsRevision: this.state.endpointsRevision,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       homes: [...homes],
-      knowsHomes: this.census.isOver,
       isStopping: this.stopRequestedAtMs !== undefined,
     };
   }
@@ -360,7 +325,6 @@
     switch (frame.type) {
       case 'heartbeat':
         this.homes.learn(frame.homes);
-        if (frame.knowsHomes) this.census.skip();
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
         return this.relay.handleNotice(frame);
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,7 +5,6 @@
 export { Client } from './proxy/httpClient.js';
 export type { EndpointChange } from './systems/endpointDirectory.js';
 export type { FeedDuty } from './systems/feedDuty.js';
-export type { ReadHeldParts } from './systems/homeCensus.js';
 export type { Publication } from './systems/publishedState.js';
 export type { RetryBound } from './systems/retryBudget.js';
 export type { RouterMetrics } from './observability/metrics.js';
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -43,8 +43,6 @@
   loads: z.array(z.number()),
   /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
   homes: z.array(z.number()),
-  /** The sender knows where prompts are held: it did not just start with the whole fleet. */
-  knowsHomes: z.boolean(),
   /** Addresses of other boxes; not in every heartbeat. */
   knownAddresses: z.array(z.string()).optional(),
   /** The sender is stopping. */
@@ -162,7 +160,6 @@
   boxes: 10,
   linkMbps: 11,
   homes: 12,
-  knowsHomes: 13,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -1,9 +1,10 @@
 /**
  * Chooses the endpoint of a request.
  *
- * A generation goes where its shared prompt is known to be held, as long as there is room. Where none with room is known
- * it goes to the first with room in an order that all boxes share for the prompt (rendezvous hashing), and takes the
- * prompt from an endpoint that holds it. Other requests go to the least loaded endpoint, their own hall first.
+ * A generation goes to the home of its shared prompt: every box ranks the endpoints in the same order by rendezvous
+ * hashing, so that a prompt is kept in one place in the whole fleet, also after all boxes started anew. A loaded home
+ * passes work to the next in that order, the same one for all boxes. An endpoint that does not hold the prompt takes it
+ * from one that does, as far as boxes know. Other requests go to the least loaded endpoint, their own hall first.
  */
 import type { Hasher } from '@hazelwalk/core';
 import type { PromptPart } from '../records.js';
@@ -11,10 +12,23 @@
 import { isUsable } from './endpointHealth.js';
 import type { PromptHomes } from './promptHomes.js';
 
-/** Multiple of the mean load that an endpoint may carry; the deployment's bound is 2. */
-const LOAD_FACTOR = 1.7;
-/** Requests that an endpoint may carry on top; the deployment's bound is 3. */
-const LOAD_ALLOWANCE = 2;
+/** How the loads of other boxes come: from each of them, or as sums by way of others, which makes them older. */
+export type LoadPath = 'direct' | 'relayed';
+
+/** Most that an endpoint may carry: a multiple of the mean load, and so many requests on top. */
+interface LoadCap {
+  readonly factor: number;
+  readonly allowance: number;
+}
+
+/**
+ * The deployment's bound is twice the mean and three. How near one may go depends on how old loads are: 0.3 s when they
+ * come from each box; up to a second as sums, in which time a hot prompt adds some requests to its home.
+ */
+const LOAD_CAPS: Readonly<Record<LoadPath, LoadCap>> = {
+  direct: { factor: 1.8, allowance: 2.4 },
+  relayed: { factor: 1.7, allowance: 2 },
+};
 /** A plain service leaves its own hall only for an endpoint that is less loaded by this share of its slots. */
 const HALL_PREFERENCE = 0.34;
 
@@ -71,6 +85,7 @@
     private readonly hall: string,
     private readonly random: () => number,
     private readonly homes: PromptHomes,
+    private readonly readLoadPath: () => LoadPath,
   ) {}
 
   /** The endpoint to send to; undefined if none can take the request. */
@@ -81,7 +96,7 @@
     if (prompt === undefined) return toChoice(this.chooseLeastLoaded(rows));
     const key = this.hasher.h32(readSharedPart(request.promptParts) ?? prompt);
     const holders = new Set(this.homes.list(key));
-    const row = this.chooseHome(rows, prompt, holders);
+    const row = this.chooseHome(rows, prompt);
     if (row === undefined) return undefined;
     const cacheSource = holders.has(row.tag)
       ? undefined
@@ -99,20 +114,12 @@
     return usable.length > 0 ? usable : untried;
   }
 
-  private chooseHome(
-    rows: readonly EndpointRow[],
-    prompt: string,
-    holders: ReadonlySet<number>,
-  ): EndpointRow | undefined {
+  private chooseHome(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
     const total = rows.reduce((sum, row) => sum + readFleetLoad(row), 0);
-    const cap = LOAD_FACTOR * (total / rows.length) + LOAD_ALLOWANCE;
+    const { factor, allowance } = LOAD_CAPS[this.readLoadPath()];
+    const cap = factor * (total / rows.length) + allowance;
     const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
-    const holding = withRoom.filter((row) => holders.has(row.tag));
-    return (
-      this.findBestRanked(holding, prompt) ??
-      this.findBestRanked(withRoom, prompt) ??
-      pickLeast(rows, readFleetLoad)
-    );
+    return this.findBestRanked(withRoom, prompt) ?? pickLeast(rows, readFleetLoad);
   }
 
   /** An endpoint that is known to hold the prompt and can still be reached, if only to take the prompt from it. */
