Find connections that went silent without a reset: between boxes, and kept ones to endpoints

Cause, by reading and by tests that fail first: a box sends on the links that it made and hears on those made to it, so a link that goes silent is never noticed while the peer's own link works; its loads, homes and versions are lost to that peer. And when all open connections of an endpoint go silent, each request on a kept one paid a second attempt.

Change: a heartbeat is confirmed on the link that it came on; a link on which nothing is confirmed for the life of a peer is made anew. Once a kept connection says nothing for a second the idle ones of that endpoint are closed (counted as retired_pools).

Ruled out: keep-alive probes alone (15 s until they show anything), unsent bytes (the kernel takes them).

--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -1,13 +1,26 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrames.js';
 import { PeerMesh } from '../peers/peerMesh.js';
 
 const meshes: PeerMesh[] = [];
 const timers: NodeJS.Timeout[] = [];
+/** Heartbeats that may still be under way on a link that goes silent, and more. */
+const MORE_THAN_UNDER_WAY = 50;
+const relays = new Set<SilentRelay>();
+let testEnd = new AbortController();
+
+beforeEach(() => {
+  testEnd = new AbortController();
+});
 
 afterEach(() => {
+  testEnd.abort();
   for (const timer of timers.splice(0)) clearInterval(timer);
   for (const mesh of meshes.splice(0)) mesh.close();
+  for (const relay of relays) relay.close();
+  relays.clear();
 });
 
 const createHeartbeat = (address: string): Heartbeat => ({
@@ -24,21 +37,65 @@
   isStopping: false,
 });
 
-async function startMesh(seeds: readonly string[], heard: PeerFrame[] = [], port = 0): Promise<PeerMesh> {
+async function startMesh(
+  seeds: readonly string[],
+  heard: PeerFrame[] = [],
+  port = 0,
+  knownAs?: string,
+): Promise<PeerMesh> {
   const handlers = {
-    createHeartbeat: () => createHeartbeat(mesh.address),
+    createHeartbeat: () => createHeartbeat(knownAs ?? mesh.address),
     onFrame: (frame: PeerFrame) => void heard.push(frame),
     onProblem: () => {},
   };
   const mesh: PeerMesh = new PeerMesh(seeds, handlers, () => performance.now());
   meshes.push(mesh);
   await mesh.listen('127.0.0.1', port);
-  timers.push(setInterval(() => mesh.broadcast(createHeartbeat(mesh.address)), 20));
+  timers.push(setInterval(() => mesh.broadcast(createHeartbeat(knownAs ?? mesh.address)), 20));
   return mesh;
 }
 
+/** Passes connections on until it is told to let those that are open go silent. */
+class SilentRelay {
+  connections = 0;
+  private readonly sockets: Socket[] = [];
+  private readonly server: Server;
+
+  targetPort = 0;
+
+  constructor() {
+    this.server = createServer((socket) => {
+      this.connections += 1;
+      const onward = connect(this.targetPort, '127.0.0.1');
+      socket.pipe(onward).pipe(socket);
+      for (const end of [socket, onward]) end.on('error', () => end.destroy());
+      this.sockets.push(socket, onward);
+      relays.add(this);
+    });
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  silence(): void {
+    for (const socket of this.sockets) socket.unpipe().resume();
+  }
+
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+}
+
+/** Ends with the test at the latest: a loop that goes on would keep the run from ending. */
 async function waitUntil(condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 10));
+  const { signal } = testEnd;
+  while (!condition() && !signal.aborted) await new Promise((resolve) => setTimeout(resolve, 10));
 }
 
 test('boxes that share one seed find each other', async () => {
@@ -79,3 +136,20 @@
     code: 'frameMalformed',
   });
 });
+
+test('a link that goes silent without a reset is made anew, though the peer is still heard', async () => {
+  const relay = new SilentRelay();
+  await relay.listen();
+  // The first box is known by the address of the relay, so that the second one's link to it leads through there.
+  const heardByFirst: PeerFrame[] = [];
+  const first = await startMesh([], heardByFirst, 0, relay.address);
+  relay.targetPort = Number(first.address.split(':')[1]);
+  const second = await startMesh([relay.address]);
+  await waitUntil(() => second.listLinked().length === 1);
+  relay.silence();
+  heardByFirst.length = 0;
+  const countHeard = (): number =>
+    heardByFirst.filter((frame) => frame.type === 'heartbeat' && frame.address === second.address).length;
+  await waitUntil(() => countHeard() >= MORE_THAN_UNDER_WAY);
+  expect(countHeard()).toBeGreaterThanOrEqual(MORE_THAN_UNDER_WAY);
+});
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -326,6 +326,9 @@
       case 'heartbeat':
         this.homes.learn(frame.homes);
         return this.peerValues.noteHeartbeat(frame);
+      case 'heartbeatHeard':
+        // Counts for the link that it came on, which the mesh has noted.
+        return;
       case 'feedNotice':
         return this.relay.handleNotice(frame);
       case 'boxLoads':
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -26,6 +26,8 @@
   readonly attempts = this.counter('attempts', 'Attempts at endpoints', ['end']);
   /** New connections to endpoints. */
   readonly connections = this.counter('endpoint_connections', 'New connections to endpoints', []);
+  /** Times that the idle connections of an endpoint were closed, since one like them said nothing. */
+  readonly retiredPools = this.counter('retired_pools', 'Idle connections closed as doubtful', []);
   /** Changes of belief about endpoints. */
   readonly standings = this.counter('endpoint_standings', 'Changes of standing', ['change']);
   /** Calls to the platform, by outcome. */
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -48,6 +48,10 @@
   /** The sender is stopping. */
   isStopping: z.boolean(),
 });
+const heartbeatHeard = z.object({
+  /** Sent back on the link that the heartbeat came on: proof that this link still carries something. */
+  type: z.literal('heartbeatHeard'),
+});
 const valueRequest = z.object({
   type: z.literal('valueRequest'),
   value: z.enum(['configuration', 'endpoints']),
@@ -119,6 +123,7 @@
 });
 const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
+  heartbeatHeard,
   valueRequest,
   configurationValue,
   configurationDifference,
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -36,11 +36,16 @@
 /** One peer that knows fewer boxes is told the addresses in this time: news spread in seconds and cost little. */
 const TELL_MS = 300;
 
+const HEARTBEAT_HEARD = encodePeerFrame({ type: 'heartbeatHeard' });
+
 interface PeerLink {
   readonly address: string;
   socket: Socket | undefined;
   dialledAtMs: number;
+  /** When the peer was last heard, on whatever link. */
   heardAtMs: number;
+  /** When the peer last confirmed a heartbeat on this link. */
+  confirmedAtMs: number;
 }
 
 /** What the mesh tells. */
@@ -203,7 +208,13 @@
 
   private learnAddress(address: string): void {
     if (address === this.ownAddress || this.links.has(address)) return;
-    const link: PeerLink = { address, socket: undefined, dialledAtMs: -Infinity, heardAtMs: this.now() };
+    const link: PeerLink = {
+      address,
+      socket: undefined,
+      dialledAtMs: -Infinity,
+      heardAtMs: this.now(),
+      confirmedAtMs: -Infinity,
+    };
     this.links.set(address, link);
     if (this.ownAddress !== '') this.dial(link);
   }
@@ -244,7 +255,8 @@
     socket.on('close', () => {
       if (link.socket === socket) link.socket = undefined;
     });
-    socket.resume();
+    // The peer only confirms on this link: whatever comes does.
+    socket.on('data', () => (link.confirmedAtMs = this.now()));
   }
 
   private acceptLink(socket: Socket): void {
@@ -260,6 +272,7 @@
         return;
       }
       for (const frame of frames.val) this.handleFrame(frame);
+      if (frames.val.some((frame) => frame.type === 'heartbeat')) socket.write(HEARTBEAT_HEARD);
     });
   }
 
@@ -293,6 +306,6 @@
   if (socket === undefined) return false;
   const ageMs = nowMs - link.dialledAtMs;
   if (socket.connecting) return ageMs >= REDIAL_MS;
-  // An open link to a peer that is not heard may be stuck behind a cut.
-  return ageMs >= lifeMs && nowMs - link.heardAtMs >= lifeMs;
+  // An open link on which nothing is confirmed is stuck behind a cut, or went silent while others to this peer work.
+  return ageMs >= lifeMs && nowMs - link.confirmedAtMs >= lifeMs;
 }
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -79,6 +79,8 @@
   readonly row: EndpointRow;
   /** When the request was handed to the connection; 0 before. */
   sentAtMs = 0;
+  /** Its connection said nothing for so long that others like it were closed. */
+  isDoubted = false;
   private phase: AttemptPhase = { type: 'connecting' };
   private controller: Dispatcher.DispatchController | undefined;
   /** The rest of the answer is read and dropped, so that the connection can be used again. */
@@ -113,6 +115,11 @@
     if (phase.type === 'open') phase.connection.socket.destroy();
   }
 
+  /** Whether it goes on a connection that carried a request before. */
+  get isOnKeptConnection(): boolean {
+    return this.phase.type === 'open' && this.phase.connection.isKept;
+  }
+
   /** Loses interest in the rest of an answer that is not needed. */
   discard(): void {
     this.isDiscarded = true;
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -27,6 +27,8 @@
   readonly client: Client;
   readonly socket: Socket;
   idleSinceMs: number;
+  /** It carried a request before the present one. */
+  isKept: boolean;
 }
 
 interface EndpointPool {
@@ -78,6 +80,7 @@
     if (pool === undefined) connection.socket.destroy();
     if (pool === undefined || connection.socket.destroyed) return;
     connection.idleSinceMs = this.options.now();
+    connection.isKept = true;
     pool.idle.push(connection);
   }
 
@@ -87,6 +90,11 @@
     this.pools.delete(endpointId);
   }
 
+  /** Closes the idle connections of an endpoint: one like them says nothing, and the next request needs a sound one. */
+  retireIdle(endpointId: string): void {
+    for (const connection of this.pools.get(endpointId)?.idle.splice(0) ?? []) connection.socket.destroy();
+  }
+
   /** Closes all idle connections. */
   close(): void {
     for (const endpointId of [...this.pools.keys()]) this.forget(endpointId);
@@ -133,7 +141,12 @@
     }
     this.options.onOpened();
     const socket = made.val;
-    const connection = { client: createClient(row, socket), socket, idleSinceMs: this.options.now() };
+    const connection = {
+      client: createClient(row, socket),
+      socket,
+      idleSinceMs: this.options.now(),
+      isKept: false,
+    };
     socket.once('close', () => {
       pool.openCount -= 1;
       const at = pool.idle.indexOf(connection);
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -27,6 +27,8 @@
 /** A box that just started takes requests before it has read what to serve; they wait for it this long. */
 const START_WAIT_MS = 1_000;
 const LEAST_SERVER_ERROR = 500;
+/** A kept connection that says nothing for so long may be dead: several times what endpoints take for an answer. */
+const SILENT_CONNECTION_MS = 1_000;
 
 /** One request under way. */
 export class Exchange {
@@ -253,6 +255,7 @@
     if (assignment === undefined || attempt.sentAtMs === 0) return;
     const isAnswering = attempt === this.winner;
     const silentMs = nowMs - (isAnswering ? this.heardAtMs : attempt.sentAtMs);
+    this.doubtConnection(attempt, isAnswering, silentMs);
     const verdict = judgeSilence({
       route: assignment.route,
       silentMs,
@@ -270,6 +273,15 @@
     }
   }
 
+  /** Open connections may go silent without a reset while new ones work: what comes next goes on a new one. */
+  private doubtConnection(attempt: Attempt, isAnswering: boolean, silentMs: number): void {
+    if (attempt.isDoubted || isAnswering || silentMs < SILENT_CONNECTION_MS) return;
+    if (!attempt.isOnKeptConnection) return;
+    attempt.isDoubted = true;
+    this.context.connections.retireIdle(attempt.row.listing.id);
+    this.context.metrics.retiredPools.inc();
+  }
+
   private hedge(attempt: Attempt, silentMs: number): void {
     if (!this.mayRetry('hedge')) return;
     this.context.noteSign(attempt.row, 'silent');
