--- a/spec/feed.pml
+++ b/spec/feed.pml
@@ -10,9 +10,13 @@
  * takes what they tell, asks for the whole list where it missed something, takes a whole list that may be late, and now
  * and then reads the platform itself. It may be killed and start anew with nothing.
  *
+ * A notice also carries what changed in the configuration; the records that each version changed are a bit of their own,
+ * so that a change applied to another version than it was made for leaves records behind.
+ *
  * Broken variants, each to be refuted: -DTAKE_GAP (changes are taken although earlier ones are missing), -DTAKE_OLD
  * (changes that are older than what the box knows are taken), -DTAKE_OLD_LIST (a whole list is taken without comparing
- * revisions), -DTAKE_OLD_VERSION (a configuration is taken without comparing versions).
+ * revisions), -DTAKE_OLD_VERSION (a configuration is taken without comparing versions),
+ * -DTAKE_OTHER_CHANGE (a change of the configuration is taken whatever version it was made for).
  */
 #define MAX_REVISION 3
 #define FOLLOWERS 2
@@ -36,6 +40,7 @@
 bool hasA = false;
 bool hasB = false;
 byte version = 0;
+byte content = 0;              /* a bit for each version whose changes the configuration holds */
 byte newestVersion = 0;        /* greatest version that it had in this life */
 byte newestRevision = 0;
 
@@ -54,7 +59,22 @@
   fi
 }
 
+/* What a configuration holds that has all changes up to a version. */
+#define CONTENT(v) ((1 << (v)) - 1)
+
+inline takeChange(from, to) {
+  if
+#ifdef TAKE_OTHER_CHANGE
+  :: to > version -> content = content | (CONTENT(to) & ~CONTENT(from)); version = to
+#else
+  :: from == version && to > version -> content = content | (CONTENT(to) & ~CONTENT(from)); version = to
+#endif
+  :: else
+  fi
+}
+
 inline takeNotice(from, to) {
+  takeChange(from, to);
   if
 #ifdef TAKE_GAP
   :: to > revision -> takeChanges(from, to)
@@ -92,9 +112,9 @@
 inline takeVersion(v) {
   if
 #ifdef TAKE_OLD_VERSION
-  :: true -> version = v
+  :: true -> version = v; content = CONTENT(v)
 #else
-  :: v > version -> version = v
+  :: v > version -> version = v; content = CONTENT(v)
   :: else
 #endif
   fi
@@ -105,6 +125,7 @@
   assert(hasB == LISTED_B(revision));
   assert(revision >= newestRevision);
   assert(version >= newestVersion);
+  assert(content == CONTENT(version));
   newestRevision = revision;
   newestVersion = version
 }
@@ -158,7 +179,7 @@
        :: versions ? to
        :: empty(notices0) && empty(notices1) && empty(lists) && empty(versions) -> break
        od;
-       revision = 0; version = 0; newestRevision = 0; newestVersion = 0;
+       revision = 0; version = 0; content = 0; newestRevision = 0; newestVersion = 0;
        hasA = false; hasB = false; from = 0; to = 0
      }
   od
