A change of the configuration may begin at any version that the box had

Change: a change is applied to the version that it names, if that is among the last 32 of the box; the digest proves the result.

--- a/packages/router/src/__tests__/configurationChange.test.ts
+++ b/packages/router/src/__tests__/configurationChange.test.ts
@@ -88,7 +88,7 @@
     limits,
   };
   const after = { ...before, version: 2, routes: [route('a', 1), route('b', 2)] };
-  const shared = shareRecords(digest, before, after);
+  const shared = shareRecords(before, after);
   expect(shared).toEqual(after);
   expect(shared.routes[0]).toBe(before.routes[0]);
   expect(shared.routes[1]).toBe(after.routes[1]);
--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -239,6 +239,17 @@
   expect(box.state.index?.configuration).toEqual(follower.state.index?.configuration);
 });
 
+test('a change that begins at an earlier version of the box serves as well: followers see different versions', () => {
+  const first = followVersions(4).notices[0] as FeedNotice;
+  const second = followVersions(3).notices[0] as FeedNotice;
+  box.relay.handleNotice(second);
+  expect(box.state.configurationVersion).toBe(3);
+  box.relay.handleNotice(first);
+  expect(first.configurationChange?.from).toBe(1);
+  expect(box.state.configurationVersion).toBe(4);
+  expect(box.sent).toEqual([]);
+});
+
 test('a change too large for a notice is read from the platform at once', () => {
   const { notices } = followVersions(100);
   expect(notices[0]?.configurationChange).toBeUndefined();
--- a/packages/router/src/systems/configurationChange.ts
+++ b/packages/router/src/systems/configurationChange.ts
@@ -2,6 +2,7 @@
  * The difference between two configurations. Operators publish whole files, but most changes touch a few records: boxes
  * pass on what changed, name both versions, and check by a digest that they arrived at the same records.
  */
+import { isDeepStrictEqual } from 'node:util';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
 import type { CallerLimits, FleetConfiguration, Route, Service, Team } from '../records.js';
@@ -61,14 +62,6 @@
     return this.list(configuration).reduce((sum, { chars }) => sum + chars, 0);
   }
 
-  /** Whether two records are the same. */
-  isSame(a: object, b: object): boolean {
-    if (a === b) return true;
-    const first = this.inspect(a);
-    const second = this.inspect(b);
-    return first.hash === second.hash && first.chars === second.chars;
-  }
-
   private list(configuration: FleetConfiguration): { readonly hash: number; readonly chars: number }[] {
     const { routes, services, teams } = configuration;
     return [...routes, ...services, ...(teams ?? [])].map((record) => this.inspect(record));
@@ -103,9 +96,9 @@
     from: before.version,
     version: after.version,
     digest: digest.read(after),
-    routes: diffRecords(digest, before.routes, after.routes),
-    services: diffRecords(digest, before.services, after.services),
-    teams: after.teams === undefined ? undefined : diffRecords(digest, before.teams ?? [], after.teams),
+    routes: diffRecords(before.routes, after.routes),
+    services: diffRecords(before.services, after.services),
+    teams: after.teams === undefined ? undefined : diffRecords(before.teams ?? [], after.teams),
     limits: after.limits,
   };
 }
@@ -127,17 +120,13 @@
   return digest.read(after) === change.digest ? Ok(after) : Err('otherDigest');
 }
 
-function diffRecords<T extends NamedRecord>(
-  digest: ConfigurationDigest,
-  before: readonly T[],
-  after: readonly T[],
-): RecordChanges<T> {
+function diffRecords<T extends NamedRecord>(before: readonly T[], after: readonly T[]): RecordChanges<T> {
   const known = new Map(before.map((record) => [record.name, record]));
   const kept = new Set(after.map((record) => record.name));
   return {
     written: after.filter((record) => {
       const old = known.get(record.name);
-      return old === undefined || !digest.isSame(old, record);
+      return old === undefined || !isDeepStrictEqual(old, record);
     }),
     removed: before.filter((record) => !kept.has(record.name)).map((record) => record.name),
   };
@@ -154,27 +143,19 @@
  * The same configuration, with the records that an earlier one has as well taken from there: they are kept once, and
  * finding what changed costs one look a record.
  */
-export function shareRecords(
-  digest: ConfigurationDigest,
-  before: FleetConfiguration,
-  after: FleetConfiguration,
-): FleetConfiguration {
+export function shareRecords(before: FleetConfiguration, after: FleetConfiguration): FleetConfiguration {
   return {
     ...after,
-    routes: shareList(digest, before.routes, after.routes),
-    services: shareList(digest, before.services, after.services),
-    teams: after.teams === undefined ? undefined : shareList(digest, before.teams ?? [], after.teams),
+    routes: shareList(before.routes, after.routes),
+    services: shareList(before.services, after.services),
+    teams: after.teams === undefined ? undefined : shareList(before.teams ?? [], after.teams),
   };
 }
 
-function shareList<T extends NamedRecord>(
-  digest: ConfigurationDigest,
-  before: readonly T[],
-  after: readonly T[],
-): T[] {
+function shareList<T extends NamedRecord>(before: readonly T[], after: readonly T[]): T[] {
   const known = new Map(before.map((record) => [record.name, record]));
   return after.map((record) => {
     const old = known.get(record.name);
-    return old !== undefined && digest.isSame(old, record) ? old : record;
+    return old !== undefined && isDeepStrictEqual(old, record) ? old : record;
   });
 }
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -133,18 +133,18 @@
   adoptConfiguration(configuration: FleetConfiguration, source: ValueSource): void {
     const current = this.currentIndex?.configuration;
     if (current !== undefined && configuration.version <= current.version) return;
-    this.install(
-      current === undefined ? configuration : shareRecords(this.digest, current, configuration),
-      source,
-    );
+    this.install(current === undefined ? configuration : shareRecords(current, configuration), source);
   }
 
-  /** Takes over what a peer says changed in the configuration; older changes are passed over. */
+  /**
+   * Takes over what a peer says changed in the configuration; older changes are passed over. The change may begin at any
+   * version that was in force here: followers that cover for each other do not see the same versions.
+   */
   adoptChange(change: ConfigurationChange): Result<void, ChangeFailure> {
-    const current = this.currentIndex?.configuration;
-    if (current === undefined) return Err('otherVersion');
-    if (change.version <= current.version) return Ok(undefined);
-    const applied = applyConfigurationChange(this.digest, current, change);
+    if (change.version <= this.configurationVersion) return Ok(undefined);
+    const before = this.configurations.find((kept) => kept.version === change.from);
+    if (before === undefined) return Err('otherVersion');
+    const applied = applyConfigurationChange(this.digest, before, change);
     if (applied.err) return applied;
     this.install(applied.val, 'peer');
     return Ok(undefined);
