--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,7 +1,8 @@
 /**
- * Spreads loads. In a small fleet heartbeats carry them to every box. In a larger one each box tells its loads to two
- * speakers of its hall; these tell the hall's sum to the speakers of the other halls and the fleet's sum to the boxes of
- * their own, so that a box sends and reads a few frames a second whatever the size of the fleet.
+ * Spreads loads, and with them what boxes learned of the homes of prompts. In a small fleet heartbeats carry both to
+ * every box. In a larger one each box tells its loads to two speakers of its hall; these tell the hall's sum to the
+ * speakers of the other halls and the fleet's sum to the boxes of their own, so that a box sends and reads a few frames a
+ * second whatever the size of the fleet.
  */
 import type { LoadList } from '../systems/loadExchange.js';
 import { addLoads, applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
--- a/packages/router/src/systems/configurationChange.ts
+++ b/packages/router/src/systems/configurationChange.ts
@@ -31,7 +31,7 @@
 
 /** Why a change cannot be used. */
 export type ChangeFailure =
-  /** It does not begin at the configuration in force. */
+  /** It begins at a version that the box never had, or no longer keeps. */
   | 'otherVersion'
   /** It leads to other records than its sender has. */
   | 'otherDigest';
