--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -163,3 +163,27 @@
   near.inFlight = 6;
   expect(placement.choose(plain, NOW_MS)?.row).toBe(far);
 });
+
+test('names of services and halls decide nothing', () => {
+  const decide = (service: string, halls: readonly [string, string]): string[] => {
+    const { table } = createTable(0);
+    for (let at = 0; at < 12; at += 1) {
+      table.upsert(createListing(`e${at}`, { service, hall: halls[at % 2] ?? '' }), 0);
+    }
+    const placement = new Placement(
+      table,
+      hasher,
+      halls[0],
+      () => 0.5,
+      new PromptHomes(),
+      () => 'direct',
+    );
+    return Array.from({ length: 200 }, (_, at) => {
+      const request = at % 3 === 0 ? { ...ask('p'), promptParts: [] } : ask(`p${at % 17}`);
+      const choice = placement.choose({ ...request, service }, NOW_MS);
+      if (choice !== undefined) choice.row.inFlight += 1;
+      return `${choice?.row.listing.id} from ${choice?.cacheSource?.listing.id}`;
+    });
+  };
+  expect(decide('other', ['north', 'south'])).toEqual(decide('llm', ['a', 'b']));
+});
