--- a/packages/soak/src/__tests__/linkProxy.test.ts
+++ b/packages/soak/src/__tests__/linkProxy.test.ts
@@ -60,6 +60,17 @@
   await waitUntil(() => atClient.length > 0);
 });
 
+test('bytes keep their order when a delay ends', async () => {
+  link.setFault({ type: 'delay', delayMs: 200 });
+  client.write('first ');
+  // Enough for the link to have read it, and less than its delay.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  link.setFault({ type: 'none' });
+  client.write('second');
+  await waitUntil(() => atServer.join('').length === 'first second'.length);
+  expect(atServer.join('')).toBe('first second');
+});
+
 test('a reset reaches the client', async () => {
   client.write('there');
   await waitUntil(() => atClient.length > 0);
--- a/packages/soak/src/linkProxy.ts
+++ b/packages/soak/src/linkProxy.ts
@@ -18,8 +18,13 @@
   readonly from: Socket;
   readonly to: Socket;
   readonly side: 'toServer' | 'toClient';
+  /** What is under way, one after the other: a link delays bytes and never reorders them. */
+  underWay: Promise<void>;
+  underWayCount: number;
 }
 
+const NOTHING_UNDER_WAY = { underWay: Promise.resolve(), underWayCount: 0 };
+
 /** One link; the server behind it may move. */
 export class LinkProxy {
   private current: LinkFault = { type: 'none' };
@@ -59,8 +64,8 @@
   private accept(client: Socket): void {
     if (this.current.type === 'refuse') return void client.resetAndDestroy();
     const server = connect(this.serverPort, '127.0.0.1');
-    this.forward({ from: client, to: server, side: 'toServer' });
-    this.forward({ from: server, to: client, side: 'toClient' });
+    this.forward({ from: client, to: server, side: 'toServer', ...NOTHING_UNDER_WAY });
+    this.forward({ from: server, to: client, side: 'toClient', ...NOTHING_UNDER_WAY });
   }
 
   private forward(direction: Direction): void {
@@ -78,8 +83,16 @@
 
   private pass(direction: Direction, deliver: () => void): void {
     const send = (): void => void (direction.to.destroyed || deliver());
-    if (this.current.type === 'delay') setTimeout(send, this.current.delayMs);
-    else send();
+    const delayMs = this.current.type === 'delay' ? this.current.delayMs : 0;
+    if (delayMs === 0 && direction.underWayCount === 0) return send();
+    const dueAtMs = performance.now() + delayMs;
+    direction.underWayCount += 1;
+    direction.underWay = direction.underWay
+      .then(() => pause(dueAtMs - performance.now()))
+      .then(() => {
+        direction.underWayCount -= 1;
+        send();
+      });
   }
 
   private applyFault({ from, side }: Direction): void {
@@ -88,6 +101,10 @@
   }
 }
 
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
+}
+
 function isHeld(fault: LinkFault, side: Direction['side']): boolean {
   switch (fault.type) {
     case 'silence':
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,3 +11,5 @@
 npm test
 npm run --silent build:box
 npm run --silent soak -- --seeds 1 --from 1 --seconds 8
+# A seed that failed: the proxy of the soak passed bytes out of their order when a delay ended (mended there).
+npm run --silent soak -- --seeds 1 --from 301
