--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -65,8 +65,7 @@
   /** A box of the hall tells its loads to this speaker. */
   handleBoxLoads(frame: BoxLoads): void {
     this.options.homes.learn(frame.homes);
-    this.keepHomes(frame.homes, this.hallHomes);
-    this.keepHomes(frame.homes, this.fleetHomes);
+    this.keepHomesForAll(frame.homes);
     this.boxes.note(frame.address, frame.loads, this.options.now());
   }
 
@@ -91,6 +90,12 @@
     return mesh.isFlat || this.findPlace() === 0 ? homes.listNewest(MAX_HOMES_ON_NEW_LINK) : [];
   }
 
+  /** What a box of this hall learned is told at home and to the other halls. */
+  private keepHomesForAll(homes: HomeList): void {
+    this.keepHomes(homes, this.hallHomes);
+    this.keepHomes(homes, this.fleetHomes);
+  }
+
   /** Keeps homes for the next sums; a box that does not speak keeps the newest, in case that it has to. */
   private keepHomes(homes: HomeList, kept: number[]): void {
     kept.push(...homes);
@@ -109,8 +114,7 @@
     const { mesh, table, hall, homes } = this.options;
     this.toldLoads = listOwnLoads(table);
     const news = homes.takeUntold(MAX_KEPT_PAIRS);
-    this.keepHomes(news, this.hallHomes);
-    this.keepHomes(news, this.fleetHomes);
+    this.keepHomesForAll(news);
     const frame: BoxLoads = {
       type: 'boxLoads',
       address: mesh.address,
--- a/packages/soak/src/linkProxy.ts
+++ b/packages/soak/src/linkProxy.ts
@@ -1,6 +1,7 @@
 /** A loopback proxy in front of one server, with the faults of a link. */
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { pause } from '@hazelwalk/standins';
 
 /** What a link does to its bytes. */
 export type LinkFault =
@@ -88,7 +89,7 @@
     const dueAtMs = performance.now() + delayMs;
     direction.underWayCount += 1;
     direction.underWay = direction.underWay
-      .then(() => pause(dueAtMs - performance.now()))
+      .then(() => pause(Math.max(0, dueAtMs - performance.now())))
       .then(() => {
         direction.underWayCount -= 1;
         send();
@@ -101,10 +102,6 @@
   }
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
-
 function isHeld(fault: LinkFault, side: Direction['side']): boolean {
   switch (fault.type) {
     case 'silence':
