Links within the hall and to speakers only; a ring of probes finds boxes that do nothing for others

Cause: every box linked to every other and heartbeats slowed down with the fleet. At 195 boxes: 194 links made and as many accepted by each box, a heartbeat in 11.7 s, a box without power or behind a cut counted as alive for 35 s. A hall or a box that was cut off for more than 30 s had forgotten the others, seeds included, and addresses of boxes that were gone were passed on by hearsay for ever.

Change: membership/fleetDirectory decides who needs a link to whom (own hall; three boxes of each hall also link to those of the other halls), membership/failureDetector finds in about two seconds who gives no sign of life (SWIM on a ring of the hall, with local health of Lifeguard), peers/peerLinks and peerTransport hold the sockets. Both deciders are without sockets and clock. Other halls are known by a count and by their speakers, with the age of that knowledge.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -5,11 +5,13 @@
   modulePathIgnorePatterns: ['/dist/'],
   testMatch: ['**/__tests__/**/*.test.ts'],
   transform: {
-    '^.+\\.ts$': [
+    '^.+\\.[tj]s$': [
       '@swc/jest',
       { jsc: { target: 'es2022', parser: { syntax: 'typescript' } }, module: { type: 'commonjs' } },
     ],
   },
+  // Published as ESM only.
+  transformIgnorePatterns: ['/node_modules/(?!tinyqueue/)'],
   moduleNameMapper: {
     '^(\\.{1,2}/.*)\\.js$': '$1',
     '^@hazelwalk/platform/standins$': '<rootDir>/platform/src/standins/index.ts',
--- a/packages/measure/src/coreDriver.ts
+++ b/packages/measure/src/coreDriver.ts
@@ -15,11 +15,10 @@
 import { parseBoxList, parseEndpointList } from '@hazelwalk/config';
 import { encodeFrame } from '@hazelwalk/wire';
 import { EngineFleet } from './fleet.js';
-import { createRandom } from '@hazelwalk/standins';
+import { createRandom, Timeline } from '@hazelwalk/standins';
 import type { Arrival, Scenario } from './scenario.js';
 import { CHURN, LIST_LAG_MS } from './scenario.js';
 import { Tally } from './tally.js';
-import { Timeline } from './timeline.js';
 
 const TICK_MS = 50;
 const SAMPLE_MS = 1_000;
--- a/packages/measure/src/oracle.ts
+++ b/packages/measure/src/oracle.ts
@@ -3,11 +3,11 @@
  * against what it reaches.
  */
 import { EngineFleet } from './fleet.js';
+import { Timeline } from '@hazelwalk/standins';
 import type { Arrival, Scenario } from './scenario.js';
 import { CHURN } from './scenario.js';
 import type { SimulatedEngine } from './simulatedEngine.js';
 import { Tally } from './tally.js';
-import { Timeline } from './timeline.js';
 
 const SAMPLE_MS = 1_000;
 
--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -45,6 +45,7 @@
   endpointsRevision: 10,
   loads: [],
   homes: [],
+  incarnation: 1,
   isStopping: false,
   ...changes,
 });
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -28,6 +28,7 @@
   endpointsRevision: 1,
   loads: requests === 0 ? [] : [TAG, requests],
   homes: [],
+  incarnation: 1,
   isStopping: false,
 });
 
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -3,6 +3,7 @@
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrames.js';
 import { PeerMesh } from '../peers/peerMesh.js';
+import { TcpTransport } from '../peers/peerTransport.js';
 
 const meshes: PeerMesh[] = [];
 const timers: NodeJS.Timeout[] = [];
@@ -28,6 +29,7 @@
   endpointsRevision: 9,
   loads: [4_000_000_000, 2],
   homes: [],
+  incarnation: 1,
   isStopping: false,
 });
 
@@ -39,10 +41,21 @@
 ): Promise<PeerMesh> {
   const handlers = {
     createHeartbeat: () => createHeartbeat(knownAs ?? mesh.address),
+    onRead: () => {},
     onFrame: (frame: PeerFrame) => void heard.push(frame),
     onProblem: () => {},
+    onStanding: () => {},
   };
-  const mesh: PeerMesh = new PeerMesh(seeds, handlers, () => performance.now());
+  const options = {
+    hall: 'mixco',
+    seeds,
+    transport: new TcpTransport(),
+    now: () => performance.now(),
+    random: Math.random,
+    rank: (address: string) => Number(address.split(':')[1]),
+    firstIncarnation: 1,
+  };
+  const mesh: PeerMesh = new PeerMesh(options, handlers);
   meshes.push(mesh);
   await mesh.listen('127.0.0.1', port);
   timers.push(setInterval(() => mesh.broadcast(createHeartbeat(knownAs ?? mesh.address)), 20));
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -2,21 +2,21 @@
  * A box of the fleet: tables, the systems that run over them, and the adapters around them, on one loop.
  */
 import { createHasher, SynchronousSource } from '@hazelwalk/core';
-import type { Problem, Result } from '@hazelwalk/core';
 import { Stream } from 'most';
-import type { HttpDialect } from './httpDialect.js';
 import { DecisionLog } from './observability/decisionLog.js';
 import { RouterMetrics } from './observability/metrics.js';
-import type { Heartbeat, PeerFrame } from './peers/peerFrames.js';
+import type { Heartbeat, RouterFrame } from './peers/peerFrames.js';
 import { FeedRelay } from './peers/feedRelay.js';
 import { LoadRelay } from './peers/loadRelay.js';
 import { PeerMesh } from './peers/peerMesh.js';
+import { TcpTransport } from './peers/peerTransport.js';
 import { PeerValues } from './peers/peerValues.js';
 import { CallerServer } from './proxy/callerServer.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
 import type { Exchange } from './proxy/exchange.js';
-import type { FleetConfiguration, ListedEndpoint } from './records.js';
+import type { ListedEndpoint } from './records.js';
 import type { RouterContext } from './routerContext.js';
+import type { FleetRouterOptions, RouterInput } from './routerOptions.js';
 import type { HealthSign, StandingChange } from './systems/endpointHealth.js';
 import { isUsable, noteSign } from './systems/endpointHealth.js';
 import type { FeedDuty } from './systems/feedDuty.js';
@@ -27,7 +27,6 @@
 import { PromptHomes } from './systems/promptHomes.js';
 import { Placement } from './systems/placement.js';
 import { Reachability } from './systems/reachability.js';
-import type { RetryBound } from './systems/retryBudget.js';
 import { RetryBudget } from './systems/retryBudget.js';
 import type { EndpointRow } from './tables/endpointTable.js';
 import { EndpointTable } from './tables/endpointTable.js';
@@ -48,36 +47,6 @@
 /** Homes of prompts told in one heartbeat; in a steady state there are next to none to tell. */
 const MAX_TOLD_HOMES = 256;
 
-/** What drives the loop. */
-export type RouterInput =
-  | { readonly type: 'tick' }
-  /** The platform told what is new since the last time. */
-  | { readonly type: 'published'; readonly publication: Publication }
-  /** The platform told the configuration alone. */
-  | { readonly type: 'configurationPublished'; readonly text: string }
-  | { readonly type: 'feedLost'; readonly reason: string }
-  | { readonly type: 'peerFrame'; readonly frame: PeerFrame }
-  | { readonly type: 'stopRequested' };
-
-/** How a box is set up. Times in milliseconds. */
-export interface FleetRouterOptions {
-  readonly boxId: string;
-  readonly hall: string;
-  /** Bandwidth of the box's link. */
-  readonly linkMbps: number;
-  readonly callerAddress: { readonly host: string; readonly port: number };
-  readonly peerAddress: { readonly host: string; readonly port: number };
-  readonly seedAddresses: readonly string[];
-  readonly retryBound: RetryBound;
-  /** A published change has to be in force after this. */
-  readonly applyBoundMs: number;
-  /** A stopping process is killed after this. */
-  readonly stopGraceMs: number;
-  readonly dialect: HttpDialect;
-  /** Reads a published configuration. */
-  readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
-}
-
 /** A running box. */
 export class FleetRouter {
   readonly metrics = new RouterMetrics();
@@ -132,13 +101,22 @@
       this.noteStanding(row, change, because),
     );
     this.mesh = new PeerMesh(
-      options.seedAddresses,
+      {
+        hall: options.hall,
+        seeds: options.seedAddresses,
+        transport: new TcpTransport(),
+        now,
+        random: Math.random,
+        rank: (address) => hash(address),
+        firstIncarnation: Date.now(),
+      },
       {
         createHeartbeat: () => this.createHeartbeat(this.loads.listHomesForNewLink()),
+        onRead: (type) => this.metrics.peerFrames.inc({ type }),
         onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
         onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
+        onStanding: (address, standing, because) => this.notePeerStanding(address, standing, because),
       },
-      now,
     );
     const { mesh, state } = this;
     const { applyBoundMs, hall, linkMbps } = options;
@@ -281,6 +259,7 @@
     this.tickedAtMs = nowMs;
     if (sinceTickMs > STALL_MS) return this.handleStall(sinceTickMs);
     this.state.tick(nowMs);
+    this.mesh.tick();
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
     this.loads.tick();
@@ -316,19 +295,16 @@
       endpointsRevision: this.state.endpointsRevision,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       homes: [...homes],
+      incarnation: this.mesh.incarnation,
       isStopping: this.stopRequestedAtMs !== undefined,
     };
   }
 
-  private handlePeerFrame(frame: PeerFrame): void {
-    this.metrics.peerFrames.inc({ type: frame.type });
+  private handlePeerFrame(frame: RouterFrame): void {
     switch (frame.type) {
       case 'heartbeat':
         this.homes.learn(frame.homes);
         return this.peerValues.noteHeartbeat(frame);
-      case 'heartbeatHeard':
-        // Counts for the link that it came on, which the mesh has noted.
-        return;
       case 'feedNotice':
         return this.relay.handleNotice(frame);
       case 'boxLoads':
@@ -392,6 +368,11 @@
     });
   }
 
+  private notePeerStanding(address: string, standing: 'down' | 'up', because: string): void {
+    this.metrics.peerStandings.inc({ standing });
+    this.log.write('notable', 'boxStanding', { address, standing, because, boxes: this.mesh.countBoxes() });
+  }
+
   private handleStopRequested(): void {
     if (this.stopRequestedAtMs !== undefined) return;
     this.stopRequestedAtMs = this.now();
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,6 +2,7 @@
 export * from './fleetRouter.js';
 export * from './httpDialect.js';
 export * from './records.js';
+export * from './routerOptions.js';
 export { Client } from './proxy/httpClient.js';
 export type { EndpointChange } from './systems/endpointDirectory.js';
 export type { FeedDuty } from './systems/feedDuty.js';
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -34,6 +34,8 @@
   readonly platformCalls = this.counter('platform_calls', 'Calls to the platform', ['outcome']);
   /** Heartbeats and other frames from peers. */
   readonly peerFrames = this.counter('peer_frames', 'Frames from peers', ['type']);
+  /** Boxes of the own hall found to be down, and back. */
+  readonly peerStandings = this.counter('peer_standings', 'Changes of standing of boxes', ['standing']);
   /** Log lines left out to bound their volume. */
   readonly suppressedLines = this.counter('log_lines_suppressed', 'Log lines left out', ['event']);
   /** Version of the configuration in force. */
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -43,8 +43,8 @@
   loads: z.array(z.number()),
   /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
   homes: z.array(z.number()),
-  /** Addresses of other boxes; not in every heartbeat. */
-  knownAddresses: z.array(z.string()).optional(),
+  /** Number of the sender's life: grows whenever the box starts, or objects to being held for down. */
+  incarnation: z.number(),
   /** The sender is stopping. */
   isStopping: z.boolean(),
 });
@@ -52,6 +52,72 @@
   /** Sent back on the link that the heartbeat came on: proof that this link still carries something. */
   type: z.literal('heartbeatHeard'),
 });
+/** What a box knows of a hall other than the reader's. */
+const hallView = z.object({
+  hall: z.string(),
+  /** Boxes of that hall, as its own speaker counted them. */
+  boxes: z.number(),
+  /** Boxes of that hall to turn to: its speakers; in a small fleet all that are known. */
+  addresses: z.array(z.string()),
+  /** How long ago a box of that hall said so. */
+  ageMs: z.number(),
+});
+const introduction = z.object({
+  /** Who else is there: told to a box that joins, or that knows of fewer boxes. */
+  type: z.literal('introduction'),
+  /** Address and hall of the sender. */
+  address: z.string(),
+  hall: z.string(),
+  /** Boxes of the reader's hall of which the sender heard lately. */
+  members: z.array(z.string()),
+  halls: z.array(hallView),
+});
+const hallSummary = z.object({
+  /** The speaker of a hall tells those of the others how many its hall has and who speaks for it. */
+  type: z.literal('hallSummary'),
+  hall: z.string(),
+  boxes: z.number(),
+  /** Speakers of the hall, first the one that speaks. */
+  addresses: z.array(z.string()),
+});
+const probe = z.object({
+  /** Asks for a sign of life. */
+  type: z.literal('probe'),
+  /** Address of the box that asks. */
+  address: z.string(),
+  sequence: z.number(),
+  incarnation: z.number(),
+});
+const probeHeard = z.object({
+  type: z.literal('probeHeard'),
+  /** Address of the box that answered. */
+  address: z.string(),
+  /** Of the probe that is answered, as the reader numbered it. */
+  sequence: z.number(),
+  incarnation: z.number(),
+  /** The answer came to another box, which passes it on. */
+  isRelayed: z.boolean(),
+});
+const probeRequest = z.object({
+  /** Asks the reader to probe a box of which the sender hears nothing. */
+  type: z.literal('probeRequest'),
+  address: z.string(),
+  target: z.string(),
+  sequence: z.number(),
+});
+const boxDown = z.object({
+  /** A box of the hall gives no sign of life. */
+  type: z.literal('boxDown'),
+  address: z.string(),
+  /** Number of the life that has ended; a later one is not meant. */
+  incarnation: z.number(),
+});
+const boxUp = z.object({
+  /** The sender objects to being held for down. */
+  type: z.literal('boxUp'),
+  address: z.string(),
+  incarnation: z.number(),
+});
 const valueRequest = z.object({
   type: z.literal('valueRequest'),
   value: z.enum(['configuration', 'endpoints']),
@@ -124,6 +190,13 @@
 const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
   heartbeatHeard,
+  introduction,
+  hallSummary,
+  probe,
+  probeHeard,
+  probeRequest,
+  boxDown,
+  boxUp,
   valueRequest,
   configurationValue,
   configurationDifference,
@@ -136,6 +209,22 @@
 
 /** A box's sign of life. */
 export type Heartbeat = z.infer<typeof heartbeat>;
+/** What a box knows of another hall. */
+export type HallView = z.infer<typeof hallView>;
+/** Who else is there. */
+export type Introduction = z.infer<typeof introduction>;
+/** How many boxes a hall has, and who speaks for it. */
+export type HallSummary = z.infer<typeof hallSummary>;
+/** A question for a sign of life. */
+export type Probe = z.infer<typeof probe>;
+/** The answer to a probe. */
+export type ProbeHeard = z.infer<typeof probeHeard>;
+/** A question to probe another box. */
+export type ProbeRequest = z.infer<typeof probeRequest>;
+/** Says that a box gives no sign of life. */
+export type BoxDown = z.infer<typeof boxDown>;
+/** Says that the sender is not down. */
+export type BoxUp = z.infer<typeof boxUp>;
 /** What changed in the configuration, told to a box that has an earlier version. */
 export type ConfigurationDifference = z.infer<typeof configurationDifference>;
 /** A question for a published value. */
@@ -151,6 +240,28 @@
 /** A frame between boxes. */
 export type PeerFrame = z.infer<typeof peerFrame>;
 
+/** Types of the frames about who is in the fleet and who is up. */
+const MEMBERSHIP_TYPES = [
+  'heartbeatHeard',
+  'introduction',
+  'hallSummary',
+  'probe',
+  'probeHeard',
+  'probeRequest',
+  'boxDown',
+  'boxUp',
+] as const satisfies readonly PeerFrame['type'][];
+
+/** A frame about who is in the fleet and who is up. */
+export type MembershipFrame = Extract<PeerFrame, { type: (typeof MEMBERSHIP_TYPES)[number] }>;
+/** A frame about anything else; heartbeats are about both. */
+export type RouterFrame = Exclude<PeerFrame, MembershipFrame>;
+
+/** Whether a frame is about membership alone. */
+export function isMembershipFrame(frame: PeerFrame): frame is MembershipFrame {
+  return (MEMBERSHIP_TYPES as readonly string[]).includes(frame.type);
+}
+
 /** Fields travel as numbers: a heartbeat goes to every box several times a second. Numbers are never used again. */
 const FIELD_NUMBERS = {
   type: 1,
@@ -159,12 +270,14 @@
   configurationVersion: 4,
   endpointsRevision: 5,
   loads: 6,
-  knownAddresses: 7,
+  incarnation: 7,
   isStopping: 8,
   feed: 9,
   boxes: 10,
   linkMbps: 11,
   homes: 12,
+  sequence: 13,
+  isRelayed: 14,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -1,59 +1,64 @@
 /**
- * Links to the other boxes. Each box sends on the links it made and hears on those made to it. Boxes find each other
- * from a few seed addresses: heartbeats carry the addresses that their sender knows.
+ * Links to the other boxes. Each box sends on the links it made and hears on those made to it; an answer comes back on
+ * the link of its question. The directory decides who needs a link to whom, the failure detector who is down.
  */
-import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Problem } from '@hazelwalk/core';
-import type { Heartbeat, PeerFrame } from './peerFrames.js';
-import { encodePeerFrame, PeerFrameReader } from './peerFrames.js';
+import type { DetectorEffect } from '../membership/failureDetector.js';
+import { FailureDetector } from '../membership/failureDetector.js';
+import { FleetDirectory } from '../membership/fleetDirectory.js';
+import type { Heartbeat, MembershipFrame, PeerFrame, RouterFrame } from './peerFrames.js';
+import { encodePeerFrame, isMembershipFrame } from './peerFrames.js';
+import { PeerLinks } from './peerLinks.js';
+import type { ConnectionEvents, PeerConnection, PeerTransport } from './peerTransport.js';
 
 /** Pace of heartbeats in a small fleet. */
 const HEARTBEAT_MS = 300;
 /** Heartbeats slow down with the boxes that get them, so that a box's control traffic does not grow with the fleet. */
 const HEARTBEAT_MS_PER_BOX = 30;
-/** In a larger fleet heartbeats only say that a box is there and what it knows; loads travel by `LoadRelay`. */
-const MAX_FLAT_BOXES = 16;
-/** Pace of these sparse heartbeats, for each box and at least: a broken link says sooner that a box is gone. */
+/** Pace of the sparse heartbeats of a larger fleet, for each box that gets them and at least. */
 const SPARSE_HEARTBEAT_MS_PER_BOX = 60;
 const SPARSE_HEARTBEAT_MS = 5_000;
 /** A peer that missed so many heartbeats no longer counts its load, and its link is made anew. */
 const MISSED_HEARTBEATS = 8;
 const MISSED_SPARSE_HEARTBEATS = 3;
-/**
- * A peer unheard for this long no longer counts as a box of the fleet. Longer than halls are cut off from each other
- * for a moment: the retry budget is shared by all boxes, also by those that cannot be heard.
- */
-const MEMBER_LIFE_MS = 120_000;
-/** An address that gave no sign for this long is forgotten. */
-const ADDRESS_LIFE_MS = 30_000;
-/** Pace of attempts to reach a peer. */
-const REDIAL_MS = 1_000;
-/** A link that takes no bytes for so many unsent ones is stuck. */
-const MAX_UNSENT_BYTES = 262_144;
-/** Every so many heartbeats one peer is told the known addresses, also if it knows as many others. */
-const ADDRESSES_EVERY = 8;
-/** One peer that knows fewer boxes is told the addresses in this time: news spread in seconds and cost little. */
+/** What a peer that is silent for so long said last is forgotten. */
+const PEER_LIFE_MS = 120_000;
+/** Pace at which links are made and dropped where no news says so at once. */
+const MAINTAIN_MS = 250;
+/** Every so many heartbeats one peer is told who is there, also if it knows of as many others. */
+const INTRODUCE_EVERY = 8;
+/** A summary goes out whenever the speakers change, and with every so many heartbeats, so that its age tells little. */
+const SUMMARY_EVERY = 4;
+/** One peer that knows fewer boxes is told of the others in this time: news spread in seconds and cost little. */
 const TELL_MS = 300;
-
-const HEARTBEAT_HEARD = encodePeerFrame({ type: 'heartbeatHeard' });
-
-interface PeerLink {
-  readonly address: string;
-  socket: Socket | undefined;
-  dialledAtMs: number;
-  /** When the peer was last heard, on whatever link. */
-  heardAtMs: number;
-  /** When the peer last confirmed a heartbeat on this link. */
-  confirmedAtMs: number;
-}
+/** A change of other halls is told to the own hall at most this often. */
+const TELL_HALLS_MS = 2_000;
 
 /** What the mesh tells. */
 export interface PeerMeshHandlers {
   /** What to say on a link that just came up. */
   readonly createHeartbeat: () => Heartbeat;
-  readonly onFrame: (frame: PeerFrame) => void;
+  /** Called for every frame that is read. */
+  readonly onRead: (type: PeerFrame['type']) => void;
+  /** Frames that are not about membership, and heartbeats. */
+  readonly onFrame: (frame: RouterFrame) => void;
   readonly onProblem: (problem: Problem) => void;
+  /** A box of the own hall was found to be down, or is back. */
+  readonly onStanding: (address: string, standing: 'down' | 'up', because: string) => void;
+}
+
+/** What the mesh needs to know of its box. */
+export interface PeerMeshOptions {
+  readonly hall: string;
+  readonly seeds: readonly string[];
+  readonly transport: PeerTransport;
+  readonly now: () => number;
+  /** Between 0 and 1. */
+  readonly random: () => number;
+  /** Rank of an address, by which all boxes agree on the speakers of a hall. */
+  readonly rank: (address: string) => number;
+  /** Number of this run of the box, greater than that of earlier ones. */
+  readonly firstIncarnation: number;
 }
 
 /** What is known of a peer that sent a heartbeat. */
@@ -62,41 +67,60 @@
   readonly heardAtMs: number;
 }
 
+type Answer = (frame: PeerFrame) => void;
+
 /** All links of one box. */
 export class PeerMesh {
-  private readonly server: Server;
-  private readonly links = new Map<string, PeerLink>();
   private readonly peers = new Map<string, PeerState>();
-  private readonly accepted = new Set<Socket>();
+  private readonly directory: FleetDirectory;
+  private readonly detector: FailureDetector;
+  private readonly links: PeerLinks;
+  private readonly now: () => number;
   private heartbeatCount = 0;
   private ownAddress = '';
-  private readonly seedCount: number;
-  /** Others come to this box first to learn of the fleet. */
-  private isSeed = false;
-  private toldAddressesAtMs = -Infinity;
-  private isClosed = false;
+  private maintainedAtMs = -Infinity;
+  private introducedAtMs = -Infinity;
+  private toldHallsAtMs = -Infinity;
+  private toldHallsRevision = 0;
+  /** Speakers of the own hall as the other halls were told last. */
+  private toldCandidates = '';
 
   constructor(
-    seeds: readonly string[],
+    private readonly options: PeerMeshOptions,
     private readonly handlers: PeerMeshHandlers,
-    private readonly now: () => number,
   ) {
-    this.server = createServer((socket) => this.acceptLink(socket));
-    this.seedCount = seeds.length;
-    for (const seed of seeds) this.learnAddress(seed);
+    const { hall, seeds, now, rank, random, firstIncarnation, transport } = options;
+    this.now = now;
+    this.detector = new FailureDetector({
+      readAddress: () => this.ownAddress,
+      rank,
+      random,
+      firstIncarnation,
+    });
+    this.directory = new FleetDirectory({
+      hall,
+      seeds,
+      now,
+      rank,
+      isLinked: (address) => this.links.isUp(address),
+      isDown: (address) => this.detector.isDown(address),
+    });
+    this.links = new PeerLinks({
+      transport,
+      now,
+      createGreeting: () => handlers.createHeartbeat(),
+      onFrame: (frame, answer) => this.handleFrame(frame, answer),
+      onProblem: (problem) => handlers.onProblem(problem),
+      isLikelyThere: (address) => this.directory.isLikelyThere(address),
+    });
   }
 
   /** Binds the listener. Rejects if the address is taken. */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        this.ownAddress = `${host}:${(this.server.address() as AddressInfo).port}`;
-        this.forgetOwnAddress();
-        resolve();
-      });
-    });
+  async listen(host: string, port: number): Promise<void> {
+    const { transport } = this.options;
+    this.ownAddress = await transport.listen(host, port, (connection) => this.acceptLink(connection));
+    this.directory.setOwnAddress(this.ownAddress);
+    this.maintainLinks();
   }
 
   /** Address at which this box accepts peers; empty before it is bound. */
@@ -104,16 +128,20 @@
     return this.ownAddress;
   }
 
+  /** Number of this box's life. */
+  get incarnation(): number {
+    return this.detector.incarnation;
+  }
+
   /** Time between two heartbeats. */
   get paceMs(): number {
-    const boxes = this.countBoxes();
-    if (this.isFlat) return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * boxes);
-    return Math.max(SPARSE_HEARTBEAT_MS, SPARSE_HEARTBEAT_MS_PER_BOX * boxes);
+    if (this.isFlat) return Math.max(HEARTBEAT_MS, HEARTBEAT_MS_PER_BOX * this.countBoxes());
+    return Math.max(SPARSE_HEARTBEAT_MS, SPARSE_HEARTBEAT_MS_PER_BOX * this.links.size);
   }
 
   /** Whether the fleet is small enough for every box to tell every other its loads. */
   get isFlat(): boolean {
-    return this.countBoxes() <= MAX_FLAT_BOXES;
+    return this.directory.isFlat;
   }
 
   /** Peers that were heard lately. */
@@ -122,71 +150,56 @@
     return [...this.peers.values()].filter((peer) => peer.heardAtMs >= leastMs);
   }
 
-  /** Last heartbeats of the fresh peers to which a link is up. */
+  /** Last heartbeats of the fresh peers to which a link is up and that are not down. */
   listLinked(): Heartbeat[] {
     return this.listFresh()
       .map((peer) => peer.heartbeat)
-      .filter((heartbeat) => isUp(this.links.get(heartbeat.address)));
+      .filter(({ address }) => this.links.isUp(address) && !this.detector.isDown(address));
   }
 
   /** Boxes of the fleet, this one included, as far as it knows; seeds count even before they are heard. */
   countBoxes(): number {
-    const leastMs = this.now() - MEMBER_LIFE_MS;
-    let count = 1;
-    for (const peer of this.peers.values()) if (peer.heardAtMs >= leastMs) count += 1;
-    return Math.max(count, this.seedCount);
+    return this.directory.countBoxes();
+  }
+
+  /** Links that this box made or tries to make. */
+  get linkCount(): number {
+    return this.links.size;
+  }
+
+  /** Runs once a tick of the loop. */
+  tick(): void {
+    const nowMs = this.now();
+    if (nowMs - this.maintainedAtMs >= MAINTAIN_MS) this.maintainLinks();
+    if (!this.isFlat) this.apply(this.detector.tick(() => this.listHallLinks(), nowMs));
   }
 
-  /** Sends a heartbeat to all peers. Now and then one of them is told the known addresses: news of a box spread so. */
+  /** Sends a heartbeat to all peers, and what is due beside it. */
   broadcast(heartbeat: Heartbeat): void {
-    this.dialMissing();
-    const packet = encodePeerFrame(heartbeat);
-    for (const link of this.links.values()) this.write(link, packet);
+    this.maintainLinks();
+    this.links.writeToAll(encodePeerFrame(heartbeat));
     this.heartbeatCount += 1;
-    if (this.heartbeatCount % ADDRESSES_EVERY === 1) this.tellAddresses(heartbeat);
+    if (this.heartbeatCount % INTRODUCE_EVERY === 1) this.introduceToOne();
+    if (this.heartbeatCount % SUMMARY_EVERY === 0 && !this.isFlat) this.tellSummary();
   }
 
-  /** Sends a frame to the box at an address. */
+  /** Sends a frame to the box at an address, if there is a link to it. */
   send(address: string, frame: PeerFrame): void {
-    const link = this.links.get(address);
-    if (link !== undefined) this.write(link, encodePeerFrame(frame));
+    if (this.links.isUp(address)) this.links.write(address, encodePeerFrame(frame));
   }
 
   /** Sends a frame to the peers of a hall. */
   sendToHall(hall: string, frame: PeerFrame): void {
     const packet = encodePeerFrame(frame);
     for (const { heartbeat } of this.peers.values()) {
-      const link = this.links.get(heartbeat.address);
-      if (heartbeat.hall === hall && link !== undefined) this.write(link, packet);
+      if (heartbeat.hall === hall) this.links.write(heartbeat.address, packet);
     }
   }
 
   /** Closes all links. */
   close(): void {
-    this.isClosed = true;
-    this.server.close();
-    for (const link of this.links.values()) link.socket?.destroy();
-    for (const socket of this.accepted) socket.destroy();
-  }
-
-  private tellAddresses(heartbeat: Heartbeat): void {
-    const links = [...this.links.values()];
-    const link = links[Math.floor(Math.random() * links.length)];
-    if (link !== undefined) this.write(link, encodePeerFrame(this.addAddresses(heartbeat)));
-  }
-
-  /** Not every box starts with a seed that lives; whoever knows more helps. */
-  private tellIfBehind(heartbeat: Heartbeat): void {
-    const nowMs = this.now();
-    if (heartbeat.boxes >= this.countBoxes() || nowMs - this.toldAddressesAtMs < TELL_MS) return;
-    const link = this.links.get(heartbeat.address);
-    if (link === undefined || !isUp(link)) return;
-    this.toldAddressesAtMs = nowMs;
-    this.write(link, encodePeerFrame(this.addAddresses(this.handlers.createHeartbeat())));
-  }
-
-  private addAddresses(heartbeat: Heartbeat): Heartbeat {
-    return { ...heartbeat, knownAddresses: [...this.links.keys()] };
+    this.links.close();
+    this.options.transport.close();
   }
 
   /** How long a peer counts as heard: so many of its heartbeats may be missed. */
@@ -194,118 +207,144 @@
     return (this.isFlat ? MISSED_HEARTBEATS : MISSED_SPARSE_HEARTBEATS) * this.paceMs;
   }
 
-  private write(link: PeerLink, packet: Buffer): void {
-    const { socket } = link;
-    if (socket === undefined || !isUp(link)) return;
-    if (socket.writableLength > MAX_UNSENT_BYTES) return void socket.destroy();
-    socket.write(packet);
+  /** Boxes of the own hall to which a link is up, also those found to be down. */
+  private listHallLinks(): string[] {
+    const { hall } = this.options;
+    const inHall = [...this.peers.values()].filter(({ heartbeat }) => heartbeat.hall === hall);
+    return inHall.map(({ heartbeat }) => heartbeat.address).filter((address) => this.links.isUp(address));
   }
 
-  /** Seeds may name this box itself. */
-  private forgetOwnAddress(): void {
-    this.isSeed = this.links.delete(this.ownAddress);
+  private maintainLinks(): void {
+    if (this.ownAddress === '') return;
+    const nowMs = this.now();
+    this.maintainedAtMs = nowMs;
+    for (const [address, peer] of this.peers) {
+      if (nowMs - peer.heardAtMs > PEER_LIFE_MS) this.peers.delete(address);
+    }
+    this.links.maintain(new Set(this.directory.listWanted()), this.lifeMs);
+    if (this.isFlat) return;
+    if (this.directory.listCandidates().join() !== this.toldCandidates) this.tellSummary();
+    this.tellHallsIfNew();
   }
 
-  private learnAddress(address: string): void {
-    if (address === this.ownAddress || this.links.has(address)) return;
-    const link: PeerLink = {
-      address,
-      socket: undefined,
-      dialledAtMs: -Infinity,
-      heardAtMs: this.now(),
-      confirmedAtMs: -Infinity,
-    };
-    this.links.set(address, link);
-    if (this.ownAddress !== '') this.dial(link);
+  private introduceToOne(): void {
+    const peers = this.listLinked();
+    const peer = peers[Math.floor(this.options.random() * peers.length)];
+    if (peer !== undefined) this.send(peer.address, this.directory.createIntroduction(peer.hall));
   }
 
-  private dialMissing(): void {
-    const nowMs = this.now();
-    // Counts all peers, so it is read once and not for each link.
-    const { lifeMs } = this;
-    for (const link of this.links.values()) {
-      if (nowMs - link.heardAtMs > ADDRESS_LIFE_MS) this.forget(link);
-      else if (link.socket === undefined && nowMs - link.dialledAtMs >= REDIAL_MS) this.dial(link);
-      else if (isStuck(link, nowMs, lifeMs)) link.socket?.destroy();
+  /** Those that speak for a hall, or may have to, tell the other halls how many its boxes are and who speaks. */
+  private tellSummary(): void {
+    const candidates = this.directory.listCandidates();
+    this.toldCandidates = candidates.join();
+    if (!candidates.includes(this.ownAddress)) return;
+    const summary = this.directory.createSummary();
+    for (const { heartbeat } of this.peers.values()) {
+      if (heartbeat.hall !== this.options.hall) this.send(heartbeat.address, summary);
     }
   }
 
-  private forget(link: PeerLink): void {
-    this.links.delete(link.address);
-    link.socket?.destroy();
+  /** The first box of a hall tells the others what is new of the other halls. */
+  private tellHallsIfNew(): void {
+    const nowMs = this.now();
+    const { hallsRevision } = this.directory;
+    if (hallsRevision === this.toldHallsRevision || nowMs - this.toldHallsAtMs < TELL_HALLS_MS) return;
+    if (this.directory.findPlace() !== 0) return;
+    this.toldHallsAtMs = nowMs;
+    this.toldHallsRevision = hallsRevision;
+    const { hall } = this.options;
+    this.sendToHall(hall, this.directory.createIntroduction(hall));
   }
 
-  private dial(link: PeerLink): void {
-    if (this.isClosed) return;
-    const colon = link.address.lastIndexOf(':');
-    const socket = connect({
-      host: link.address.slice(0, colon),
-      port: Number(link.address.slice(colon + 1)),
-      noDelay: true,
-    });
-    link.dialledAtMs = this.now();
-    link.socket = socket;
-    // A box that just started learns at once what its peers know, and from the seeds who they are.
-    socket.on('connect', () => {
-      const heartbeat = this.handlers.createHeartbeat();
-      socket.write(encodePeerFrame(this.isSeed ? this.addAddresses(heartbeat) : heartbeat));
-    });
-    // An error is always followed by `close`, after which the link is dialled again.
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => {
-      if (link.socket === socket) link.socket = undefined;
-    });
-    // The peer only confirms on this link: whatever comes does.
-    socket.on('data', () => (link.confirmedAtMs = this.now()));
+  private acceptLink(connection: PeerConnection): ConnectionEvents {
+    const answer = (frame: PeerFrame): void => connection.write(encodePeerFrame(frame));
+    let isFirst = true;
+    return {
+      onUp: () => {},
+      onFrame: (frame) => {
+        this.handleFrame(frame, answer);
+        if (frame.type === 'heartbeat') this.answerHeartbeat(frame, answer, isFirst);
+        isFirst = false;
+      },
+      onProblem: (problem) => this.handlers.onProblem(problem),
+      onClosed: () => {},
+    };
   }
 
-  private acceptLink(socket: Socket): void {
-    const reader = new PeerFrameReader();
-    this.accepted.add(socket);
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => this.accepted.delete(socket));
-    socket.on('data', (chunk: Buffer) => {
-      const frames = reader.push(chunk);
-      if (frames.err) {
-        this.handlers.onProblem(frames.val);
-        socket.destroy();
-        return;
-      }
-      for (const frame of frames.val) this.handleFrame(frame);
-      if (frames.val.some((frame) => frame.type === 'heartbeat')) socket.write(HEARTBEAT_HEARD);
-    });
+  /** Who joins, or knows of fewer boxes, is told who is there; not every box starts with a seed that lives. */
+  private answerHeartbeat(heartbeat: Heartbeat, answer: Answer, isFirst: boolean): void {
+    const nowMs = this.now();
+    const isBehind = heartbeat.boxes < this.countBoxes() && nowMs - this.introducedAtMs >= TELL_MS;
+    if (!isFirst && !isBehind) return answer({ type: 'heartbeatHeard' });
+    this.introducedAtMs = nowMs;
+    answer(this.directory.createIntroduction(heartbeat.hall));
   }
 
-  private handleFrame(frame: PeerFrame): void {
-    if (frame.type === 'heartbeat') this.noteHeartbeat(frame);
+  /** @param answer sends a frame back on the connection on which this one came */
+  private handleFrame(frame: PeerFrame, answer: Answer): void {
+    this.handlers.onRead(frame.type);
+    if (isMembershipFrame(frame)) return this.handleMembership(frame, answer);
+    if (frame.type === 'heartbeat') this.noteHeartbeat(frame, answer);
     this.handlers.onFrame(frame);
   }
 
-  private noteHeartbeat(heartbeat: Heartbeat): void {
+  private handleMembership(frame: MembershipFrame, answer: Answer): void {
     const nowMs = this.now();
-    this.learnAddress(heartbeat.address);
-    const link = this.links.get(heartbeat.address);
-    if (link !== undefined) {
-      link.heardAtMs = nowMs;
-      // A peer that started again is there before the next attempt to reach it would be due.
-      if (link.socket === undefined) this.dial(link);
+    switch (frame.type) {
+      case 'heartbeatHeard':
+        // Counts for the link that it came on, which has noted it.
+        return;
+      case 'introduction':
+        this.directory.noteIntroduction(frame);
+        return this.maintainLinks();
+      case 'hallSummary':
+        return this.directory.noteSummary(frame);
+      case 'probe':
+        answer(this.detector.answerProbe(frame));
+        return this.apply(this.detector.noteIncarnation(frame.address, frame.incarnation));
+      case 'probeHeard':
+        return this.apply(this.detector.handleProbeHeard(frame, nowMs));
+      case 'probeRequest':
+        return this.apply(this.detector.handleProbeRequest(frame, nowMs));
+      case 'boxDown':
+        return this.apply(this.detector.handleBoxDown(frame));
+      case 'boxUp':
+        return this.apply(this.detector.noteIncarnation(frame.address, frame.incarnation));
     }
-    this.peers.set(heartbeat.address, { heartbeat, heardAtMs: nowMs });
-    this.tellIfBehind(heartbeat);
-    for (const address of heartbeat.knownAddresses ?? []) this.learnAddress(address);
   }
-}
 
-function isUp(link: PeerLink | undefined): boolean {
-  const socket = link?.socket;
-  return socket !== undefined && !socket.connecting && !socket.destroyed;
-}
+  private noteHeartbeat(heartbeat: Heartbeat, answer: Answer): void {
+    const { address, incarnation } = heartbeat;
+    const before = this.peers.get(address)?.heartbeat.incarnation ?? incarnation;
+    this.directory.noteHeard(heartbeat);
+    this.peers.set(address, { heartbeat, heardAtMs: this.now() });
+    this.apply(this.detector.noteIncarnation(address, incarnation));
+    const accusation = this.detector.findAccusation(address);
+    if (accusation !== undefined) answer(accusation);
+    // A peer that started again is there before the next attempt to reach it, and has no use for a link to its past.
+    if (incarnation > before) this.links.renew(address);
+    else this.links.redialNow(address);
+  }
 
-function isStuck(link: PeerLink, nowMs: number, lifeMs: number): boolean {
-  const { socket } = link;
-  if (socket === undefined) return false;
-  const ageMs = nowMs - link.dialledAtMs;
-  if (socket.connecting) return ageMs >= REDIAL_MS;
-  // An open link on which nothing is confirmed is stuck behind a cut, or went silent while others to this peer work.
-  return ageMs >= lifeMs && nowMs - link.confirmedAtMs >= lifeMs;
+  private apply(effects: readonly DetectorEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'send':
+          this.send(effect.to, effect.frame);
+          break;
+        case 'tellHall':
+          this.sendToHall(this.options.hall, effect.frame);
+          break;
+        case 'down':
+          this.handlers.onStanding(effect.address, 'down', effect.because);
+          break;
+        case 'up':
+          this.handlers.onStanding(effect.address, 'up', 'newer life');
+          break;
+        case 'linkDoubted':
+          this.links.renew(effect.address);
+          break;
+      }
+    }
+  }
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,3 +3,4 @@
 export * from './deployment.js';
 export { pause } from './httpTools.js';
 export * from './random.js';
+export * from './timeline.js';
--- a/packages/measure/src/timeline.ts
+++ b/packages/standins/src/timeline.ts
@@ -31,15 +31,17 @@
     });
   }
 
-  /** Runs until a time. */
+  /** Runs until a time; what is due later waits for the next run. */
   run(untilMs: number): void {
     for (
-      let entry = this.queue.pop();
+      let entry = this.queue.peek();
       entry !== undefined && entry.atMs <= untilMs;
-      entry = this.queue.pop()
+      entry = this.queue.peek()
     ) {
+      this.queue.pop();
       this.nowMs = entry.atMs;
       entry.act();
     }
+    this.nowMs = Math.max(this.nowMs, untilMs);
   }
 }
