Fewer calls to the platform: the second follower of a hall gathers longer, a hall without followers calls at one pace

Cause: the second follower of a hall, which only covers for the first, made as many calls in a burst of changes as the first; and in an outage each box of a hall tried anew every 0.3 s, 128 calls a second in a hall of 32.

Change: shares of the time in which a change has to hold, by place (0.08 and 0.4 of it to gather, 0.3 and 0.45 to wait); in an outage a hall makes about 16 attempts a second in all, no box waiting longer than half of that time.

Ruled out: one follower a hall (a box without power is noticed in two seconds, in which a change would wait).

--- a/packages/router/src/__tests__/feedDuty.test.ts
+++ b/packages/router/src/__tests__/feedDuty.test.ts
@@ -54,3 +54,29 @@
   expect(decideFeedDuty({ ...third, own: thin, hallPeers: thick }).type).toBe('rest');
   expect(decideFeedDuty({ ...third, own: thin, hallPeers: [able(rankFollower(9, 7))] }).type).toBe('follow');
 });
+
+/** Calls that a hall of so many boxes makes in a second of an outage. */
+function countAttemptsPerS(boxes: number): number {
+  const hallPeers = Array.from({ length: boxes - 1 }, (_, at) => lost(at));
+  const duty = decideFeedDuty({ ...third, own: lost(30), hallPeers, confirmedAtMs: 0 });
+  return duty.type === 'follow' ? (boxes * 1_000) / duty.retryMs : NaN;
+}
+
+test('in an outage a hall does not call the platform more often the larger it is', () => {
+  // Each box at the pace of a lone one would make 128 calls a second in a hall of 32.
+  expect(countAttemptsPerS(10)).toBeLessThan(25);
+  expect(countAttemptsPerS(20)).toBeLessThan(25);
+  expect(countAttemptsPerS(32)).toBeLessThan(25);
+});
+
+test('a box that reads for its hall tries again soon', () => {
+  const duty = decideFeedDuty({ ...third, own: able(5) });
+  expect(duty.type === 'follow' && duty.retryMs <= 250).toBe(true);
+});
+
+test('in a burst of changes the second follower of a hall calls a quarter as often as the first, and is in time', () => {
+  const [first, second] = [able(5), able(15)].map((own) => decideFeedDuty({ ...third, own }));
+  if (first?.type !== 'follow' || second?.type !== 'follow') throw new Error('both follow');
+  expect(second.gatherMs).toBeGreaterThanOrEqual(4 * first.gatherMs);
+  expect(second.gatherMs).toBeLessThanOrEqual(BOUND_MS / 2);
+});
--- a/packages/router/src/systems/feedDuty.ts
+++ b/packages/router/src/systems/feedDuty.ts
@@ -6,10 +6,11 @@
 
 /** Up to this many boxes every box follows the platform itself: the calls saved would not be worth the detour. */
 const FOLLOW_ALL_BOXES = 16;
-/** Boxes of a hall that follow the platform for it; the second one covers for the first. */
-const FOLLOWERS_PER_HALL = 2;
-/** A box that all others rely on asks anew after this share of the time in which a change has to hold. */
-const CONFIRM_SHARE = 0.3;
+/**
+ * The two boxes on which a hall relies ask anew after these shares of the time in which a change has to hold. The first
+ * one keeps its hall in touch. The second one only covers for it, and takes its pace as soon as the first one is down.
+ */
+const CONFIRM_SHARES = [0.3, 0.45] as const;
 /** A box that relies on others follows itself if they told nothing new or old for this share of that time. */
 const STALE_SHARE = 0.55;
 /** A waiting call of a box on which no other relies: short enough to notice a lost connection in time. */
@@ -17,10 +18,20 @@
 /** A box that could not read the platform leaves it to others for so long. */
 const COVERED_MS = 10_000;
 /**
- * Changes come in bursts, and each answers a waiting call. The first follower of a hall lets them gather for a moment;
- * the second one, which only covers for it, for longer.
+ * Changes come in bursts, and each answers a waiting call. The first follower of a hall lets them gather for a moment,
+ * as shares of the time in which they have to hold; the second one for as long as it may without being late itself.
+ * That halves the calls of a hall: in a burst the second one made as many as the first.
  */
-const GATHER_MS = [250, 700] as const;
+const GATHER_SHARES = [0.08, 0.4] as const;
+/** Pause after a call that failed, for a box that reads for itself or for its hall. */
+const RETRY_MS = 250;
+/**
+ * Where a hall has lost its followers all its boxes try, each the less often the more they are: one attempt in so long
+ * for the whole hall finds the platform as soon as it is back, and does not meet it with a call of every box.
+ */
+const HALL_RETRY_MS = 60;
+/** No box waits longer than this share of the time in which a change has to hold. */
+const MAX_RETRY_SHARE = 0.5;
 /** In a small fleet, pause after a change for each box. */
 const GATHER_MS_PER_BOX = 10;
 
@@ -34,8 +45,16 @@
 
 /** What a box does about the platform. */
 export type FeedDuty =
-  /** Wait for changes, each call at most `waitMs`; after one let more gather for `gatherMs`. */
-  | { readonly type: 'follow'; readonly waitMs: number; readonly gatherMs: number }
+  /**
+   * Wait for changes, each call at most `waitMs`; after one let more gather for `gatherMs`, after a failure try again in
+   * `retryMs`.
+   */
+  | {
+      readonly type: 'follow';
+      readonly waitMs: number;
+      readonly gatherMs: number;
+      readonly retryMs: number;
+    }
   /** Read the configuration once: peers have a newer one. */
   | { readonly type: 'readConfiguration' }
   /** Peers tell what is new. */
@@ -81,26 +100,43 @@
  * @example decideFeedDuty({ ...facts, boxes: 3 }).type // 'follow'
  */
 export function decideFeedDuty(facts: FeedFacts): FeedDuty {
-  if (facts.boxes <= FOLLOW_ALL_BOXES) {
-    return { type: 'follow', waitMs: LONE_WAIT_MS, gatherMs: GATHER_MS_PER_BOX * facts.boxes };
+  const { boxes, applyBoundMs, hallPeers } = facts;
+  if (boxes <= FOLLOW_ALL_BOXES) {
+    return { type: 'follow', waitMs: LONE_WAIT_MS, gatherMs: GATHER_MS_PER_BOX * boxes, retryMs: RETRY_MS };
+  }
+  const place = findFollowerPlace(facts.own, hallPeers);
+  if (place !== undefined) return createFollowing(place, applyBoundMs, RETRY_MS);
+  const isStale = facts.nowMs - facts.confirmedAtMs > applyBoundMs * STALE_SHARE;
+  if (isStale) {
+    const hallRetryMs = Math.min(HALL_RETRY_MS * (hallPeers.length + 1), applyBoundMs * MAX_RETRY_SHARE);
+    return createFollowing(1, applyBoundMs, Math.max(RETRY_MS, hallRetryMs));
   }
-  const waitMs = facts.applyBoundMs * CONFIRM_SHARE;
-  const place = findFollowerPlace(facts.own, facts.hallPeers);
-  const gatherMs = place === undefined ? undefined : GATHER_MS[place];
-  if (gatherMs !== undefined) return { type: 'follow', waitMs, gatherMs };
-  const isStale = facts.nowMs - facts.confirmedAtMs > facts.applyBoundMs * STALE_SHARE;
-  if (isStale) return { type: 'follow', waitMs, gatherMs: GATHER_MS[1] };
   return facts.lacksConfiguration ? { type: 'readConfiguration' } : { type: 'rest' };
 }
 
-/** Place among those of the hall that follow for the others; undefined if it is not one of them. */
+function createFollowing(place: FollowerPlace, applyBoundMs: number, retryMs: number): FeedDuty {
+  return {
+    type: 'follow',
+    waitMs: applyBoundMs * CONFIRM_SHARES[place],
+    gatherMs: applyBoundMs * GATHER_SHARES[place],
+    retryMs,
+  };
+}
+
+/** Place of one that follows for its hall. */
+export type FollowerPlace = 0 | 1;
+
+/**
+ * Place among those of the hall that follow for the others: two boxes, of which the second one covers for the first.
+ * Undefined if it is not one of them.
+ */
 export function findFollowerPlace(
   own: FeedCandidate,
   hallPeers: readonly FeedCandidate[],
-): number | undefined {
+): FollowerPlace | undefined {
   if (own.standing === 'lost') return undefined;
   const place = hallPeers.filter((peer) => peer.standing === 'able' && peer.rank < own.rank).length;
-  return place < FOLLOWERS_PER_HALL ? place : undefined;
+  return place === 0 || place === 1 ? place : undefined;
 }
 
 /** Whether a box that lost the platform at a time still leaves it to others. */
