Membership: a hall says at once how many its boxes are, also on a new link to another hall

Cause, found by the new check of the count after five seconds: summaries went out when speakers changed and every twenty seconds, so that a box counted 19 of 20 (194 of 195) when it began to take its share of the budget for retries. Change: a summary goes out whenever it changes, and on a link that comes up.

--- a/packages/router/src/membership/__tests__/membership.test.ts
+++ b/packages/router/src/membership/__tests__/membership.test.ts
@@ -12,6 +12,8 @@
 const SIZES = [SMALL, MIDDLE, LARGE];
 /** Time for a fleet that starts together to be complete. */
 const SETTLED_S = 8;
+/** A box that just started takes its share of the fleet's budget for retries after this. */
+const COUNTED_S = 5;
 /** A box that does nothing for others has to be noticed within this. */
 const NOTICED_S = 2.5;
 /** A watcher may itself be among many that stop at once: others take over. */
@@ -56,11 +58,12 @@
   'a fleet of $boxes boxes in $halls halls finds itself, misses a box and takes it back',
   async (plan) => {
     const fleet = await VirtualFleet.create(plan);
-    await fleet.run(SETTLED_S);
+    // Every box knows how many there are before it takes its share of what all have together.
+    await fleet.run(COUNTED_S);
+    for (const box of fleet.boxes) expect(box.mesh.countBoxes()).toBe(plan.boxes);
+    await fleet.run(SETTLED_S - COUNTED_S);
     expectHallsComplete(fleet);
     expectHallsJoined(fleet);
-    // Every box knows how many there are: shares of what all have together rest on it.
-    for (const box of fleet.boxes) expect(box.mesh.countBoxes()).toBe(plan.boxes);
 
     const victim = fleet.boxes[1]!;
     fleet.stop(victim, 'dark');
--- a/packages/router/src/membership/fleetDirectory.ts
+++ b/packages/router/src/membership/fleetDirectory.ts
@@ -192,6 +192,12 @@
     return this.options.now() - Math.max(box.heardAtMs, box.namedAtMs) <= HEARD_LATELY_MS;
   }
 
+  /** Whether an address is known to be of another hall. */
+  isAway(address: string): boolean {
+    const hall = this.boxes.get(address)?.hall;
+    return hall !== undefined && hall !== this.options.hall;
+  }
+
   /** What a box of a hall is told when it joins or knows too little. */
   createIntroduction(forHall: string): Introduction {
     const { hall } = this.options;
--- a/packages/router/src/peers/peerLinks.ts
+++ b/packages/router/src/peers/peerLinks.ts
@@ -26,7 +26,7 @@
   readonly transport: PeerTransport;
   readonly now: () => number;
   /** What to send on a link that just came up. */
-  readonly createGreeting: () => PeerFrame;
+  readonly createGreetings: (address: string) => readonly PeerFrame[];
   /** A frame came on a link. */
   readonly onFrame: (frame: PeerFrame, answer: (frame: PeerFrame) => void) => void;
   readonly onProblem: ConnectionEvents['onProblem'];
@@ -132,10 +132,12 @@
 
   private dial(link: PeerLink): void {
     if (this.isClosed) return;
-    const { transport, createGreeting, onFrame, onProblem, now } = this.options;
+    const { transport, createGreetings, onFrame, onProblem, now } = this.options;
     link.dialledAtMs = now();
     const connection: PeerConnection = transport.connect(link.address, {
-      onUp: () => connection.write(encodePeerFrame(createGreeting())),
+      onUp: () => {
+        for (const frame of createGreetings(link.address)) connection.write(encodePeerFrame(frame));
+      },
       onFrame: (frame) => {
         link.confirmedAtMs = now();
         onFrame(frame, (answer) => connection.write(encodePeerFrame(answer)));
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -6,7 +6,7 @@
 import type { DetectorEffect } from '../membership/failureDetector.js';
 import { FailureDetector } from '../membership/failureDetector.js';
 import { FleetDirectory } from '../membership/fleetDirectory.js';
-import type { Heartbeat, MembershipFrame, PeerFrame, RouterFrame } from './peerFrames.js';
+import type { HallSummary, Heartbeat, MembershipFrame, PeerFrame, RouterFrame } from './peerFrames.js';
 import { encodePeerFrame, isMembershipFrame } from './peerFrames.js';
 import { PeerLinks } from './peerLinks.js';
 import type { ConnectionEvents, PeerConnection, PeerTransport } from './peerTransport.js';
@@ -27,7 +27,7 @@
 const MAINTAIN_MS = 250;
 /** Every so many heartbeats one peer is told who is there, also if it knows of as many others. */
 const INTRODUCE_EVERY = 8;
-/** A summary goes out whenever the speakers change, and with every so many heartbeats, so that its age tells little. */
+/** A summary goes out whenever it changes, and with every so many heartbeats, so that its age tells little. */
 const SUMMARY_EVERY = 4;
 /** One peer that knows fewer boxes is told of the others in this time: news spread in seconds and cost little. */
 const TELL_MS = 300;
@@ -82,8 +82,8 @@
   private introducedAtMs = -Infinity;
   private toldHallsAtMs = -Infinity;
   private toldHallsRevision = 0;
-  /** Speakers of the own hall as the other halls were told last. */
-  private toldCandidates = '';
+  /** Speakers of the own hall and its boxes as the other halls were told last. */
+  private toldSummary = '';
 
   constructor(
     private readonly options: PeerMeshOptions,
@@ -108,7 +108,7 @@
     this.links = new PeerLinks({
       transport,
       now,
-      createGreeting: () => handlers.createHeartbeat(),
+      createGreetings: (address) => this.createGreetings(address),
       onFrame: (frame, answer) => this.handleFrame(frame, answer),
       onProblem: (problem) => handlers.onProblem(problem),
       isLikelyThere: (address) => this.directory.isLikelyThere(address),
@@ -223,10 +223,18 @@
     }
     this.links.maintain(new Set(this.directory.listWanted()), this.lifeMs);
     if (this.isFlat) return;
-    if (this.directory.listCandidates().join() !== this.toldCandidates) this.tellSummary();
+    if (summarize(this.directory.createSummary()) !== this.toldSummary) this.tellSummary();
     this.tellHallsIfNew();
   }
 
+  /** A box of another hall learns at once who speaks for this one. */
+  private createGreetings(address: string): PeerFrame[] {
+    const heartbeat = this.handlers.createHeartbeat();
+    if (this.isFlat || !this.directory.isAway(address)) return [heartbeat];
+    const summary = this.directory.createSummary();
+    return summary.addresses.includes(this.ownAddress) ? [heartbeat, summary] : [heartbeat];
+  }
+
   private introduceToOne(): void {
     const peers = this.listLinked();
     const peer = peers[Math.floor(this.options.random() * peers.length)];
@@ -235,10 +243,9 @@
 
   /** Those that speak for a hall, or may have to, tell the other halls how many its boxes are and who speaks. */
   private tellSummary(): void {
-    const candidates = this.directory.listCandidates();
-    this.toldCandidates = candidates.join();
-    if (!candidates.includes(this.ownAddress)) return;
     const summary = this.directory.createSummary();
+    this.toldSummary = summarize(summary);
+    if (!summary.addresses.includes(this.ownAddress)) return;
     for (const { heartbeat } of this.peers.values()) {
       if (heartbeat.hall !== this.options.hall) this.send(heartbeat.address, summary);
     }
@@ -348,3 +355,7 @@
     }
   }
 }
+
+function summarize(summary: HallSummary): string {
+  return [summary.boxes, ...summary.addresses].join();
+}
