The fleet's loads reach a hall by way of a few boxes

Cause: a speaker sent the sum of all loads to each box of its hall twice a second: at 32 boxes and 58 endpoints 62 frames of some 350 bytes a second, 22 KB, where 4 are meant for all control. Change: it sends to four, with the names of those whom they pass it on to, in another order each time, so that a box that fails and is not noticed yet keeps the sum from nobody for long. The sender names them, so boxes need not agree on a tree. Ruled out: a fixed tree by rank (a dead box on top would starve the same boxes until it is noticed), sums of changes only (at the target nearly every engine's load changes in half a second).

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -122,7 +122,15 @@
     const { applyBoundMs, hall, linkMbps } = options;
     this.peerValues = new PeerValues({ mesh, state, log: this.log, now, applyBoundMs });
     const values = this.peerValues;
-    this.loads = new LoadRelay({ mesh, table: this.table, homes: this.homes, hall, hash, now });
+    this.loads = new LoadRelay({
+      mesh,
+      table: this.table,
+      homes: this.homes,
+      hall,
+      hash,
+      random: Math.random,
+      now,
+    });
     this.relay = new FeedRelay({
       mesh,
       state,
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,12 +1,13 @@
 /**
  * Spreads loads, and with them what boxes learned of the homes of prompts. In a small fleet heartbeats carry both to
  * every box. In a larger one each box tells its loads to two speakers of its hall; these tell the hall's sum to the
- * speakers of the other halls and the fleet's sum to the boxes of their own, so that a box sends and reads a few frames a
- * second whatever the size of the fleet.
+ * speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so that a box sends and
+ * reads a few frames a second whatever the size of the fleet.
  */
 import type { LoadList } from '../systems/loadExchange.js';
 import { addLoads, applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
 import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
+import { planSpread } from '../membership/spreadPlan.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { BoxLoads, FleetLoads, HallLoads, Heartbeat } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
@@ -32,6 +33,8 @@
   readonly homes: PromptHomes;
   readonly hall: string;
   readonly hash: (text: string) => number;
+  /** Between 0 and 1. */
+  readonly random: () => number;
   readonly now: () => number;
 }
 
@@ -82,6 +85,7 @@
     this.heardFleetAtMs = this.options.now();
     this.options.homes.learn(frame.homes);
     applyPeerLoads(this.options.table, [subtractLoads(frame.loads, this.toldLoads)]);
+    this.spread(frame, frame.passTo);
   }
 
   /** What a box on a new link is told of the homes of prompts: all in a small fleet, by the speakers in a large one. */
@@ -141,7 +145,35 @@
     for (const address of this.listSpeakers((other) => other !== hall)) {
       mesh.send(address, { type: 'hallLoads', hall, loads: own, homes: fleetHomes });
     }
-    mesh.sendToHall(hall, { type: 'fleetLoads', loads: addLoads([peers, this.toldLoads]), homes: hallHomes });
+    const frame: FleetLoads = {
+      type: 'fleetLoads',
+      loads: addLoads([peers, this.toldLoads]),
+      homes: hallHomes,
+      passTo: [],
+    };
+    this.spread(frame, this.listHallRanks());
+  }
+
+  /** Ranks of the other boxes of the hall, in another order each time: one that fails to pass on is missed by others then. */
+  private listHallRanks(): number[] {
+    const { hall, random } = this.options;
+    return this.listLive()
+      .filter((peer) => peer.hall === hall)
+      .map((peer) => ({ rank: this.rank(peer.address), order: random() }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ rank }) => rank);
+  }
+
+  /** Sends the fleet's sum to some boxes of the hall, who pass it on to the rest. */
+  private spread(frame: FleetLoads, ranks: readonly number[]): void {
+    if (ranks.length === 0) return;
+    const { hall, mesh } = this.options;
+    const inHall = this.listLive().filter((peer) => peer.hall === hall);
+    const addresses = new Map(inHall.map(({ address }) => [this.rank(address), address]));
+    for (const { head, passTo } of planSpread(ranks, (rank) => addresses.has(rank))) {
+      const address = addresses.get(head);
+      if (address !== undefined) mesh.send(address, { ...frame, passTo: [...passTo] });
+    }
   }
 
   /** The first boxes of halls, this box left out, by the rank on which all boxes agree. */
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -186,6 +186,8 @@
   /** What all boxes hold, the reader included. */
   loads: loadList,
   homes: homeList,
+  /** Ranks of the boxes of the hall to whom the reader passes this on. */
+  passTo: z.array(z.number()),
 });
 const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
@@ -278,6 +280,7 @@
   homes: 12,
   sequence: 13,
   isRelayed: 14,
+  passTo: 15,
 } as const;
 
 const cbor = new Encoder({
