--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -38,6 +38,7 @@
   heard: PeerFrame[] = [],
   port = 0,
   knownAs?: string,
+  now: () => number = () => performance.now(),
 ): Promise<PeerMesh> {
   const handlers = {
     createHeartbeat: () => createHeartbeat(knownAs ?? mesh.address),
@@ -50,7 +51,7 @@
     hall: 'mixco',
     seeds,
     transport: new TcpTransport(),
-    now: () => performance.now(),
+    now,
     random: Math.random,
     rank: (address: string) => Number(address.split(':')[1]),
     firstIncarnation: 1,
@@ -130,6 +131,21 @@
   await waitUntil(() => heard.length > 0);
 });
 
+test('a seed that was away for longer than a cut usually lasts is found again', async () => {
+  // Time passes fifty times as fast, and jumps over the time away.
+  let jumpMs = 40_000;
+  const startedAtMs = performance.now();
+  const now = (): number => startedAtMs + (performance.now() - startedAtMs) * 50 + jumpMs;
+  const former = await startMesh([]);
+  const port = Number(former.address.split(':')[1]);
+  former.close();
+  const box = await startMesh([`127.0.0.1:${port}`], [], 0, undefined, now);
+  jumpMs += 40_000;
+  box.broadcast(createHeartbeat(box.address));
+  await startMesh([], [], port, undefined, now);
+  await waitUntil(() => box.listFresh().length === 1);
+});
+
 test('frames survive any cut, and foreign bytes are refused', () => {
   const packet = encodePeerFrame(createHeartbeat('127.0.0.1:1'));
   const reader = new PeerFrameReader();
