--- a/packages/router/src/membership/__tests__/membership.test.ts
+++ b/packages/router/src/membership/__tests__/membership.test.ts
@@ -131,17 +131,21 @@
     expect(victim.downAtMs.size).toBe(0);
   });
 
-  test('when both speakers of each hall lose power others speak in time', async () => {
-    const halls = listHallNames(fleet);
-    for (const hall of halls) {
-      const first = fleet.listHall(hall)[0]!;
-      const partners = [first.address, ...listPartners(first)];
-      const ranked = partners.sort((a, b) => fleet.rank(a) - fleet.rank(b));
-      for (const address of ranked.slice(0, 2)) fleet.stop(fleet.find(address), 'dark');
+  test('when both speakers of each hall lose power others speak in time, at home and away', async () => {
+    const stopped: string[] = [];
+    for (const hall of listHallNames(fleet)) {
+      const addresses = fleet.listHall(hall).map((box) => box.address);
+      stopped.push(...addresses.sort((a, b) => fleet.rank(a) - fleet.rank(b)).slice(0, 2));
     }
+    for (const address of stopped) fleet.stop(fleet.find(address), 'dark');
     await fleet.run(NOTICED_S);
     expectHallsComplete(fleet);
     expectHallsJoined(fleet);
+    // A moment later nobody tells loads to those that spoke before.
+    await fleet.run(0.5);
+    for (const box of fleet.listRunning()) {
+      for (const heartbeat of box.mesh.listLinked()) expect(stopped).not.toContain(heartbeat.address);
+    }
   });
 
   test('a third of the boxes lose power at once and return', async () => {
