Test of three boxes: wait for the heartbeats that it reads, not only for the count

Cause: a box that answered on the link that was made to it counts at once (its introduction is word of its own), a moment before its first heartbeat comes on the link that it makes. Counting it early errs on the safe side for shared budgets, so the test waits for both; what it asserts is unchanged.

--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -108,7 +108,10 @@
 test('boxes that share one seed find each other', async () => {
   const seed = await startMesh([]);
   const others = await Promise.all([startMesh([seed.address]), startMesh([seed.address])]);
-  await waitUntil(() => [seed, ...others].every((mesh) => mesh.countBoxes() === 3));
+  const found = [seed, ...others];
+  await waitUntil(() => found.every((mesh) => mesh.countBoxes() === 3));
+  // A box that answered counts at once; its loads come with its own heartbeat.
+  await waitUntil(() => found.every((mesh) => mesh.listFresh().length === 2));
   expect(others[0]?.listFresh().map((peer) => peer.heartbeat.loads)).toEqual([
     [4_000_000_000, 2],
     [4_000_000_000, 2],
