--- a/packages/router/src/membership/failureDetector.ts
+++ b/packages/router/src/membership/failureDetector.ts
@@ -173,7 +173,7 @@
     return [{ type: 'up', address }];
   }
 
-  /** Forgets a box that is not one of the hall any more. */
+  /** Forgets a box of which nothing was heard for long. */
   forget(address: string): void {
     this.incarnations.delete(address);
     this.down.delete(address);
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -259,7 +259,11 @@
 /** A frame about anything else; heartbeats are about both. */
 export type RouterFrame = Exclude<PeerFrame, MembershipFrame>;
 
-/** Whether a frame is about membership alone. */
+/**
+ * Whether a frame is about membership alone.
+ *
+ * @example isMembershipFrame({ type: 'heartbeatHeard' }) // true
+ */
 export function isMembershipFrame(frame: PeerFrame): frame is MembershipFrame {
   return (MEMBERSHIP_TYPES as readonly string[]).includes(frame.type);
 }
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -218,15 +218,22 @@
     if (this.ownAddress === '') return;
     const nowMs = this.now();
     this.maintainedAtMs = nowMs;
-    for (const [address, peer] of this.peers) {
-      if (nowMs - peer.heardAtMs > PEER_LIFE_MS) this.peers.delete(address);
-    }
+    this.forgetSilent(nowMs);
     this.links.maintain(new Set(this.directory.listWanted()), this.lifeMs);
     if (this.isFlat) return;
     if (summarize(this.directory.createSummary()) !== this.toldSummary) this.tellSummary();
     this.tellHallsIfNew();
   }
 
+  /** Boxes that are replaced leave nothing behind; one that returns after so long is taken as a new one. */
+  private forgetSilent(nowMs: number): void {
+    for (const [address, peer] of this.peers) {
+      if (nowMs - peer.heardAtMs <= PEER_LIFE_MS) continue;
+      this.peers.delete(address);
+      this.detector.forget(address);
+    }
+  }
+
   /** A box of another hall learns at once who speaks for this one. */
   private createGreetings(address: string): PeerFrame[] {
     const heartbeat = this.handlers.createHeartbeat();
