A box that reaches nobody yet tries its seeds every 0.2 s

Ruled out: seeds that tell of eight boxes of another hall only (telling of all changed nothing in virtual time). Change: 0.2 s between attempts while no link is up and the seed is likely there. Test: membership, red before. The fixture now refuses connections to boxes that have not started yet, as machines do.

--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -44,6 +44,8 @@
     this.random = createRandom(plan.seed);
     const places = Array.from({ length: plan.boxes }, (_, at) => createPlace(at, plan.halls));
     this.seedAddresses = places.slice(0, plan.seeds ?? 3).map((place) => place.address);
+    // Until its process listens a machine refuses connections.
+    for (const place of places) this.network.setState(place.address, 'killed');
     for (const place of places) this.timeline.after(this.random() * START_SPREAD_MS, () => this.add(place));
   }
 
--- a/packages/router/src/membership/__tests__/membership.test.ts
+++ b/packages/router/src/membership/__tests__/membership.test.ts
@@ -77,6 +77,12 @@
   },
 );
 
+test('a fleet that starts together is whole within a second, also where boxes start before their seeds', async () => {
+  const fleet = await VirtualFleet.create(MIDDLE);
+  await fleet.run(1);
+  expectHallsComplete(fleet);
+});
+
 describe('a fleet of 195 boxes', () => {
   let fleet: VirtualFleet;
 
--- a/packages/router/src/peers/peerLinks.ts
+++ b/packages/router/src/peers/peerLinks.ts
@@ -5,6 +5,8 @@
 
 /** Pace of attempts to reach a peer that was heard lately. */
 const REDIAL_MS = 1_000;
+/** The same for a box that reaches nobody yet: it may have started a moment before its seeds. */
+const LONE_REDIAL_MS = 200;
 /** Pace of attempts to reach one that was not: a hall that was cut off for long is found again within this. */
 const SLOW_REDIAL_MS = 15_000;
 /** A link that is not needed is kept for a moment: needs change while boxes find each other. */
@@ -120,8 +122,13 @@
   }
 
   private redialIfDue(link: PeerLink, nowMs: number): void {
-    const paceMs = this.options.isLikelyThere(link.address) ? REDIAL_MS : SLOW_REDIAL_MS;
-    if (nowMs - link.dialledAtMs >= paceMs) this.dial(link);
+    if (nowMs - link.dialledAtMs >= this.readPaceMs(link.address)) this.dial(link);
+  }
+
+  private readPaceMs(address: string): number {
+    if (!this.options.isLikelyThere(address)) return SLOW_REDIAL_MS;
+    const isAlone = ![...this.links.values()].some((link) => link.connection?.isUp === true);
+    return isAlone ? LONE_REDIAL_MS : REDIAL_MS;
   }
 
   private breakLink(link: PeerLink): void {
