Read a summary of the hall once, and list the peers of the hall in one place; a comment put right

Found on reading the change: maintenance of links made the summary twice when it had changed; the filter for live peers of the hall stood three times in loadRelay; the comment of LATE_MS gave a tenth for what is a fifth. Behaviour is the same.

--- a/packages/router/src/membership/failureDetector.ts
+++ b/packages/router/src/membership/failureDetector.ts
@@ -19,7 +19,7 @@
 const INDIRECT_MS = 500;
 /** Boxes that are asked to ask: one may sit behind the same fault. */
 const HELPERS = 2;
-/** A tick that comes later than this shows that this box was not running; the pace of ticks is a tenth of it. */
+/** A tick that comes later than this shows that this box was not running; ticks come five times as often. */
 const LATE_MS = 200;
 /** A box that heard no answer for three probes was cut off itself: what it asked meanwhile may never have arrived. */
 const CUT_OFF_MS = 3 * PROBE_MS;
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -156,9 +156,8 @@
 
   /** Ranks of the other boxes of the hall, in another order each time: one that fails to pass on is missed by others then. */
   private listHallRanks(): number[] {
-    const { hall, random } = this.options;
-    return this.listLive()
-      .filter((peer) => peer.hall === hall)
+    const { random } = this.options;
+    return this.listHallPeers()
       .map((peer) => ({ rank: this.rank(peer.address), order: random() }))
       .sort((a, b) => a.order - b.order)
       .map(({ rank }) => rank);
@@ -167,9 +166,8 @@
   /** Sends the fleet's sum to some boxes of the hall, who pass it on to the rest. */
   private spread(frame: FleetLoads, ranks: readonly number[]): void {
     if (ranks.length === 0) return;
-    const { hall, mesh } = this.options;
-    const inHall = this.listLive().filter((peer) => peer.hall === hall);
-    const addresses = new Map(inHall.map(({ address }) => [this.rank(address), address]));
+    const { mesh } = this.options;
+    const addresses = new Map(this.listHallPeers().map(({ address }) => [this.rank(address), address]));
     for (const { head, passTo } of planSpread(ranks, (rank) => addresses.has(rank))) {
       const address = addresses.get(head);
       if (address !== undefined) mesh.send(address, { ...frame, passTo: [...passTo] });
@@ -192,9 +190,12 @@
 
   /** How many live boxes of the hall rank before this one. */
   private findPlace(): number {
-    const { hall, mesh } = this.options;
-    const own = this.rank(mesh.address);
-    return this.listLive().filter((peer) => peer.hall === hall && this.rank(peer.address) < own).length;
+    const own = this.rank(this.options.mesh.address);
+    return this.listHallPeers().filter((peer) => this.rank(peer.address) < own).length;
+  }
+
+  private listHallPeers(): Heartbeat[] {
+    return this.listLive().filter((peer) => peer.hall === this.options.hall);
   }
 
   private listLive(): Heartbeat[] {
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -180,7 +180,8 @@
     this.links.writeToAll(encodePeerFrame(heartbeat));
     this.heartbeatCount += 1;
     if (this.heartbeatCount % INTRODUCE_EVERY === 1) this.introduceToOne();
-    if (this.heartbeatCount % SUMMARY_EVERY === 0 && !this.isFlat) this.tellSummary();
+    if (this.heartbeatCount % SUMMARY_EVERY === 0 && !this.isFlat)
+      this.tellSummary(this.directory.createSummary());
   }
 
   /** Sends a frame to the box at an address, if there is a link to it. */
@@ -221,7 +222,8 @@
     this.forgetSilent(nowMs);
     this.links.maintain(new Set(this.directory.listWanted()), this.lifeMs);
     if (this.isFlat) return;
-    if (summarize(this.directory.createSummary()) !== this.toldSummary) this.tellSummary();
+    const summary = this.directory.createSummary();
+    if (summarize(summary) !== this.toldSummary) this.tellSummary(summary);
     this.tellHallsIfNew();
   }
 
@@ -249,8 +251,7 @@
   }
 
   /** Those that speak for a hall, or may have to, tell the other halls how many its boxes are and who speaks. */
-  private tellSummary(): void {
-    const summary = this.directory.createSummary();
+  private tellSummary(summary: HallSummary): void {
     this.toldSummary = summarize(summary);
     if (!summary.addresses.includes(this.ownAddress)) return;
     for (const { heartbeat } of this.peers.values()) {
