Logs and a gauge tell which endpoints are kept although their entry is gone, and by whose word the platform is back

No change of what the router does. endpointLapsed with how long the endpoint is kept, platformRegained with its source, hazelwalk_lapsed_endpoints. They tell the hypotheses of the incident apart: told and set aside shows as endpointLapsed with the time of a return that only a peer told of; set aside without end shows as the gauge staying up while platformLost and platformRegained take turns; never told shows neither.

--- a/packages/router/src/__tests__/endpointDirectory.test.ts
+++ b/packages/router/src/__tests__/endpointDirectory.test.ts
@@ -6,6 +6,7 @@
   const removed: string[] = [];
   const directory = new EndpointDirectory(table, {
     onRemoved: (id, reason) => removed.push(`${id} ${reason}`),
+    onLapsed: () => {},
   });
   directory.noteFeedRegained(0);
   return { directory, removed };
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -44,6 +44,12 @@
     help: 'Version of the configuration in force',
     registers: [this.registry],
   });
+  /** Endpoints whose entry vanished and that are kept, since it may only have lapsed. */
+  readonly lapsedEndpoints = new Gauge({
+    name: 'hazelwalk_lapsed_endpoints',
+    help: 'Endpoints kept although their entry vanished',
+    registers: [this.registry],
+  });
   /** Time to the first byte of an answer. */
   readonly firstByteMs = new Histogram({
     name: 'hazelwalk_first_byte_ms',
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -95,7 +95,7 @@
     const { state, values, now } = this.options;
     if (notice.from <= state.endpointsRevision) {
       this.confirmedAtMs = now();
-      state.noteFeedRegained();
+      state.noteFeedRegained('peer');
       state.distrustFor(notice.unsettledMs);
       if (notice.revision > state.endpointsRevision) {
         state.applyEndpoints(notice.changes, notice.revision, 'peer');
--- a/packages/router/src/systems/endpointDirectory.ts
+++ b/packages/router/src/systems/endpointDirectory.ts
@@ -20,6 +20,11 @@
 /** What is told about changes. */
 export interface EndpointDirectoryHandlers {
   readonly onRemoved: (id: string, reason: 'removed' | 'lapsed') => void;
+  /**
+   * An entry vanished, and its endpoint is kept since it may only have lapsed: for `unsettledMs` more, or infinitely while
+   * the platform cannot be read.
+   */
+  readonly onLapsed: (id: string, unsettledMs: number) => void;
 }
 
 /** Applies published changes to the table. */
@@ -86,11 +91,14 @@
   private removeOrLapse(id: string, nowMs: number): void {
     const row = this.table.byId.get(id);
     if (row === undefined) return;
-    if (this.readUnsettledMs(nowMs) === 0) {
+    const unsettledMs = this.readUnsettledMs(nowMs);
+    if (unsettledMs === 0) {
       this.table.remove(id);
       this.handlers.onRemoved(id, 'removed');
       return;
     }
-    row.lapsedUntilMs ??= Math.max(nowMs, this.trustedFromMs);
+    if (row.lapsedUntilMs !== undefined) return;
+    this.table.lapse(row, Math.max(nowMs, this.trustedFromMs));
+    this.handlers.onLapsed(id, unsettledMs);
   }
 }
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -64,6 +64,7 @@
     this.digest = new ConfigurationDigest(options.hash);
     this.directory = new EndpointDirectory(options.table, {
       onRemoved: (id, reason) => this.handleRemoved(id, reason),
+      onLapsed: (id, unsettledMs) => this.handleLapsed(id, unsettledMs),
     });
   }
 
@@ -110,7 +111,7 @@
 
   /** Takes over an answer of the platform; returns it as what changed since the revision that this box had. */
   applyPublication(publication: Publication): Publication {
-    this.noteFeedRegained();
+    this.noteFeedRegained('platform');
     if (publication.configurationText !== undefined) this.applyConfiguration(publication.configurationText);
     const difference = this.toDifference(publication);
     this.applyEndpoints(publication.endpointChanges, publication.revision, 'platform');
@@ -183,10 +184,10 @@
     this.directory.noteFeedLost();
   }
 
-  /** The platform answers. */
-  noteFeedRegained(): void {
+  /** The platform answers this box, or a peer says that it answers the peer. */
+  noteFeedRegained(source: ValueSource): void {
     const { log, now } = this.options;
-    if (!this.feedUp) log.write('lifecycle', 'platformRegained', { revision: this.revision });
+    if (!this.feedUp) log.write('lifecycle', 'platformRegained', { revision: this.revision, source });
     this.feedUp = true;
     this.directory.noteFeedRegained(now());
   }
@@ -243,6 +244,7 @@
   private applyEndpointChange(change: EndpointChange, revision: number, source: ValueSource): void {
     const { log, now, table } = this.options;
     this.directory.apply(change, now());
+    this.measureLapsed();
     log.write('lifecycle', 'endpointsChanged', {
       change: change.type,
       id: change.type === 'listed' ? change.endpoint.id : change.type === 'removed' ? change.id : undefined,
@@ -260,7 +262,27 @@
   private handleRemoved(id: string, reason: string): void {
     this.options.onEndpointRemoved(id);
     this.options.log.write('lifecycle', 'endpointRemoved', { id, reason });
+    this.measureLapsed();
   }
+
+  private handleLapsed(id: string, unsettledMs: number): void {
+    const { log } = this.options;
+    log.write('lifecycle', 'endpointLapsed', {
+      id,
+      isFeedUp: this.feedUp,
+      unsettledMs: toLogMs(unsettledMs),
+    });
+    this.measureLapsed();
+  }
+
+  private measureLapsed(): void {
+    this.options.metrics.lapsedEndpoints.set(this.options.table.lapsedCount);
+  }
+}
+
+/** Milliseconds as they are logged: nothing stands for a wait without an end. */
+function toLogMs(ms: number): number | undefined {
+  return Number.isFinite(ms) ? Math.ceil(ms) : undefined;
 }
 
 function isSameListing(a: ListedEndpoint | undefined, b: ListedEndpoint): boolean {
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -32,7 +32,7 @@
   consecutiveFailures: number;
   /** A connection check is under way. */
   isBeingChecked: boolean;
-  /** The platform no longer lists it, but may only have lost touch; kept until then. */
+  /** The platform no longer lists it, but may only have lost touch; kept until then. Set by `EndpointTable.lapse`. */
   lapsedUntilMs: number | undefined;
 }
 
@@ -41,15 +41,21 @@
   readonly byId = new Map<string, EndpointRow>();
   private readonly byService = new Map<string, EndpointRow[]>();
   private readonly byTag = new Map<number, EndpointRow>();
+  private lapsed = 0;
 
   constructor(private readonly hashId: (id: string) => number) {}
 
+  /** Endpoints that are kept although the platform no longer lists them. */
+  get lapsedCount(): number {
+    return this.lapsed;
+  }
+
   /** Adds an endpoint or takes over what is newly published of it. */
   upsert(listing: ListedEndpoint, nowMs: number): EndpointRow {
     const known = this.byId.get(listing.id);
     if (known !== undefined) {
       known.listing = listing;
-      known.lapsedUntilMs = undefined;
+      this.endLapse(known);
       this.byService.clear();
       return known;
     }
@@ -60,10 +66,17 @@
     return row;
   }
 
+  /** Keeps an endpoint that the platform no longer lists. */
+  lapse(row: EndpointRow, untilMs: number): void {
+    if (row.lapsedUntilMs === undefined) this.lapsed += 1;
+    row.lapsedUntilMs = untilMs;
+  }
+
   /** Forgets an endpoint. */
   remove(id: string): void {
     const row = this.byId.get(id);
     if (row === undefined) return;
+    this.endLapse(row);
     this.byId.delete(id);
     this.byTag.delete(row.tag);
     this.byService.clear();
@@ -82,6 +95,11 @@
     this.byService.set(service, rows);
     return rows;
   }
+
+  private endLapse(row: EndpointRow): void {
+    if (row.lapsedUntilMs !== undefined) this.lapsed -= 1;
+    row.lapsedUntilMs = undefined;
+  }
 }
 
 function createRow(listing: ListedEndpoint, tag: number, nowMs: number): EndpointRow {
