A box's own trouble no longer passes for trouble of the platform: what peers that read it say is gone is dropped

Cause: a box took entries that vanish for lapsed ones while its own calls failed, and for two seconds after anybody's word that the platform answers; each failed call of its own began that anew. One box's failed calls do not show that the platform is away. Class: one party's view of reachability taken for the state of the other party.

Ruled out: the notice was lost (it came within 0.1 s), a later list brought the endpoint back (it was never dropped).

Change: PlatformContact says by whom the platform is known: own calls, peers that read it, or nobody. Only with nobody is the platform away. Heartbeats, notices and whole lists carry the sender's word, first-hand or one step from it, so that boxes that are cut off cannot vouch for each other; it ends after two seconds and is taken back at once.

The same cause elsewhere, mended with it: - a box alone in its hall takes whole lists from peers, which dropped nothing while its own calls failed; - kept endpoints were passed on in whole lists as listed ones, for good where the reader cannot read the platform; - a box that had just started made its peers doubt every removal for two seconds; - an answer of the platform that peers had overtaken brought back what they had said is gone.

--- a/packages/router/src/__tests__/endpointDirectory.test.ts
+++ b/packages/router/src/__tests__/endpointDirectory.test.ts
@@ -1,15 +1,23 @@
 import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
 import { EndpointDirectory } from '../systems/endpointDirectory.js';
+import { PlatformContact } from '../systems/platformContact.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 
-function createDirectory(table: EndpointTable): { directory: EndpointDirectory; removed: string[] } {
+interface DirectoryOfTest {
+  directory: EndpointDirectory;
+  contact: PlatformContact;
+  removed: string[];
+}
+
+function createDirectory(table: EndpointTable): DirectoryOfTest {
   const removed: string[] = [];
-  const directory = new EndpointDirectory(table, {
+  const contact = new PlatformContact();
+  const directory = new EndpointDirectory(table, contact, {
     onRemoved: (id, reason) => removed.push(`${id} ${reason}`),
     onLapsed: () => {},
   });
-  directory.noteFeedRegained(0);
-  return { directory, removed };
+  contact.noteAnswer(0);
+  return { directory, contact, removed };
 }
 
 const CALM_MS = 10_000;
@@ -23,9 +31,9 @@
 
 test('entries that vanish while the platform is away are kept until it has been back for two seconds', () => {
   const { table } = createTable(3);
-  const { directory, removed } = createDirectory(table);
-  directory.noteFeedLost();
-  directory.noteFeedRegained(CALM_MS);
+  const { directory, contact, removed } = createDirectory(table);
+  contact.noteFailure();
+  contact.noteAnswer(CALM_MS);
   directory.apply({ type: 'snapshot', endpoints: [createListing('e0')] }, CALM_MS + 10);
   directory.tick(CALM_MS + 1_900);
   expect(table.byId.size).toBe(3);
@@ -36,9 +44,31 @@
 
 test('nothing is dropped while the platform stays away', () => {
   const { table } = createTable(3);
-  const { directory } = createDirectory(table);
-  directory.noteFeedLost();
+  const { directory, contact } = createDirectory(table);
+  contact.noteFailure();
   directory.apply({ type: 'snapshot', endpoints: [] }, CALM_MS);
   directory.tick(CALM_MS + 60_000);
   expect(table.byId.size).toBe(3);
 });
+
+test('what a peer keeps although it is no longer listed is kept as lapsed, and dropped once the platform is back', () => {
+  const { table } = createTable(0);
+  const { directory, contact, removed } = createDirectory(table);
+  contact.noteFailure();
+  directory.apply(
+    { type: 'snapshot', endpoints: [createListing('e0')], lapsed: [createListing('e1')] },
+    CALM_MS,
+  );
+  expect(table.lapsedCount).toBe(1);
+  contact.noteAnswer(CALM_MS);
+  directory.tick(CALM_MS + 2_000);
+  expect(removed).toEqual(['e1 lapsed']);
+  expect([...table.byId.keys()]).toEqual(['e0']);
+});
+
+test('a box that is in touch with the platform takes no endpoint that a peer keeps unlisted', () => {
+  const { table } = createTable(0);
+  const { directory } = createDirectory(table);
+  directory.apply({ type: 'snapshot', endpoints: [], lapsed: [createListing('e1')] }, CALM_MS);
+  expect(table.byId.size).toBe(0);
+});
--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -287,3 +287,82 @@
     { frame: { from: 10, revision: 20, changes: [{ type: 'listed', endpoint: { id: 'e-new' } }] } },
   ]);
 });
+
+describe('a box whose own calls fail while others read the platform', () => {
+  /** Its calls go on failing; the follower of its hall goes on telling that nothing is new, or what is. */
+  function passCutOff(durationMs: number, tell: () => void): void {
+    const endMs = box.nowMs + durationMs;
+    while (box.nowMs < endMs) {
+      box.state.noteReadFailed('connect timed out');
+      box.relay.noteFeedLost();
+      tell();
+      box.state.tick(box.nowMs);
+      box.nowMs += 250;
+    }
+  }
+
+  test('drops an endpoint as soon as a follower says that its entry is gone', () => {
+    passCutOff(3_000, () => box.relay.handleNotice(notice()));
+    box.relay.handleNotice(notice({ revision: 11, changes: [{ type: 'removed', id: 'e-10' }] }));
+    expect(box.listIds()).toEqual([]);
+  });
+
+  test('drops an endpoint that a whole list of a peer in touch no longer has', () => {
+    passCutOff(3_000, () =>
+      box.values.noteHeartbeat(heartbeatOf('10.0.1.1:1', { hall: 'antigua', platformUnsettledMs: 0 })),
+    );
+    expect(box.listIds()).toEqual(['e-10']);
+    box.values.takeEndpoints({
+      type: 'endpointsValue',
+      revision: 11,
+      endpoints: [],
+      lapsed: [],
+      word: { address: '10.0.1.1:1', unsettledMs: 0 },
+    });
+    expect(box.listIds()).toEqual([]);
+  });
+
+  test('asks a peer that has a newer list, and not while a follower tells it what changes', () => {
+    const newer = heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision: 12 });
+    box.state.noteReadFailed('connect timed out');
+    box.relay.handleNotice(notice());
+    box.values.noteHeartbeat(newer);
+    expect(box.sent).toEqual([]);
+    box.nowMs += 2_000;
+    box.values.noteHeartbeat(newer);
+    expect(box.sent).toMatchObject([
+      { to: '10.0.1.1:1', frame: { type: 'valueRequest', value: 'endpoints' } },
+    ]);
+  });
+
+  test('keeps it while nobody reads the platform, and until it has been back for two seconds', () => {
+    passCutOff(3_000, () => {});
+    box.values.takeEndpoints({
+      type: 'endpointsValue',
+      revision: 11,
+      endpoints: [],
+      lapsed: [listed('e-10'), listed('e-unknown')],
+    });
+    passCutOff(60_000, () => {});
+    expect(box.listIds()).toEqual(['e-10', 'e-unknown']);
+    passCutOff(1_750, () => box.relay.handleNotice(notice({ revision: 11 })));
+    expect(box.listIds()).toEqual(['e-10', 'e-unknown']);
+    passCutOff(750, () => box.relay.handleNotice(notice({ revision: 11 })));
+    expect(box.listIds()).toEqual([]);
+  });
+});
+
+test('an answer of the platform that peers have overtaken brings back nothing', () => {
+  box.relay.handleNotice(notice({ revision: 12, changes: [{ type: 'removed', id: 'e-10' }] }));
+  box.publish(undefined, 11);
+  expect(box.listIds()).toEqual([]);
+  expect(box.state.endpointsRevision).toBe(12);
+});
+
+test('a list told to a peer says which of its endpoints are no longer listed', () => {
+  box.state.noteReadFailed('connect timed out');
+  box.nowMs += 5_000;
+  box.state.applyEndpoints([{ type: 'removed', id: 'e-10' }], 11, 'peer');
+  box.values.send({ type: 'valueRequest', value: 'endpoints', address: FOLLOWER, configurationVersion: 1 });
+  expect(box.sent).toMatchObject([{ frame: { endpoints: [], lapsed: [{ id: 'e-10' }], word: undefined } }]);
+});
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -14,7 +14,6 @@
 import { CallerServer } from './proxy/callerServer.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
 import type { Exchange } from './proxy/exchange.js';
-import type { ListedEndpoint } from './records.js';
 import type { RouterContext } from './routerContext.js';
 import type { FleetRouterOptions, RouterInput } from './routerOptions.js';
 import type { HealthSign, StandingChange } from './systems/endpointHealth.js';
@@ -181,7 +180,7 @@
 
   /** Whether the platform answered last time. */
   get isInTouchWithPlatform(): boolean {
-    return this.state.isFeedUp;
+    return this.state.isInTouch;
   }
 
   /** What this box does about the platform now: follow it, read a value, or rely on peers. */
@@ -301,6 +300,7 @@
       boxes: this.mesh.countBoxes(),
       configurationVersion: this.state.configurationVersion,
       endpointsRevision: this.state.endpointsRevision,
+      platformUnsettledMs: this.state.wordMs,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       homes: [...homes],
       incarnation: this.mesh.incarnation,
@@ -328,15 +328,10 @@
       case 'configurationDifference':
         return this.peerValues.takeChange(frame.change);
       case 'endpointsValue':
-        return this.applyPeerEndpoints(frame.revision, frame.endpoints);
+        return this.peerValues.takeEndpoints(frame);
     }
   }
 
-  private applyPeerEndpoints(revision: number, endpoints: readonly ListedEndpoint[]): void {
-    if (revision <= this.state.endpointsRevision) return;
-    this.state.applyEndpoints([{ type: 'snapshot', endpoints }], revision, 'peer');
-  }
-
   /** Requests that came before the box knew what to serve go on at once. */
   private releaseWaiting(): void {
     const nowMs = this.now();
@@ -349,7 +344,7 @@
 
   private handleFeedLost(reason: string): void {
     const wasAble = this.relay.standing === 'able';
-    this.state.noteFeedLost(reason);
+    this.state.noteReadFailed(reason);
     this.relay.noteFeedLost();
     // The hall needs another box that follows the platform, sooner than the next heartbeat would say so.
     if (wasAble) this.mesh.sendToHall(this.options.hall, this.createHeartbeat([]));
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -75,7 +75,7 @@
       // Peers that know an older list ask for the whole one.
       from: from ?? revision,
       revision,
-      unsettledMs: state.unsettledMs,
+      unsettledMs: state.wordMs ?? 0,
       configurationVersion: state.configurationVersion,
       configurationChars: state.configurationChars,
       isConfigurationChangeSmall: this.isNewsSmall,
@@ -95,8 +95,7 @@
     const { state, values, now } = this.options;
     if (notice.from <= state.endpointsRevision) {
       this.confirmedAtMs = now();
-      state.noteFeedRegained('peer');
-      state.distrustFor(notice.unsettledMs);
+      state.noteTold(notice.address, notice.unsettledMs);
       if (notice.revision > state.endpointsRevision) {
         state.applyEndpoints(notice.changes, notice.revision, 'peer');
       }
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -39,6 +39,11 @@
   configurationVersion: z.number(),
   /** How new the sender's list of endpoints is: the platform's revision. */
   endpointsRevision: z.number(),
+  /**
+   * For how long an entry that vanishes may only have lapsed, as the sender sees it; absent if it neither reads the
+   * platform nor is told all by a box that does.
+   */
+  platformUnsettledMs: z.number().optional(),
   /** Tag of an endpoint and the requests that the sender has there, in turn. */
   loads: z.array(z.number()),
   /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
@@ -137,7 +142,12 @@
 const endpointsValue = z.object({
   type: z.literal('endpointsValue'),
   revision: z.number(),
+  /** Endpoints that the platform lists. */
   endpoints: z.array(listedEndpoint),
+  /** Endpoints that the sender keeps although the platform no longer lists them. */
+  lapsed: z.array(listedEndpoint).default([]),
+  /** That the sender is in touch with the platform, as in heartbeats. */
+  word: z.object({ address: z.string(), unsettledMs: z.number() }).optional(),
 });
 const feedNotice = z.object({
   type: z.literal('feedNotice'),
@@ -229,6 +239,8 @@
 export type BoxUp = z.infer<typeof boxUp>;
 /** What changed in the configuration, told to a box that has an earlier version. */
 export type ConfigurationDifference = z.infer<typeof configurationDifference>;
+/** The whole list of endpoints. */
+export type EndpointsValue = z.infer<typeof endpointsValue>;
 /** A question for a published value. */
 export type ValueRequest = z.infer<typeof valueRequest>;
 /** What a box that follows the platform tells the boxes of its hall. */
@@ -285,6 +297,7 @@
   sequence: 13,
   isRelayed: 14,
   passTo: 15,
+  platformUnsettledMs: 16,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -5,7 +5,7 @@
 import type { PublishedState } from '../systems/publishedState.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import type { ConfigurationChange } from '../systems/configurationChange.js';
-import type { FeedNotice, Heartbeat, ValueRequest } from './peerFrames.js';
+import type { EndpointsValue, FeedNotice, Heartbeat, ValueRequest } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 
 /** A peer with newer values is asked for them at most this often: an answer takes some milliseconds. */
@@ -44,8 +44,10 @@
     const isNewer = heartbeat.configurationVersion > state.configurationVersion;
     // A box that knows nothing yet has nothing to wait for.
     const lacksConfiguration = isNewer && (isOverdue || !state.isInformed);
-    const lacksEndpoints = !state.isFeedUp && heartbeat.endpointsRevision > state.endpointsRevision;
-    this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints);
+    const lacksEndpoints = heartbeat.endpointsRevision > state.endpointsRevision;
+    if (heartbeat.platformUnsettledMs === undefined) state.noteWithdrawn(heartbeat.address);
+    else if (!lacksEndpoints) state.noteVouched(heartbeat.address, heartbeat.platformUnsettledMs);
+    this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && !state.isFollowing);
   }
 
   /** Asks the box that follows the platform for what its notice did not hold. */
@@ -94,12 +96,24 @@
         mesh.send(request.address, {
           type: 'endpointsValue',
           revision: state.endpointsRevision,
-          endpoints: state.listEndpoints(),
+          endpoints: state.listEndpoints('listed'),
+          lapsed: state.listEndpoints('lapsed'),
+          word: describeWord(mesh.address, state.wordMs),
         });
         return;
     }
   }
 
+  /** Takes over the whole list of endpoints that a peer told, unless this box has a newer one. */
+  takeEndpoints(value: EndpointsValue): void {
+    const { state } = this.options;
+    const { revision, endpoints, lapsed, word } = value;
+    if (revision < state.endpointsRevision) return;
+    if (word !== undefined) state.noteVouched(word.address, word.unsettledMs);
+    if (revision === state.endpointsRevision) return;
+    state.applyEndpoints([{ type: 'snapshot', endpoints, lapsed }], revision, 'peer');
+  }
+
   private sendConfiguration(request: ValueRequest): void {
     const { mesh, state } = this.options;
     const change = state.describeChange(request.configurationVersion);
@@ -137,3 +151,7 @@
     if (lacksEndpoints) mesh.send(address, { ...question, value: 'endpoints' });
   }
 }
+
+function describeWord(address: string, unsettledMs: number | undefined): EndpointsValue['word'] {
+  return unsettledMs === undefined ? undefined : { address, unsettledMs };
+}
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -157,7 +157,7 @@
   private listReachable(service: string): EndpointRow[] {
     return this.table
       .listService(service)
-      .filter((row) => row.standing.type !== 'unreachable' && row.lapsedUntilMs === undefined);
+      .filter((row) => row.standing.type !== 'unreachable' && !row.isLapsed);
   }
 
   /** The first in the order of endpoints that all boxes share for a prompt. */
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -17,6 +17,8 @@
 } from './configurationChange.js';
 import type { EndpointChange } from './endpointDirectory.js';
 import { EndpointDirectory } from './endpointDirectory.js';
+import type { ContactKind } from './platformContact.js';
+import { PlatformContact } from './platformContact.js';
 import { RouteIndex } from './routeIndex.js';
 
 /** Earlier configurations from which a peer may be told the change; records are shared, so each costs little. */
@@ -57,12 +59,13 @@
   private readonly configurations: FleetConfiguration[] = [];
   private readonly digest: ConfigurationDigest;
   private revision = 0;
-  private feedUp = false;
+  private readonly contact = new PlatformContact();
+  private contactKind: ContactKind = 'none';
   private readonly directory: EndpointDirectory;
 
   constructor(private readonly options: PublishedStateOptions) {
     this.digest = new ConfigurationDigest(options.hash);
-    this.directory = new EndpointDirectory(options.table, {
+    this.directory = new EndpointDirectory(options.table, this.contact, {
       onRemoved: (id, reason) => this.handleRemoved(id, reason),
       onLapsed: (id, unsettledMs) => this.handleLapsed(id, unsettledMs),
     });
@@ -89,14 +92,19 @@
     return this.revision;
   }
 
-  /** Whether the platform answered last time, this box or the peer that follows it for this box. */
-  get isFeedUp(): boolean {
-    return this.feedUp;
+  /** Whether the platform answered last time, this box or a peer that reads it. */
+  get isInTouch(): boolean {
+    return this.contact.readKind(this.options.now()) !== 'none';
   }
 
-  /** For how much longer an entry that vanishes may only have lapsed. */
-  get unsettledMs(): number {
-    return this.directory.readUnsettledMs(this.options.now());
+  /** Whether every change of the list reaches this box by itself. */
+  get isFollowing(): boolean {
+    return this.contact.isFollowing(this.options.now());
+  }
+
+  /** What peers are told: for how long entries that vanish may have lapsed; undefined if this box cannot say. */
+  get wordMs(): number | undefined {
+    return this.contact.readWordMs(this.options.now());
   }
 
   /** Whether the box knows what to serve and where. */
@@ -104,17 +112,22 @@
     return this.currentIndex !== undefined && this.options.table.byId.size > 0;
   }
 
-  /** All endpoints that are known. */
-  listEndpoints(): ListedEndpoint[] {
-    return [...this.options.table.byId.values()].map((row) => row.listing);
+  /** All endpoints that are known, or only those that are listed, or only those that are kept although they are not. */
+  listEndpoints(which: 'all' | 'listed' | 'lapsed' = 'all'): ListedEndpoint[] {
+    return [...this.options.table.byId.values()]
+      .filter((row) => which === 'all' || row.isLapsed === (which === 'lapsed'))
+      .map((row) => row.listing);
   }
 
   /** Takes over an answer of the platform; returns it as what changed since the revision that this box had. */
   applyPublication(publication: Publication): Publication {
-    this.noteFeedRegained('platform');
+    this.noteAnswer();
     if (publication.configurationText !== undefined) this.applyConfiguration(publication.configurationText);
     const difference = this.toDifference(publication);
-    this.applyEndpoints(publication.endpointChanges, publication.revision, 'platform');
+    // An answer that peers have overtaken would bring back endpoints that they said are gone.
+    if (publication.revision >= this.revision) {
+      this.applyEndpoints(publication.endpointChanges, publication.revision, 'platform');
+    }
     return difference;
   }
 
@@ -177,29 +190,60 @@
     this.tellIfInformed(wasInformed);
   }
 
-  /** The platform does not answer, neither this box nor a peer for it. */
-  noteFeedLost(reason: string): void {
-    if (this.feedUp) this.options.log.write('lifecycle', 'platformLost', { reason });
-    this.feedUp = false;
-    this.directory.noteFeedLost();
+  /** The platform does not answer this box. */
+  noteReadFailed(reason: string): void {
+    const wasReading = this.contact.readKind(this.options.now()) === 'own';
+    this.contact.noteFailure();
+    if (wasReading) this.options.log.write('lifecycle', 'platformLost', { reason });
+    this.noteContact();
   }
 
-  /** The platform answers this box, or a peer says that it answers the peer. */
-  noteFeedRegained(source: ValueSource): void {
-    const { log, now } = this.options;
-    if (!this.feedUp) log.write('lifecycle', 'platformRegained', { revision: this.revision, source });
-    this.feedUp = true;
-    this.directory.noteFeedRegained(now());
+  /** A peer that follows the platform told this box all that changed. */
+  noteTold(address: string, unsettledMs: number): void {
+    this.contact.noteTold(address, unsettledMs, this.options.now());
+    this.noteContact();
   }
 
-  /** The platform was away for the peer that follows it: for so long entries that vanish may only have lapsed. */
-  distrustFor(unsettledMs: number): void {
-    this.directory.distrustFor(unsettledMs, this.options.now());
+  /** A peer that is in touch with the platform has nothing newer than this box. */
+  noteVouched(address: string, unsettledMs: number): void {
+    this.contact.noteVouched(address, unsettledMs, this.options.now());
+    this.noteContact();
+  }
+
+  /** A peer is not in touch with the platform any more. */
+  noteWithdrawn(address: string): void {
+    this.contact.noteWithdrawn(address);
+    this.noteContact();
   }
 
   /** Runs once a tick. */
   tick(nowMs: number): void {
+    this.contact.tick(nowMs);
+    this.noteContact();
     this.directory.tick(nowMs);
+    this.measureLapsed();
+  }
+
+  private noteAnswer(): void {
+    const { log, now } = this.options;
+    const wasReading = this.contact.readKind(now()) === 'own';
+    this.contact.noteAnswer(now());
+    if (!wasReading) log.write('lifecycle', 'platformRegained', { revision: this.revision });
+    this.noteContact();
+  }
+
+  /** Logs by whom the platform is known, whenever that changes. */
+  private noteContact(): void {
+    const { log, now } = this.options;
+    const contact = this.contact.readKind(now());
+    if (contact === this.contactKind) return;
+    log.write('lifecycle', 'platformContact', {
+      contact,
+      before: this.contactKind,
+      revision: this.revision,
+      unsettledMs: toLogMs(this.contact.readUnsettledMs(now())),
+    });
+    this.contactKind = contact;
   }
 
   private install(configuration: FleetConfiguration, source: ValueSource): void {
@@ -244,7 +288,6 @@
   private applyEndpointChange(change: EndpointChange, revision: number, source: ValueSource): void {
     const { log, now, table } = this.options;
     this.directory.apply(change, now());
-    this.measureLapsed();
     log.write('lifecycle', 'endpointsChanged', {
       change: change.type,
       id: change.type === 'listed' ? change.endpoint.id : change.type === 'removed' ? change.id : undefined,
@@ -262,17 +305,14 @@
   private handleRemoved(id: string, reason: string): void {
     this.options.onEndpointRemoved(id);
     this.options.log.write('lifecycle', 'endpointRemoved', { id, reason });
-    this.measureLapsed();
   }
 
   private handleLapsed(id: string, unsettledMs: number): void {
-    const { log } = this.options;
-    log.write('lifecycle', 'endpointLapsed', {
+    this.options.log.write('lifecycle', 'endpointLapsed', {
       id,
-      isFeedUp: this.feedUp,
+      contact: this.contactKind,
       unsettledMs: toLogMs(unsettledMs),
     });
-    this.measureLapsed();
   }
 
   private measureLapsed(): void {
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -32,8 +32,8 @@
   consecutiveFailures: number;
   /** A connection check is under way. */
   isBeingChecked: boolean;
-  /** The platform no longer lists it, but may only have lost touch; kept until then. Set by `EndpointTable.lapse`. */
-  lapsedUntilMs: number | undefined;
+  /** The platform no longer lists it, but may only have lost touch. Set by `EndpointTable.lapse`. */
+  isLapsed: boolean;
 }
 
 /** All endpoints by id, by service and by tag. */
@@ -67,9 +67,9 @@
   }
 
   /** Keeps an endpoint that the platform no longer lists. */
-  lapse(row: EndpointRow, untilMs: number): void {
-    if (row.lapsedUntilMs === undefined) this.lapsed += 1;
-    row.lapsedUntilMs = untilMs;
+  lapse(row: EndpointRow): void {
+    if (!row.isLapsed) this.lapsed += 1;
+    row.isLapsed = true;
   }
 
   /** Forgets an endpoint. */
@@ -97,8 +97,8 @@
   }
 
   private endLapse(row: EndpointRow): void {
-    if (row.lapsedUntilMs !== undefined) this.lapsed -= 1;
-    row.lapsedUntilMs = undefined;
+    if (row.isLapsed) this.lapsed -= 1;
+    row.isLapsed = false;
   }
 }
 
@@ -115,6 +115,6 @@
     failureRate: 0,
     consecutiveFailures: 0,
     isBeingChecked: false,
-    lapsedUntilMs: undefined,
+    isLapsed: false,
   };
 }
