A box whose waiting call has gone silent asks a peer that has a newer list

A box alone in its hall gets no notices, and asked for a list only after a failure of its own. Now it asks as soon as its list has stood still for half of the time in which a change has to hold while a heartbeat shows a newer one: about 1.4 s in place of 3.9 s.

--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -335,6 +335,32 @@
     ]);
   });
 
+  test('asks a peer whose newer list it has missed for a second, though its own call still waits', () => {
+    const tell = (endpointsRevision: number): void =>
+      box.values.noteHeartbeat(heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision }));
+    tell(12);
+    // The news of a second version do not begin the wait anew.
+    box.nowMs += BOUND_MS / 4;
+    tell(13);
+    expect(box.sent).toEqual([]);
+    box.nowMs += BOUND_MS / 4;
+    tell(13);
+    expect(box.sent).toMatchObject([
+      { to: '10.0.1.1:1', frame: { type: 'valueRequest', value: 'endpoints' } },
+    ]);
+  });
+
+  test('that has caught up meanwhile waits anew for the next list', () => {
+    const tell = (endpointsRevision: number): void =>
+      box.values.noteHeartbeat(heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision }));
+    tell(12);
+    box.publish(10, 12);
+    box.sent.length = 0;
+    box.nowMs += BOUND_MS;
+    tell(13);
+    expect(box.sent).toEqual([]);
+  });
+
   test('keeps it while nobody reads the platform, and until it has been back for two seconds', () => {
     passCutOff(3_000, () => {});
     box.values.takeEndpoints({
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -12,6 +12,11 @@
 const ASK_MS = 400;
 /** Most configurations come from the platform itself; peers are asked after this share of the time to apply one. */
 const PATIENCE_SHARE = 1 / 6;
+/**
+ * A list that stands still for this share of that time while a peer has a newer one is asked for: a waiting call that has
+ * gone silent counts as lost only after 3.9 s. Otherwise followers tell what is new within a third of it.
+ */
+const STUCK_SHARE = 1 / 2;
 /** What is larger is read from the platform: links between boxes are thin, and one box may serve a hall. */
 export const MAX_PASSED_ON_CHARS = 16_384;
 
@@ -31,6 +36,10 @@
   /** Newest configuration that a peer has, and since when this box lacks it. */
   private heardVersion = 0;
   private lacksSinceMs = -Infinity;
+  /** Newest list that a peer has, and since when this box has stood still at which one without it. */
+  private heardRevision = 0;
+  private stuckAtRevision = 0;
+  private stuckSinceMs = -Infinity;
   /** The newest configuration is too large to come from the follower, and so is what changed in it. */
   private isLeftToPlatform = false;
 
@@ -47,7 +56,8 @@
     const lacksEndpoints = heartbeat.endpointsRevision > state.endpointsRevision;
     if (heartbeat.platformUnsettledMs === undefined) state.noteWithdrawn(heartbeat.address);
     else if (!lacksEndpoints) state.noteVouched(heartbeat.address, heartbeat.platformUnsettledMs);
-    this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && !state.isFollowing);
+    const isStuck = this.isListStuck(heartbeat.endpointsRevision);
+    this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && (isStuck || !state.isFollowing));
   }
 
   /** Asks the box that follows the platform for what its notice did not hold. */
@@ -129,6 +139,18 @@
     return this.options.applyBoundMs * PATIENCE_SHARE;
   }
 
+  /** Whether the list of this box has not moved for too long although peers have a newer one. */
+  private isListStuck(peerRevision: number): boolean {
+    const { state, now, applyBoundMs } = this.options;
+    const revision = state.endpointsRevision;
+    this.heardRevision = Math.max(this.heardRevision, peerRevision);
+    if (this.heardRevision <= revision || this.stuckAtRevision !== revision) {
+      this.stuckAtRevision = revision;
+      this.stuckSinceMs = now();
+    }
+    return now() - this.stuckSinceMs >= applyBoundMs * STUCK_SHARE;
+  }
+
   private noteVersion(version: number): void {
     const { state, now } = this.options;
     if (version <= Math.max(this.heardVersion, state.configurationVersion)) return;
