--- /dev/null
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -0,0 +1,119 @@
+/** A box that cannot read the platform itself: what it takes from peers, and what it tells them. */
+import { BOUND_MS, FOLLOWER, heartbeatOf, listed, notice, TestBox } from '../__fixtures__/restingBox.js';
+
+let box: TestBox;
+
+beforeEach(() => {
+  box = new TestBox();
+});
+
+describe('a box whose own calls fail while others read the platform', () => {
+  /** Its calls go on failing; the follower of its hall goes on telling that nothing is new, or what is. */
+  function passCutOff(durationMs: number, tell: () => void): void {
+    const endMs = box.nowMs + durationMs;
+    while (box.nowMs < endMs) {
+      box.state.noteReadFailed('connect timed out');
+      box.relay.noteFeedLost();
+      tell();
+      box.state.tick(box.nowMs);
+      box.nowMs += 250;
+    }
+  }
+
+  test('drops an endpoint as soon as a follower says that its entry is gone', () => {
+    passCutOff(3_000, () => box.relay.handleNotice(notice()));
+    box.relay.handleNotice(notice({ revision: 11, changes: [{ type: 'removed', id: 'e-10' }] }));
+    expect(box.listIds()).toEqual([]);
+  });
+
+  test('drops an endpoint that a whole list of a peer in touch no longer has', () => {
+    passCutOff(3_000, () =>
+      box.values.noteHeartbeat(
+        heartbeatOf('10.0.1.1:1', { hall: 'antigua', platformWord: { doubtMs: 0, saidAgoMs: 0 } }),
+      ),
+    );
+    expect(box.listIds()).toEqual(['e-10']);
+    box.values.takeEndpoints({
+      type: 'endpointsValue',
+      revision: 11,
+      endpoints: [],
+      lapsed: [],
+      address: '10.0.1.1:1',
+      platformWord: { doubtMs: 0, saidAgoMs: 0 },
+    });
+    expect(box.listIds()).toEqual([]);
+  });
+
+  test('asks a peer that has a newer list, and not while a follower tells it what changes', () => {
+    const newer = heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision: 12 });
+    box.state.noteReadFailed('connect timed out');
+    box.relay.handleNotice(notice());
+    box.values.noteHeartbeat(newer);
+    expect(box.sent).toEqual([]);
+    box.nowMs += 2_000;
+    box.values.noteHeartbeat(newer);
+    expect(box.sent).toMatchObject([
+      { to: '10.0.1.1:1', frame: { type: 'valueRequest', value: 'endpoints' } },
+    ]);
+  });
+
+  test('asks a peer whose newer list it has missed for a second, though its own call still waits', () => {
+    const tell = (endpointsRevision: number): void =>
+      box.values.noteHeartbeat(heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision }));
+    tell(12);
+    // The news of a second version do not begin the wait anew.
+    box.nowMs += BOUND_MS / 4;
+    tell(13);
+    expect(box.sent).toEqual([]);
+    box.nowMs += BOUND_MS / 4;
+    tell(13);
+    expect(box.sent).toMatchObject([
+      { to: '10.0.1.1:1', frame: { type: 'valueRequest', value: 'endpoints' } },
+    ]);
+  });
+
+  test('that has caught up meanwhile waits anew for the next list', () => {
+    const tell = (endpointsRevision: number): void =>
+      box.values.noteHeartbeat(heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision }));
+    tell(12);
+    box.publish(10, 12);
+    box.sent.length = 0;
+    box.nowMs += BOUND_MS;
+    tell(13);
+    expect(box.sent).toEqual([]);
+  });
+
+  test('keeps it while nobody reads the platform, and until it has been back for two seconds', () => {
+    passCutOff(3_000, () => {});
+    box.values.takeEndpoints({
+      type: 'endpointsValue',
+      revision: 11,
+      endpoints: [],
+      lapsed: [listed('e-10'), listed('e-unknown')],
+      address: '10.0.1.1:1',
+    });
+    passCutOff(60_000, () => {});
+    expect(box.listIds()).toEqual(['e-10', 'e-unknown']);
+    passCutOff(1_750, () => box.relay.handleNotice(notice({ revision: 11 })));
+    expect(box.listIds()).toEqual(['e-10', 'e-unknown']);
+    passCutOff(750, () => box.relay.handleNotice(notice({ revision: 11 })));
+    expect(box.listIds()).toEqual([]);
+  });
+});
+
+test('an answer of the platform that peers have overtaken brings back nothing', () => {
+  box.relay.handleNotice(notice({ revision: 12, changes: [{ type: 'removed', id: 'e-10' }] }));
+  box.publish(undefined, 11);
+  expect(box.listIds()).toEqual([]);
+  expect(box.state.endpointsRevision).toBe(12);
+});
+
+test('a list told to a peer says which of its endpoints are no longer listed', () => {
+  box.state.noteReadFailed('connect timed out');
+  box.nowMs += 5_000;
+  box.state.applyEndpoints([{ type: 'removed', id: 'e-10' }], 11, 'peer');
+  box.values.send({ type: 'valueRequest', value: 'endpoints', address: FOLLOWER, configurationVersion: 1 });
+  expect(box.sent).toMatchObject([
+    { frame: { endpoints: [], lapsed: [{ id: 'e-10' }], platformWord: undefined } },
+  ]);
+});
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -300,7 +300,7 @@
       boxes: this.mesh.countBoxes(),
       configurationVersion: this.state.configurationVersion,
       endpointsRevision: this.state.endpointsRevision,
-      platformUnsettledMs: this.state.wordMs,
+      platformWord: this.state.platformWord,
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       homes: [...homes],
       incarnation: this.mesh.incarnation,
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -75,7 +75,7 @@
       // Peers that know an older list ask for the whole one.
       from: from ?? revision,
       revision,
-      unsettledMs: state.wordMs ?? 0,
+      unsettledMs: state.platformWord?.doubtMs ?? 0,
       configurationVersion: state.configurationVersion,
       configurationChars: state.configurationChars,
       isConfigurationChangeSmall: this.isNewsSmall,
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -7,6 +7,7 @@
 import { Encoder } from 'cbor-x';
 import * as z from 'zod';
 import type { ListedEndpoint } from '../records.js';
+import type { PlatformWord } from '../systems/platformContact.js';
 import { configurationChange, fleetConfiguration } from './configurationSchema.js';
 
 const LENGTH_BYTES = 4;
@@ -23,6 +24,16 @@
   state: z.enum(['live', 'leaving']),
 }) satisfies z.ZodType<ListedEndpoint>;
 
+/** What the sender knows of the platform; absent if it neither reads it nor is told all by a box that does. */
+const platformWord = z
+  .object({
+    /** For how long an entry that vanishes may only have lapsed. */
+    doubtMs: z.number(),
+    /** How long ago the sender was told, if it does not read the platform itself. */
+    saidAgoMs: z.number(),
+  })
+  .optional() satisfies z.ZodType<PlatformWord | undefined>;
+
 const heartbeat = z.object({
   type: z.literal('heartbeat'),
   /** Hall of the sender. */
@@ -39,11 +50,7 @@
   configurationVersion: z.number(),
   /** How new the sender's list of endpoints is: the platform's revision. */
   endpointsRevision: z.number(),
-  /**
-   * For how long an entry that vanishes may only have lapsed, as the sender sees it; absent if it neither reads the
-   * platform nor is told all by a box that does.
-   */
-  platformUnsettledMs: z.number().optional(),
+  platformWord,
   /** Tag of an endpoint and the requests that the sender has there, in turn. */
   loads: z.array(z.number()),
   /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
@@ -146,8 +153,9 @@
   endpoints: z.array(listedEndpoint),
   /** Endpoints that the sender keeps although the platform no longer lists them. */
   lapsed: z.array(listedEndpoint).default([]),
-  /** That the sender is in touch with the platform, as in heartbeats. */
-  word: z.object({ address: z.string(), unsettledMs: z.number() }).optional(),
+  /** Address of the sender. */
+  address: z.string().default(''),
+  platformWord,
 });
 const feedNotice = z.object({
   type: z.literal('feedNotice'),
@@ -297,7 +305,9 @@
   sequence: 13,
   isRelayed: 14,
   passTo: 15,
-  platformUnsettledMs: 16,
+  platformWord: 16,
+  doubtMs: 17,
+  saidAgoMs: 18,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -54,8 +54,9 @@
     // A box that knows nothing yet has nothing to wait for.
     const lacksConfiguration = isNewer && (isOverdue || !state.isInformed);
     const lacksEndpoints = heartbeat.endpointsRevision > state.endpointsRevision;
-    if (heartbeat.platformUnsettledMs === undefined) state.noteWithdrawn(heartbeat.address);
-    else if (!lacksEndpoints) state.noteVouched(heartbeat.address, heartbeat.platformUnsettledMs);
+    const { address, platformWord } = heartbeat;
+    if (platformWord === undefined) state.noteWithdrawn(address);
+    else if (!lacksEndpoints) state.noteVouched(address, platformWord);
     const isStuck = this.isListStuck(heartbeat.endpointsRevision);
     this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && (isStuck || !state.isFollowing));
   }
@@ -108,7 +109,8 @@
           revision: state.endpointsRevision,
           endpoints: state.listEndpoints('listed'),
           lapsed: state.listEndpoints('lapsed'),
-          word: describeWord(mesh.address, state.wordMs),
+          address: mesh.address,
+          platformWord: state.platformWord,
         });
         return;
     }
@@ -117,9 +119,9 @@
   /** Takes over the whole list of endpoints that a peer told, unless this box has a newer one. */
   takeEndpoints(value: EndpointsValue): void {
     const { state } = this.options;
-    const { revision, endpoints, lapsed, word } = value;
+    const { revision, endpoints, lapsed, address, platformWord } = value;
     if (revision < state.endpointsRevision) return;
-    if (word !== undefined) state.noteVouched(word.address, word.unsettledMs);
+    if (platformWord !== undefined) state.noteVouched(address, platformWord);
     if (revision === state.endpointsRevision) return;
     state.applyEndpoints([{ type: 'snapshot', endpoints, lapsed }], revision, 'peer');
   }
@@ -173,7 +175,3 @@
     if (lacksEndpoints) mesh.send(address, { ...question, value: 'endpoints' });
   }
 }
-
-function describeWord(address: string, unsettledMs: number | undefined): EndpointsValue['word'] {
-  return unsettledMs === undefined ? undefined : { address, unsettledMs };
-}
--- a/packages/router/src/systems/platformContact.ts
+++ b/packages/router/src/systems/platformContact.ts
@@ -17,7 +17,15 @@
 /** For so long an own answer is news: a waiting call lasts up to 3 s, and is found to be lost 0.9 s later. */
 const ANSWER_LIFE_MS = 4_000;
 
-/** When a peer last said what. */
+/** What a box tells another of its contact with the platform. */
+export interface PlatformWord {
+  /** For how long an entry that vanishes may only have lapsed. */
+  readonly doubtMs: number;
+  /** How old the word is: a box that does not read the platform itself was told so long ago. */
+  readonly saidAgoMs: number;
+}
+
+/** As of when the words of a peer are. */
 interface PeerWord {
   /** It had nothing newer than this box. */
   readonly vouchedAtMs: number;
@@ -36,8 +44,10 @@
   private readonly words = new Map<string, PeerWord>();
   /** Until then an entry that vanishes may only have lapsed. */
   private settledAtMs = 0;
-  /** The same as far as this box saw it itself; what it tells others, lest doubts travel in circles. */
+  /** The same, as far as this box saw it as it read the platform: what it tells others. */
   private ownSettledAtMs = 0;
+  /** The same, as those said who told it: what it passes on while they read the platform and it does not. */
+  private toldSettledAtMs = 0;
 
   /** The platform answered a call of this box. */
   noteAnswer(nowMs: number): void {
@@ -55,16 +65,19 @@
 
   /** A peer that follows the platform told all that changed; entries that vanish may have lapsed for so long. */
   noteTold(address: string, unsettledMs: number, nowMs: number): void {
-    this.noteVouched(address, unsettledMs, nowMs);
+    this.noteVouched(address, { doubtMs: unsettledMs, saidAgoMs: 0 }, nowMs);
     this.words.set(address, { vouchedAtMs: nowMs, toldAtMs: nowMs });
+    this.toldSettledAtMs = Math.max(this.toldSettledAtMs, nowMs + unsettledMs);
   }
 
   /** A peer that is in touch with the platform has nothing newer than this box. */
-  noteVouched(address: string, unsettledMs: number, nowMs: number): void {
+  noteVouched(address: string, word: PlatformWord, nowMs: number): void {
+    const vouchedAtMs = nowMs - word.saidAgoMs;
+    if (!holds(vouchedAtMs, nowMs)) return;
     this.noteReturn(nowMs);
     const toldAtMs = this.words.get(address)?.toldAtMs ?? -Infinity;
-    this.words.set(address, { vouchedAtMs: nowMs, toldAtMs });
-    this.settledAtMs = Math.max(this.settledAtMs, nowMs + unsettledMs);
+    this.words.set(address, { vouchedAtMs, toldAtMs });
+    this.settledAtMs = Math.max(this.settledAtMs, nowMs + word.doubtMs);
   }
 
   /** A peer is not in touch with the platform any more: in an outage of the platform all say so within half a second. */
@@ -80,36 +93,49 @@
   /** By whom this box knows what the platform publishes. */
   readKind(nowMs: number): ContactKind {
     if (this.isReading) return 'own';
-    return this.hasWord('vouchedAtMs', nowMs) ? 'peers' : 'none';
+    return holds(this.readNewest('vouchedAtMs'), nowMs) ? 'peers' : 'none';
   }
 
   /** Whether every change reaches this box by itself: it need not ask for the list. */
   isFollowing(nowMs: number): boolean {
-    return this.isReading || this.hasWord('toldAtMs', nowMs);
+    return this.isReading || holds(this.readNewest('toldAtMs'), nowMs);
   }
 
   /** For how much longer an entry that vanishes may only have lapsed; infinite while nobody reads the platform. */
   readUnsettledMs(nowMs: number): number {
-    return this.readKind(nowMs) === 'none' ? Infinity : Math.max(0, this.settledAtMs - nowMs);
+    const leftMs = Math.max(0, this.settledAtMs - nowMs);
+    switch (this.readKind(nowMs)) {
+      case 'own':
+        return leftMs;
+      case 'peers':
+        // What peers said before the doubt ended may lack who has come back since: the next word settles it.
+        return this.readNewest('vouchedAtMs') >= this.settledAtMs ? 0 : Math.max(1, leftMs);
+      case 'none':
+        return Infinity;
+    }
   }
 
   /**
-   * What this box can tell peers: for how long entries that vanish may have lapsed; undefined if it neither reads the
-   * platform nor is told all by one that does. Word of mouth is not passed on: boxes that are cut off would vouch for
-   * each other.
+   * What this box can tell peers; undefined if it neither reads the platform nor is told all by a box that does. Words of
+   * other peers are not passed on, or boxes that are cut off would vouch for each other; nor are doubts that come of its
+   * own isolation, or each box that is back would spread them to all.
    *
-   * @example new PlatformContact().readWordMs(0) // undefined
+   * @example new PlatformContact().readWord(0) // undefined
    */
-  readWordMs(nowMs: number): number | undefined {
+  readWord(nowMs: number): PlatformWord | undefined {
     if (this.isReading && nowMs - this.answeredAtMs < ANSWER_LIFE_MS) {
-      return Math.max(0, Math.ceil(this.ownSettledAtMs - nowMs));
+      return { doubtMs: readLeftMs(this.ownSettledAtMs, nowMs), saidAgoMs: 0 };
     }
-    if (!this.hasWord('toldAtMs', nowMs)) return undefined;
-    return Math.max(0, Math.ceil(this.settledAtMs - nowMs));
+    const toldAtMs = this.readNewest('toldAtMs');
+    if (!holds(toldAtMs, nowMs)) return undefined;
+    return {
+      doubtMs: readLeftMs(this.toldSettledAtMs, nowMs),
+      saidAgoMs: Math.ceil(nowMs - toldAtMs),
+    };
   }
 
-  private hasWord(kind: keyof PeerWord, nowMs: number): boolean {
-    return [...this.words.values()].some((word) => holds(word[kind], nowMs));
+  private readNewest(kind: keyof PeerWord): number {
+    return Math.max(-Infinity, ...[...this.words.values()].map((word) => word[kind]));
   }
 
   /** Whoever was in touch all the time saw no outage, whoever of them answers now. */
@@ -121,3 +147,8 @@
 function holds(saidAtMs: number, nowMs: number): boolean {
   return nowMs - saidAtMs < WORD_LIFE_MS;
 }
+
+/** Whole milliseconds until a time: they travel in fewer bytes. */
+function readLeftMs(untilMs: number, nowMs: number): number {
+  return Math.max(0, Math.ceil(untilMs - nowMs));
+}
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -17,7 +17,7 @@
 } from './configurationChange.js';
 import type { EndpointChange } from './endpointDirectory.js';
 import { EndpointDirectory } from './endpointDirectory.js';
-import type { ContactKind } from './platformContact.js';
+import type { ContactKind, PlatformWord } from './platformContact.js';
 import { PlatformContact } from './platformContact.js';
 import { RouteIndex } from './routeIndex.js';
 
@@ -102,9 +102,9 @@
     return this.contact.isFollowing(this.options.now());
   }
 
-  /** What peers are told: for how long entries that vanish may have lapsed; undefined if this box cannot say. */
-  get wordMs(): number | undefined {
-    return this.contact.readWordMs(this.options.now());
+  /** What peers are told of the platform; undefined if this box cannot say. */
+  get platformWord(): PlatformWord | undefined {
+    return this.contact.readWord(this.options.now());
   }
 
   /** Whether the box knows what to serve and where. */
@@ -205,8 +205,8 @@
   }
 
   /** A peer that is in touch with the platform has nothing newer than this box. */
-  noteVouched(address: string, unsettledMs: number): void {
-    this.contact.noteVouched(address, unsettledMs, this.options.now());
+  noteVouched(address: string, word: PlatformWord): void {
+    this.contact.noteVouched(address, word, this.options.now());
     this.noteContact();
   }
 
