A second-hand word no longer keeps its reader in doubt

A word without a doubt moved the end of the doubt to its own arrival, and one from second hand is older than that; a box that hears only such words would have kept them without an end, the incident anew. Not in the model, where only greater doubts replace smaller ones, as they do now.

Test first: red on the code before (1 of 13), 13 pass since.

--- a/packages/router/src/__tests__/platformContact.test.ts
+++ b/packages/router/src/__tests__/platformContact.test.ts
@@ -121,6 +121,15 @@
   expect(reader.readKind(CALM_MS + 500)).toBe('none');
 });
 
+test('a box that hears only second-hand words trusts the list all the time', () => {
+  contact.noteVouched(PEER, { doubtMs: 0, saidAgoMs: 500 }, CALM_MS);
+  contact.noteFailure();
+  for (let ms = CALM_MS; ms < CALM_MS + CUT_MS; ms += TICK_MS) {
+    contact.noteVouched(PEER, { doubtMs: 0, saidAgoMs: 500 }, ms);
+    expect(contact.readUnsettledMs(ms)).toBe(0);
+  }
+});
+
 test('two boxes without the platform cannot keep each other in touch', () => {
   const other = new PlatformContact();
   other.noteAnswer(CALM_MS);
--- a/packages/router/src/systems/platformContact.ts
+++ b/packages/router/src/systems/platformContact.ts
@@ -77,7 +77,8 @@
     this.noteReturn(nowMs);
     const toldAtMs = this.words.get(address)?.toldAtMs ?? -Infinity;
     this.words.set(address, { vouchedAtMs, toldAtMs });
-    this.settledAtMs = Math.max(this.settledAtMs, nowMs + word.doubtMs);
+    // A word without a doubt ends none and begins none: one from second hand is older than its arrival.
+    if (word.doubtMs > 0) this.settledAtMs = Math.max(this.settledAtMs, nowMs + word.doubtMs);
   }
 
   /** A peer is not in touch with the platform any more: in an outage of the platform all say so within half a second. */
