Postmortem of the kept endpoint; frames of boxes of other versions under test

A word from the future (negative age) would have held for as long as it said: read as malformed now.

--- /dev/null
+++ b/packages/router/src/__tests__/peerFrames.test.ts
@@ -0,0 +1,36 @@
+/** What boxes of different versions make of each other's frames about the platform. */
+import { Encoder } from 'cbor-x';
+import { heartbeatOf, listed } from '../__fixtures__/restingBox.js';
+import type { PeerFrame } from '../peers/peerFrames.js';
+import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrames.js';
+
+function read(packet: Buffer): PeerFrame | undefined {
+  const frames = new PeerFrameReader().push(packet);
+  return frames.ok ? frames.val[0] : undefined;
+}
+
+/** A frame as a box writes it that knows no number for any field. */
+function encodePlain(frame: object): Buffer {
+  const payload = new Encoder({ useRecords: false, tagUint8Array: false }).encode(frame);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(payload.length);
+  return Buffer.concat([length, payload]);
+}
+
+test('the word on the platform arrives as it was said, and its absence as well', () => {
+  const word = { doubtMs: 1_900, saidAgoMs: 700 };
+  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1', { platformWord: word })))).toMatchObject({
+    platformWord: word,
+  });
+  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1')))).not.toHaveProperty('platformWord');
+});
+
+test('a word from the future is no word', () => {
+  const word = { doubtMs: 0, saidAgoMs: -1 };
+  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1', { platformWord: word })))).toBeUndefined();
+});
+
+test('a list of a box that does not tell what it keeps is read as a list without such endpoints', () => {
+  const list = { type: 'endpointsValue', revision: 9, endpoints: [listed('e-1')] };
+  expect(read(encodePlain(list))).toMatchObject({ ...list, lapsed: [], address: '' });
+});
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -28,9 +28,9 @@
 const platformWord = z
   .object({
     /** For how long an entry that vanishes may only have lapsed. */
-    doubtMs: z.number(),
+    doubtMs: z.number().nonnegative(),
     /** How long ago the sender was told, if it does not read the platform itself. */
-    saidAgoMs: z.number(),
+    saidAgoMs: z.number().nonnegative(),
   })
   .optional() satisfies z.ZodType<PlatformWord | undefined>;
 
--- a/packages/router/src/systems/platformContact.ts
+++ b/packages/router/src/systems/platformContact.ts
@@ -118,8 +118,8 @@
 
   /**
    * What this box can tell peers; undefined if it neither reads the platform nor is told all by a box that does. Words of
-   * other peers are not passed on, or boxes that are cut off would vouch for each other; nor are doubts that come of its
-   * own isolation, or each box that is back would spread them to all.
+   * other peers are not passed on, or boxes that are cut off would vouch for each other. A box that was told passes on its
+   * teller's doubt, not that of its own isolation, or each box that is back would spread it to all.
    *
    * @example new PlatformContact().readWord(0) // undefined
    */
