Soak: endpoints that only vanish from the list, and the check that a box in touch again does not send to them

Every second endpoint that leaves says nothing: its entry goes and it serves on for nine seconds. The check of leaving endpoints excused a box for all that happened while its way to the store was cut; it is as strict now as the users' rule: in touch for three seconds (and one of slack), whatever was before.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -108,6 +108,16 @@
   expect(listBroken()).toEqual(['no new work for a leaving endpoint']);
 });
 
+test('new work for an endpoint that leaves, by a box that is in touch again and did not learn of it while it was not', () => {
+  ledger.events.push({ type: 'endpointLeaves', endpoint: 'e-1', atMs: NOW_MS });
+  ledger.disturbances.push({ entity: 'box-1', fromMs: NOW_MS - 500, toMs: NOW_MS + 6_000 });
+  note('a', 'safe', answer(200, 'a|e-1', 'e-1|a'));
+  run('a', 'e-1', NOW_MS + 9_500);
+  expect(listBroken()).toEqual([]);
+  run('a', 'e-1', NOW_MS + 10_500);
+  expect(listBroken()).toEqual(['no new work for a leaving endpoint']);
+});
+
 test('a configuration that is late, and one that goes back', () => {
   ledger.events.push({ type: 'configurationPublished', version: 4, atMs: NOW_MS });
   const probe = { box: 'box-1', life: 1, version: 4 };
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -128,9 +128,10 @@
   const boxOf = new Map(ledger.requests.map((request) => [request.requestId, request.box]));
   return listEvents(ledger, 'endpointLeaves').flatMap(({ endpoint, atMs }) => {
     const boundMs = atMs + DRAIN_BOUND_MS + SLACK_MS;
+    if (!ledger.wasCalm('store', atMs, atMs, SETTLE_MS)) return [];
     return ledger.runs
       .filter((run) => run.endpoint === endpoint && run.atMs > boundMs)
-      .filter((run) => isInTouch(ledger, boxOf.get(run.requestId) ?? '', atMs, run.atMs))
+      .filter((run) => isInTouchAgain(ledger, boxOf.get(run.requestId) ?? '', run.atMs))
       .map((run) => ({ check: 'no new work for a leaving endpoint', detail: JSON.stringify(run) }));
   });
 }
@@ -162,6 +163,12 @@
   return ledger.wasCalm(box, begunMs, toMs, SETTLE_MS) && ledger.wasCalm('store', begunMs, toMs, SETTLE_MS);
 }
 
+/** Whether a box has been in touch for long enough by then, whatever was before: nothing excuses what it did not learn. */
+function isInTouchAgain(ledger: Ledger, box: string, atMs: number): boolean {
+  const settleMs = SETTLE_MS + SLACK_MS;
+  return ledger.wasCalm(box, atMs, atMs, settleMs) && ledger.wasCalm('store', atMs, atMs, settleMs);
+}
+
 function checkBudget(ledger: Ledger): Violation[] {
   const firstSeen = new Set<string>();
   const repeats = ledger.runs.filter(({ requestId }) => {
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -33,6 +33,8 @@
 const LAPSE_MS = 1_500;
 /** An endpoint that leaves serves on for this long. */
 const LEAVE_MS = 3_500;
+/** One that only vanishes from the list serves on for longer than a box can be cut off from the store, and three seconds. */
+const VANISHED_MS = 9_000;
 const SERIES = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -42,6 +44,7 @@
 export class FaultInjector {
   /** Parts that are under a fault: none is struck twice at once, so that each fault ends as it should. */
   private readonly struck = new Set<string>();
+  private leaves = 0;
 
   constructor(
     private readonly site: SoakSite,
@@ -115,8 +118,12 @@
 
   private async drainEndpoint(endpoint: SoakEndpoint): Promise<void> {
     await this.site.addEndpoint(endpoint.service);
-    this.site.announceLeaving(endpoint);
-    await pause(LEAVE_MS);
+    // Every second one says nothing: its entry goes.
+    this.leaves += 1;
+    const isSilent = this.leaves % 2 === 0;
+    if (isSilent) this.site.unlist(endpoint);
+    else this.site.announceLeaving(endpoint);
+    await pause(isSilent ? VANISHED_MS : LEAVE_MS);
     await this.site.removeEndpoint(endpoint, 'SIGTERM');
   }
 
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -130,6 +130,13 @@
     this.ledger.events.push({ type: 'endpointLeaves', endpoint: id, atMs: Date.now() });
   }
 
+  /** Takes an endpoint off the list, without a word of it. */
+  unlist(endpoint: SoakEndpoint): void {
+    endpoint.isLeaving = true;
+    this.store.remove(`servers/${endpoint.id}`);
+    this.ledger.events.push({ type: 'endpointLeaves', endpoint: endpoint.id, atMs: Date.now() });
+  }
+
   /** Ends an endpoint's process and takes it off the list. */
   async removeEndpoint(endpoint: SoakEndpoint, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     await endProcess(endpoint.process.child, signal);
