--- a/packages/router/src/__tests__/cutOffBox.test.ts
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -72,7 +72,7 @@
     ]);
   });
 
-  test('that has caught up meanwhile waits anew for the next list', () => {
+  test('waits anew for the next list once it has caught up', () => {
     const tell = (endpointsRevision: number): void =>
       box.values.noteHeartbeat(heartbeatOf('10.0.1.1:1', { hall: 'antigua', endpointsRevision }));
     tell(12);
