Logs and gauges tell what a box believes of loads, how old it is and how it chose an endpoint

No logic changes. Sums of loads say how many boxes are in them and how old the oldest part is (coverage, absent in frames of earlier versions); loadKnowledge tells when they become whole, partial or missing; lines of a request carry the way its endpoint was chosen, the load that was believed and the mean.

--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -1,4 +1,5 @@
 import { createRandom } from '@hazelwalk/standins';
+import type { LoadKnowledge } from '../peers/loadRelay.js';
 import { LoadRelay } from '../peers/loadRelay.js';
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
@@ -41,6 +42,7 @@
   readonly table = new EndpointTable(() => TAG);
   readonly homes = new PromptHomes();
   readonly relay: LoadRelay;
+  readonly knowledge: LoadKnowledge[] = [];
 
   constructor(
     readonly address: string,
@@ -51,6 +53,7 @@
       address,
       isFlat,
       paceMs: 300,
+      countBoxes: () => this.peers.length + 1,
       listFresh: () => this.peers.map((heartbeat) => ({ heartbeat, heardAtMs: this.nowMs })),
       listLinked: () => this.peers,
       send: (to: string, frame: PeerFrame) => void this.sent.push({ to, frame }),
@@ -65,6 +68,7 @@
       hash: (text) => Number(text),
       random,
       now: () => this.nowMs,
+      onKnowledge: (knowledge) => this.knowledge.push(knowledge),
     });
   }
 
@@ -137,22 +141,59 @@
   box.setOwn(1);
   box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3], homes: [] });
   box.relay.handleBoxLoads({ type: 'boxLoads', address: '3', loads: [TAG, 2], homes: [] });
-  box.relay.handleHallLoads({ type: 'hallLoads', hall: 'antigua', loads: [TAG, 10], homes: [] });
+  box.relay.handleHallLoads({
+    type: 'hallLoads',
+    hall: 'antigua',
+    loads: [TAG, 10],
+    coverage: { boxes: 3, ageMs: 200 },
+    homes: [],
+  });
   box.tick();
   expect(box.peersInFlight).toBe(15);
+  expect(box.knowledge.at(-1)).toEqual({ extent: 'whole', boxes: 6, ageMs: 700 });
   expect(box.sent).toContainEqual({
     to: '7',
-    frame: { type: 'hallLoads', hall: 'mixco', loads: [TAG, 6], homes: [] },
+    frame: {
+      type: 'hallLoads',
+      hall: 'mixco',
+      loads: [TAG, 6],
+      coverage: { boxes: 3, ageMs: 500 },
+      homes: [],
+    },
   });
   expect(box.listSent('hallLoads')).toEqual(['7', '8']);
   for (const to of ['2', '3']) {
     expect(box.sent).toContainEqual({
       to,
-      frame: { type: 'fleetLoads', loads: [TAG, 16], homes: [], passTo: [] },
+      frame: {
+        type: 'fleetLoads',
+        loads: [TAG, 16],
+        coverage: { boxes: 6, ageMs: 700 },
+        homes: [],
+        passTo: [],
+      },
     });
   }
 });
 
+test('a box says when the sum lacks boxes, and when there is none', () => {
+  const box = new TestBox('5');
+  box.peers = [...hallOf('1', '2', '3'), ...othersOf('7', '8', '9')];
+  const hear = (boxes: number): void => {
+    const coverage = { boxes, ageMs: 300 };
+    box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9], coverage, homes: [], passTo: [] });
+    box.tick();
+  };
+  hear(7);
+  hear(4);
+  for (let count = 0; count < 6; count += 1) box.tick();
+  hear(7);
+  expect(
+    box.knowledge.map(({ extent }) => extent).filter((extent, at, all) => extent !== all[at - 1]),
+  ).toEqual(['whole', 'partial', 'missing', 'whole']);
+  expect(box.knowledge.at(-1)).toEqual({ extent: 'whole', boxes: 7, ageMs: 800 });
+});
+
 test('the second box of a hall speaks only while the first is not heard', () => {
   const box = new TestBox('2');
   box.peers = [...hallOf('1', '3'), ...othersOf('7')];
--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -116,7 +116,8 @@
   createPlacement(table, noted).choose(ask('p'), NOW_MS);
   const [prompt = 0] = noted.takeUntold(1);
   homes.learn([prompt, other.tag]);
-  expect(createPlacement(table, homes).choose(ask('p'), NOW_MS)).toEqual({ row: home, cacheSource: other });
+  const choice = createPlacement(table, homes).choose(ask('p'), NOW_MS);
+  expect(choice).toEqual({ row: home, way: 'home', load: 0, meanLoad: 0, cacheSource: other });
 });
 
 test('a holder at its cap is the source of the prompt for the endpoint that stands in, which then holds it too', () => {
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -4,6 +4,7 @@
 import { createHasher, SynchronousSource } from '@hazelwalk/core';
 import { Stream } from 'most';
 import { DecisionLog } from './observability/decisionLog.js';
+import { LoadKnowledgeLog } from './observability/loadKnowledgeLog.js';
 import { RouterMetrics } from './observability/metrics.js';
 import type { Heartbeat, RouterFrame } from './peers/peerFrames.js';
 import { FeedRelay } from './peers/feedRelay.js';
@@ -121,6 +122,8 @@
     const { applyBoundMs, hall, linkMbps } = options;
     this.peerValues = new PeerValues({ mesh, state, log: this.log, now, applyBoundMs });
     const values = this.peerValues;
+    const { log, metrics } = this;
+    const loadKnowledge = new LoadKnowledgeLog({ log, metrics, countBoxes });
     this.loads = new LoadRelay({
       mesh,
       table: this.table,
@@ -129,6 +132,7 @@
       hash,
       random: Math.random,
       now,
+      onKnowledge: (knowledge) => loadKnowledge.note(knowledge),
     });
     this.relay = new FeedRelay({
       mesh,
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -24,6 +24,8 @@
   readonly retriesDenied = this.counter('retries_denied', 'Requests not sent again', ['reason']);
   /** Attempts at endpoints, by how they ended. */
   readonly attempts = this.counter('attempts', 'Attempts at endpoints', ['end']);
+  /** Choices of an endpoint, by how it was chosen. */
+  readonly placements = this.counter('placements', 'Choices of an endpoint', ['way']);
   /** New connections to endpoints. */
   readonly connections = this.counter('endpoint_connections', 'New connections to endpoints', []);
   /** Times that the idle connections of an endpoint were closed, since one like them said nothing. */
@@ -50,6 +52,18 @@
     help: 'Endpoints kept although their entry vanished',
     registers: [this.registry],
   });
+  /** Boxes whose loads this one knows, itself included. */
+  readonly loadBoxes = new Gauge({
+    name: 'hazelwalk_load_boxes',
+    help: 'Boxes whose loads are known here',
+    registers: [this.registry],
+  });
+  /** How old the oldest of these loads are. */
+  readonly loadAgeMs = new Gauge({
+    name: 'hazelwalk_load_age_ms',
+    help: 'Age of the oldest loads that are known here',
+    registers: [this.registry],
+  });
   /** Time to the first byte of an answer. */
   readonly firstByteMs = new Histogram({
     name: 'hazelwalk_first_byte_ms',
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -4,7 +4,7 @@
  * speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so that a box sends and
  * reads a few frames a second whatever the size of the fleet.
  */
-import type { LoadList } from '../systems/loadExchange.js';
+import type { LoadList, LoadSum } from '../systems/loadExchange.js';
 import { addLoads, applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
 import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
 import { planSpread } from '../membership/spreadPlan.js';
@@ -26,6 +26,22 @@
 /** Homes of prompts told on a new link: some ten kilobytes, once. */
 const MAX_HOMES_ON_NEW_LINK = 1_024;
 
+/** Boxes may be missing from a sum for a moment, as they come and go; below this share it is partial. */
+const WHOLE_SHARE = 0.9;
+
+/** A box of an earlier version does not say what its sum is made of. */
+const UNKNOWN_COVERAGE = { boxes: 0, ageMs: 0 } as const;
+
+/** What a box knows of the loads of the others. */
+export interface LoadKnowledge {
+  /** `missing`: nothing was heard for so long that the loads of others count as none. */
+  readonly extent: 'whole' | 'partial' | 'missing';
+  /** Boxes whose loads are known, this one included. */
+  readonly boxes: number;
+  /** How old the oldest of them are. */
+  readonly ageMs: number;
+}
+
 /** What the relay works with. */
 export interface LoadRelayOptions {
   readonly mesh: PeerMesh;
@@ -36,6 +52,8 @@
   /** Between 0 and 1. */
   readonly random: () => number;
   readonly now: () => number;
+  /** Called twice a second, and with each heartbeat in a small fleet. */
+  readonly onKnowledge: (knowledge: LoadKnowledge) => void;
 }
 
 /** One box's part in spreading loads. */
@@ -47,6 +65,9 @@
   private heardFleetAtMs = -Infinity;
   /** What this box told last, and so is in the sums that come back. */
   private toldLoads: LoadList = [];
+  /** What the loads of the others were taken from last, and when. */
+  private taken: Omit<LoadSum, 'loads'> = { boxes: 1, ageMs: 0 };
+  private takenAtMs = -Infinity;
   /** Homes of prompts that this box, if it speaks, has still to tell its hall, and the other halls. */
   private readonly hallHomes: number[] = [];
   private readonly fleetHomes: number[] = [];
@@ -59,17 +80,26 @@
     const nowMs = now();
     if (nowMs - this.tickedAtMs < (mesh.isFlat ? mesh.paceMs : LOADS_MS)) return;
     this.tickedAtMs = nowMs;
-    if (mesh.isFlat) return this.takeFromHeartbeats();
-    this.tellSpeakers();
-    if (this.mustSpeak(nowMs)) this.speak(nowMs);
-    else if (nowMs - this.heardFleetAtMs > LOADS_LIFE_MS) applyPeerLoads(this.options.table, []);
+    if (mesh.isFlat) this.takeFromHeartbeats(nowMs);
+    else this.takePart(nowMs);
+    this.options.onKnowledge(this.readKnowledge());
+  }
+
+  /** What this box knows of the loads of the others. */
+  readKnowledge(): LoadKnowledge {
+    const { mesh, now } = this.options;
+    const sinceMs = now() - this.takenAtMs;
+    const ageMs = this.taken.ageMs + sinceMs;
+    if (!mesh.isFlat && sinceMs > LOADS_LIFE_MS) return { extent: 'missing', boxes: 1, ageMs };
+    const { boxes } = this.taken;
+    return { extent: boxes < WHOLE_SHARE * mesh.countBoxes() ? 'partial' : 'whole', boxes, ageMs };
   }
 
   /** A box of the hall tells its loads to this speaker. */
   handleBoxLoads(frame: BoxLoads): void {
     this.options.homes.learn(frame.homes);
     this.keepHomesForAll(frame.homes);
-    this.boxes.note(frame.address, frame.loads, this.options.now());
+    this.boxes.note(frame.address, { loads: frame.loads, boxes: 1, ageMs: 0 }, this.options.now());
   }
 
   /** The speaker of another hall tells its sum. */
@@ -77,14 +107,15 @@
     if (frame.hall === this.options.hall) return;
     this.options.homes.learn(frame.homes);
     this.keepHomes(frame.homes, this.hallHomes);
-    this.halls.note(frame.hall, frame.loads, this.options.now());
+    const { boxes, ageMs } = frame.coverage ?? UNKNOWN_COVERAGE;
+    this.halls.note(frame.hall, { loads: frame.loads, boxes, ageMs }, this.options.now());
   }
 
   /** The speaker of this hall tells what all boxes have. */
   handleFleetLoads(frame: FleetLoads): void {
     this.heardFleetAtMs = this.options.now();
     this.options.homes.learn(frame.homes);
-    applyPeerLoads(this.options.table, [subtractLoads(frame.loads, this.toldLoads)]);
+    this.take([subtractLoads(frame.loads, this.toldLoads)], frame.coverage ?? UNKNOWN_COVERAGE);
     this.spread(frame, frame.passTo);
   }
 
@@ -106,14 +137,29 @@
     if (kept.length > 2 * MAX_KEPT_PAIRS) kept.splice(0, kept.length - 2 * MAX_KEPT_PAIRS);
   }
 
-  private takeFromHeartbeats(): void {
-    const { mesh, table } = this.options;
-    applyPeerLoads(
-      table,
-      mesh.listFresh().map((peer) => peer.heartbeat.loads),
+  /** Tells this box's loads, and those of all if it speaks. */
+  private takePart(nowMs: number): void {
+    this.tellSpeakers();
+    if (this.mustSpeak(nowMs)) this.speak(nowMs);
+    else if (nowMs - this.heardFleetAtMs > LOADS_LIFE_MS) applyPeerLoads(this.options.table, []);
+  }
+
+  private takeFromHeartbeats(nowMs: number): void {
+    const peers = this.options.mesh.listFresh();
+    const ageMs = Math.max(0, ...peers.map((peer) => nowMs - peer.heardAtMs));
+    this.take(
+      peers.map((peer) => peer.heartbeat.loads),
+      { boxes: peers.length + 1, ageMs },
     );
   }
 
+  /** Writes the loads of the others into the table. */
+  private take(lists: readonly LoadList[], { boxes, ageMs }: Omit<LoadSum, 'loads'>): void {
+    this.taken = { boxes, ageMs };
+    this.takenAtMs = this.options.now();
+    applyPeerLoads(this.options.table, lists);
+  }
+
   private tellSpeakers(): void {
     const { mesh, table, hall, homes } = this.options;
     this.toldLoads = listOwnLoads(table);
@@ -135,19 +181,26 @@
   }
 
   private speak(nowMs: number): void {
-    const { mesh, table, hall } = this.options;
-    const hallPeers = addLoads(this.boxes.listFresh(nowMs));
-    const own = addLoads([hallPeers, this.toldLoads]);
-    const peers = addLoads([hallPeers, ...this.halls.listFresh(nowMs)]);
-    applyPeerLoads(table, [peers]);
+    const { mesh, hall } = this.options;
+    const hallPeers = this.boxes.sumFresh(nowMs);
+    const halls = this.halls.sumFresh(nowMs);
+    const own = addLoads([hallPeers.loads, this.toldLoads]);
+    const peers = addLoads([hallPeers.loads, halls.loads]);
+    const ownCoverage = { boxes: hallPeers.boxes + 1, ageMs: hallPeers.ageMs };
+    const coverage = {
+      boxes: ownCoverage.boxes + halls.boxes,
+      ageMs: Math.max(ownCoverage.ageMs, halls.ageMs),
+    };
+    this.take([peers], coverage);
     const hallHomes = this.hallHomes.splice(0);
     const fleetHomes = this.fleetHomes.splice(0);
     for (const address of this.listSpeakers((other) => other !== hall)) {
-      mesh.send(address, { type: 'hallLoads', hall, loads: own, homes: fleetHomes });
+      mesh.send(address, { type: 'hallLoads', hall, loads: own, coverage: ownCoverage, homes: fleetHomes });
     }
     const frame: FleetLoads = {
       type: 'fleetLoads',
       loads: addLoads([peers, this.toldLoads]),
+      coverage,
       homes: hallHomes,
       passTo: [],
     };
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -185,6 +185,15 @@
 const homeList = z.array(z.number());
 /** Tag of an endpoint and the requests there, in turn. */
 const loadList = z.array(z.number());
+/** What a sum of loads is made of. Boxes of earlier versions do not say it. */
+const loadCoverage = z
+  .object({
+    /** Boxes whose loads are in the sum. */
+    boxes: z.number(),
+    /** How old the oldest of them was when the sum was sent. */
+    ageMs: z.number().nonnegative(),
+  })
+  .optional();
 const boxLoads = z.object({
   type: z.literal('boxLoads'),
   /** Address of the box that holds these loads. */
@@ -197,12 +206,14 @@
   /** Hall whose boxes hold these loads together. */
   hall: z.string(),
   loads: loadList,
+  coverage: loadCoverage,
   homes: homeList,
 });
 const fleetLoads = z.object({
   type: z.literal('fleetLoads'),
   /** What all boxes hold, the reader included. */
   loads: loadList,
+  coverage: loadCoverage,
   homes: homeList,
   /** Ranks of the boxes of the hall to whom the reader passes this on. */
   passTo: z.array(z.number()),
@@ -253,6 +264,8 @@
 export type ValueRequest = z.infer<typeof valueRequest>;
 /** What a box that follows the platform tells the boxes of its hall. */
 export type FeedNotice = z.infer<typeof feedNotice>;
+/** What a sum of loads is made of. */
+export type LoadCoverage = NonNullable<z.infer<typeof loadCoverage>>;
 /** What one box has at the endpoints, told to the speakers of its hall. */
 export type BoxLoads = z.infer<typeof boxLoads>;
 /** What a hall has at the endpoints, told to the speakers of the other halls. */
@@ -308,6 +321,8 @@
   platformWord: 16,
   doubtMs: 17,
   saidAgoMs: 18,
+  coverage: 19,
+  ageMs: 20,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -2,10 +2,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerRequest, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
+import type { PlacementChoice } from '../systems/placement.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
 import type { AttemptEvent, ForwardedRequest } from './attempt.js';
+import type { AttemptFacts } from './exchangeLog.js';
+import { describePlacement } from './exchangeLog.js';
 import { keepForwarded } from './forwardHeaders.js';
 import { isRepeatable } from './silence.js';
 
@@ -34,6 +37,7 @@
   unsentCount = 0;
   /** Attempts whose endpoint vouches that it did not run them. */
   notRunCount = 0;
+  private lastChoice: PlacementChoice | undefined;
   private sent = 0;
   private readonly triedIds = new Set<string>();
 
@@ -58,6 +62,11 @@
     return hasTime && this.sent < route.maxAttempts;
   }
 
+  /** What the lines of the request say of its attempts. */
+  listFacts(): AttemptFacts {
+    return { sent: this.sent, unsent: this.unsentCount, ...describePlacement(this.lastChoice) };
+  }
+
   get lastTriedId(): string | undefined {
     return [...this.triedIds].at(-1);
   }
@@ -76,6 +85,8 @@
     );
     if (choice === undefined) return false;
     const { row } = choice;
+    this.lastChoice = choice;
+    context.metrics.placements.inc({ way: choice.way });
     const cacheSource = assignment.declared?.canMoveCache === true ? choice.cacheSource : undefined;
     this.triedIds.add(row.listing.id);
     const attempt = new Attempt({
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -392,8 +392,7 @@
       service: assignment?.service,
       team: assignment?.team?.name,
       endpoint: this.winner?.row.listing.id ?? this.attempts.lastTriedId,
-      sent: this.attempts.sentCount,
-      unsent: this.attempts.unsentCount,
+      ...this.attempts.listFacts(),
       ageMs: Math.round(this.context.now() - this.arrivedAtMs),
     };
   }
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -1,24 +1,42 @@
 /** The lines that explain a request afterwards: why it was sent again, and how it ended. */
 import type { ResultCode } from '@hazelwalk/core';
 import type { RouterContext } from '../routerContext.js';
+import type { PlacementChoice, PlacementWay } from '../systems/placement.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
 /** Why a request is sent again. */
 export type RetryReason = 'unsent' | 'notRun' | 'serverError' | 'broken' | 'silent' | 'hedge' | 'resume';
 
+/** What is known of the attempts of a request. */
+export interface AttemptFacts {
+  readonly sent: number;
+  readonly unsent: number;
+  /** How its last endpoint was chosen, and what this box believed of loads then. */
+  readonly way?: PlacementWay;
+  readonly believedLoad?: number;
+  readonly believedMean?: number;
+}
+
 /** What happened to a request so far. */
-export interface ExchangeFacts {
+export interface ExchangeFacts extends AttemptFacts {
   readonly requestId: string;
   readonly route: string | undefined;
   readonly service: string | undefined;
   readonly team: string | undefined;
   /** Endpoint that it was sent to last. */
   readonly endpoint: string | undefined;
-  readonly sent: number;
-  readonly unsent: number;
   readonly ageMs: number;
 }
 
+/** What the lines of a request say of the choice of its endpoint. */
+export function describePlacement(
+  choice: PlacementChoice | undefined,
+): Pick<AttemptFacts, 'way' | 'believedLoad' | 'believedMean'> {
+  if (choice === undefined) return {};
+  const { way, load, meanLoad } = choice;
+  return { way, believedLoad: load, believedMean: Math.round(meanLoad * 10) / 10 };
+}
+
 /** Writes that a request is sent again, and what is known of the endpoint that it leaves. */
 export function logRetry(
   context: RouterContext,
--- a/packages/router/src/systems/loadExchange.ts
+++ b/packages/router/src/systems/loadExchange.ts
@@ -53,8 +53,14 @@
   }
 }
 
-interface ToldLoads {
+/** A sum of loads, the number of boxes in it and how old the oldest of them is. */
+export interface LoadSum {
   readonly loads: LoadList;
+  readonly boxes: number;
+  readonly ageMs: number;
+}
+
+interface ToldLoads extends LoadSum {
   readonly heardAtMs: number;
 }
 
@@ -65,15 +71,20 @@
   constructor(private readonly lifeMs: number) {}
 
   /** Takes over what a teller said. */
-  note(teller: string, loads: LoadList, nowMs: number): void {
-    this.byTeller.set(teller, { loads, heardAtMs: nowMs });
+  note(teller: string, told: LoadSum, nowMs: number): void {
+    this.byTeller.set(teller, { ...told, heardAtMs: nowMs });
   }
 
-  /** The loads that still count. */
-  listFresh(nowMs: number): LoadList[] {
+  /** The sum of the loads that still count. */
+  sumFresh(nowMs: number): LoadSum {
     for (const [teller, told] of this.byTeller) {
       if (nowMs - told.heardAtMs > this.lifeMs) this.byTeller.delete(teller);
     }
-    return [...this.byTeller.values()].map((told) => told.loads);
+    const all = [...this.byTeller.values()];
+    return {
+      loads: addLoads(all.map((told) => told.loads)),
+      boxes: all.reduce((sum, told) => sum + told.boxes, 0),
+      ageMs: Math.max(0, ...all.map((told) => told.ageMs + nowMs - told.heardAtMs)),
+    };
   }
 }
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -65,9 +65,24 @@
   return parts[Math.max(0, parts.length - 2)]?.id;
 }
 
+/** How an endpoint was chosen. */
+export type PlacementWay =
+  /** The first in the order of its prompt. */
+  | 'home'
+  /** A later one in that order, since those before it have no room. */
+  | 'overflow'
+  /** The least loaded, since none has room. */
+  | 'noRoom'
+  /** By load and hall, without a prompt. */
+  | 'plain';
+
 /** Where a request goes. */
 export interface PlacementChoice {
   readonly row: EndpointRow;
+  readonly way: PlacementWay;
+  /** Requests that this box believed the endpoint to hold, and the mean of those that could be chosen. */
+  readonly load: number;
+  readonly meanLoad: number;
   /** An endpoint that holds the shared prompt, as far as is known, while the chosen one does not. */
   readonly cacheSource: EndpointRow | undefined;
 }
@@ -93,16 +108,21 @@
     const rows = this.listCandidates(request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
-    if (prompt === undefined) return toChoice(this.chooseLeastLoaded(rows));
+    const meanLoad = readMeanLoad(rows);
+    if (prompt === undefined) {
+      const plain = this.chooseLeastLoaded(rows);
+      return plain === undefined ? undefined : describeChoice(plain, 'plain', meanLoad, undefined);
+    }
     const key = this.hasher.h32(readSharedPart(request.promptParts) ?? prompt);
     const holders = new Set(this.homes.list(key));
-    const row = this.chooseHome(rows, prompt);
-    if (row === undefined) return undefined;
+    const home = this.chooseHome(rows, prompt, meanLoad);
+    if (home === undefined) return undefined;
+    const { row, way } = home;
     const cacheSource = holders.has(row.tag)
       ? undefined
       : (this.findHolder(row, request, prompt, holders) ?? this.guessHolder(row, request, prompt, nowMs));
     this.homes.note(key, row.tag);
-    return { row, cacheSource };
+    return describeChoice(row, way, meanLoad, cacheSource);
   }
 
   /** Usable endpoints; if none is, those that are listed, since one of them may have come back. */
@@ -114,12 +134,19 @@
     return usable.length > 0 ? usable : untried;
   }
 
-  private chooseHome(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
-    const total = rows.reduce((sum, row) => sum + readFleetLoad(row), 0);
+  private chooseHome(
+    rows: readonly EndpointRow[],
+    prompt: string,
+    meanLoad: number,
+  ): Pick<PlacementChoice, 'row' | 'way'> | undefined {
     const { factor, allowance } = LOAD_CAPS[this.readLoadPath()];
-    const cap = factor * (total / rows.length) + allowance;
+    const cap = factor * meanLoad + allowance;
     const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
-    return this.findBestRanked(withRoom, prompt) ?? pickLeast(rows, readFleetLoad);
+    const row = this.findBestRanked(withRoom, prompt);
+    if (row !== undefined)
+      return { row, way: row === this.findBestRanked(rows, prompt) ? 'home' : 'overflow' };
+    const least = pickLeast(rows, readFleetLoad);
+    return least === undefined ? undefined : { row: least, way: 'noRoom' };
   }
 
   /** An endpoint that is known to hold the prompt and can still be reached, if only to take the prompt from it. */
@@ -177,8 +204,17 @@
   }
 }
 
-function toChoice(row: EndpointRow | undefined): PlacementChoice | undefined {
-  return row === undefined ? undefined : { row, cacheSource: undefined };
+function describeChoice(
+  row: EndpointRow,
+  way: PlacementWay,
+  meanLoad: number,
+  cacheSource: EndpointRow | undefined,
+): PlacementChoice {
+  return { row, way, load: readFleetLoad(row), meanLoad, cacheSource };
+}
+
+function readMeanLoad(rows: readonly EndpointRow[]): number {
+  return rows.reduce((sum, row) => sum + readFleetLoad(row), 0) / rows.length;
 }
 
 function pickLeast(
