Calls without a prompt: only what an endpoint of the own hall holds too much leaves it, and is spread

Cause: all boxes picked the endpoint that looked least loaded in the same late sum, and had no cap. A call lasts 20 to 100 ms, a sum is 0.5 to 1 s old. Change: choosePlainEndpoint.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -58,6 +58,9 @@
 interface VirtualEndpoint {
   readonly listing: ListedEndpoint;
   held: number;
+  /** Its work takes so many times as long as that of others. */
+  slowness: number;
+  taken: number;
   readonly waiting: (() => void)[];
 }
 
@@ -147,6 +150,22 @@
     return worst;
   }
 
+  /** Makes an endpoint slower than the others of its service. */
+  slowDown(id: string, times: number): void {
+    this.findEndpoint(id).slowness = times;
+  }
+
+  /** Requests that an endpoint took. */
+  countTaken(id: string): number {
+    return this.findEndpoint(id).taken;
+  }
+
+  private findEndpoint(id: string): VirtualEndpoint {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint === undefined) throw new Error(`no endpoint ${id}`);
+    return endpoint;
+  }
+
   /** Lets processes stand still now and then, each at moments of its own, for so long in the mean. */
   pauseNowAndThen(runMs: number, pauseMs: number): void {
     for (const box of this.fleet.boxes) this.schedulePause(box, runMs, pauseMs);
@@ -185,7 +204,7 @@
         slots,
         state: 'live',
       };
-      this.endpoints.set(id, { listing, held: 0, waiting: [] });
+      this.endpoints.set(id, { listing, held: 0, slowness: 1, taken: 0, waiting: [] });
     }
   }
 
@@ -254,15 +273,16 @@
   }
 
   private arrive(row: EndpointRow, load: VirtualLoad, onEnd: () => void): void {
-    const endpoint = this.endpoints.get(row.listing.id);
-    if (endpoint === undefined) return;
+    const endpoint = this.findEndpoint(row.listing.id);
     const tally = this.findTally(load.service);
     const bound = BOUND_FACTOR * (tally.held / tally.endpoints) + BOUND_ALLOWANCE;
     tally.arrivals.push({ atMs: this.fleet.timeline.nowMs, isOver: endpoint.held > bound });
     tally.held += 1;
     endpoint.held += 1;
+    endpoint.taken += 1;
     const begin = (): void => {
-      this.fleet.timeline.after(drawLogNormal(this.random, load.workMs, load.spread), () => {
+      const workMs = endpoint.slowness * drawLogNormal(this.random, load.workMs, load.spread);
+      this.fleet.timeline.after(workMs, () => {
         tally.held -= 1;
         endpoint.held -= 1;
         endpoint.waiting.shift()?.();
--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -1,7 +1,9 @@
 import { createHasher } from '@hazelwalk/core';
 import type { Hasher } from '@hazelwalk/core';
+import { createRandom } from '@hazelwalk/standins';
 import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
 import { Placement } from '../systems/placement.js';
+import { choosePlainEndpoint } from '../systems/plainPlacement.js';
 import { PromptHomes } from '../systems/promptHomes.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 
@@ -165,6 +167,50 @@
   expect(placement.choose(plain, NOW_MS)?.row).toBe(far);
 });
 
+test('of what comes to a loaded endpoint of the own hall a part leaves, more if it holds more, and is spread', () => {
+  const { table } = createTable(0);
+  const near = table.upsert(createListing('near'), 0);
+  const far = ['b', 'c', 'd'].map((hall) => table.upsert(createListing(`far-${hall}`, { hall }), 0));
+  const random = createRandom(1);
+  const countStaying = (held: number): number => {
+    near.peersInFlight = held;
+    const chosen = Array.from({ length: 1_000 }, () => choosePlainEndpoint([near, ...far], 'a', random));
+    for (const row of far) {
+      const left = chosen.filter((one) => one !== near).length;
+      if (left > 0) expect(chosen.filter((one) => one === row).length / left).toBeCloseTo(1 / 3, 0);
+    }
+    return chosen.filter((row) => row === near).length;
+  };
+  expect(countStaying(2)).toBe(1_000);
+  const some = countStaying(5);
+  expect(some).toBeGreaterThan(400);
+  expect(some).toBeLessThan(700);
+  expect(countStaying(16)).toBeLessThan(150);
+});
+
+test('a fuller endpoint of another hall gets fewer of the requests that leave', () => {
+  const { table } = createTable(0);
+  const near = table.upsert(createListing('near'), 0);
+  const idle = ['b', 'c', 'd'].map((hall) => table.upsert(createListing(`idle-${hall}`, { hall }), 0));
+  const full = table.upsert(createListing('full', { hall: 'e' }), 0);
+  near.peersInFlight = 30;
+  full.peersInFlight = 8;
+  const random = createRandom(2);
+  const rows = [near, ...idle, full];
+  const chosen = Array.from({ length: 1_000 }, () => choosePlainEndpoint(rows, 'a', random));
+  const toFull = chosen.filter((row) => row === full).length;
+  expect(toFull).toBeGreaterThan(0);
+  expect(toFull).toBeLessThan(120);
+});
+
+test('one endpoint takes every plain request, and none gives none', () => {
+  const { table } = createTable(0);
+  const only = table.upsert(createListing('only', { hall: 'b' }), 0);
+  only.inFlight = 50;
+  expect(choosePlainEndpoint([only], 'a', () => 0.99)).toBe(only);
+  expect(choosePlainEndpoint([], 'a', () => 0.5)).toBeUndefined();
+});
+
 test('names of services and halls decide nothing', () => {
   const decide = (service: string, halls: readonly [string, string]): string[] => {
     const { table } = createTable(0);
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -4,12 +4,14 @@
  * A generation goes to the home of its shared prompt: every box ranks the endpoints in the same order by rendezvous
  * hashing, so that a prompt is kept in one place in the whole fleet, also after all boxes started anew. A loaded home
  * passes work to the next in that order, the same one for all boxes. An endpoint that does not hold the prompt takes it
- * from one that does, as far as boxes know. Other requests go to the least loaded endpoint, their own hall first.
+ * from one that does, as far as boxes know. Requests without a prompt: `plainPlacement.ts`.
  */
 import type { Hasher } from '@hazelwalk/core';
 import type { PromptPart } from '../records.js';
+import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { isUsable } from './endpointHealth.js';
+import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptHomes } from './promptHomes.js';
 
 /** How the loads of other boxes come: from each of them, or as sums by way of others, which makes them older. */
@@ -29,8 +31,6 @@
   direct: { factor: 1.8, allowance: 2.4 },
   relayed: { factor: 1.7, allowance: 2 },
 };
-/** A plain service leaves its own hall only for an endpoint that is less loaded by this share of its slots. */
-const HALL_PREFERENCE = 0.34;
 
 /** What placement needs to know of a request. */
 export interface PlacementRequest {
@@ -40,11 +40,6 @@
   readonly excluded: ReadonlySet<string>;
 }
 
-/** Load of an endpoint as this box knows it: requests of all boxes. */
-export function readFleetLoad(row: EndpointRow): number {
-  return row.inFlight + row.peersInFlight;
-}
-
 /**
  * Names the prompt that a request shares with others: all parts but the last, which is its own.
  *
@@ -110,7 +105,7 @@
     const prompt = readSharedPrompt(request.promptParts);
     const meanLoad = readMeanLoad(rows);
     if (prompt === undefined) {
-      const plain = this.chooseLeastLoaded(rows);
+      const plain = choosePlainEndpoint(rows, this.hall, this.random);
       return plain === undefined ? undefined : describeChoice(plain, 'plain', meanLoad, undefined);
     }
     const key = this.hasher.h32(readSharedPart(request.promptParts) ?? prompt);
@@ -191,17 +186,6 @@
   private findBestRanked(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
     return pickLeast(rows, (row) => -this.hasher.h32(prompt, row.tag));
   }
-
-  private chooseLeastLoaded(rows: readonly EndpointRow[]): EndpointRow | undefined {
-    return pickLeast(rows, (row) => this.scorePlain(row));
-  }
-
-  /** Share of its slots in use, with a preference for the own hall and a random tie-break. */
-  private scorePlain(row: EndpointRow): number {
-    const share = (readFleetLoad(row) + 1) / Math.max(1, row.listing.slots);
-    const away = row.listing.hall === this.hall ? 0 : HALL_PREFERENCE;
-    return share + away + this.random() / 100;
-  }
 }
 
 function describeChoice(
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -36,6 +36,11 @@
   isLapsed: boolean;
 }
 
+/** Load of an endpoint as this box knows it: requests of all boxes. */
+export function readFleetLoad(row: EndpointRow): number {
+  return row.inFlight + row.peersInFlight;
+}
+
 /** All endpoints by id, by service and by tag. */
 export class EndpointTable {
   readonly byId = new Map<string, EndpointRow>();
