A hot prompt is spread over as many endpoints as its demand in the whole fleet needs

Cause: every box sends a prompt to its home until a sum of loads says that the home is full, and then all to the next. In the second that sums are old a prompt with 25 requests a second brings 25 to one endpoint after the other. No box sees that itself: of these 25 one of 87 boxes gets one each three seconds. Change: boxes tell their speakers what they were asked for, speakers what is hot; a hot prompt goes to the less loaded of two of its first endpoints, as many as may get two requests before their load is heard.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -10,7 +10,9 @@
 import { LoadRelay } from '../peers/loadRelay.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint, PromptPart } from '../records.js';
+import type { LoadPath } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
+import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
@@ -86,11 +88,13 @@
     const { hall } = box;
     const hash = (text: string): number => hasher.h32(text);
     const homes = new PromptHomes();
+    const demand = new PromptDemand();
     this.table = new EndpointTable(hash);
     const onKnowledge = (): void => {};
-    this.relay = new LoadRelay({ mesh, table: this.table, homes, hall, hash, random, now, onKnowledge });
-    const readPath = (): 'direct' | 'relayed' => (mesh.isFlat ? 'direct' : 'relayed');
-    this.placement = new Placement(this.table, hasher, hall, random, homes, readPath);
+    const { table } = this;
+    this.relay = new LoadRelay({ mesh, table, homes, demand, hall, hash, random, now, onKnowledge });
+    const readLoadPath = (): LoadPath => (mesh.isFlat ? 'direct' : 'relayed');
+    this.placement = new Placement({ table, hasher, hall, random, homes, demand, readLoadPath });
   }
 
   handleFrame(frame: Parameters<VirtualProgram['handleFrame']>[0]): void {
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -2,6 +2,7 @@
 import { createTable } from '../__fixtures__/createEndpoints.js';
 import type { LoadPath } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
+import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
@@ -34,7 +35,15 @@
   const hasher = await createHasher();
   const { table, rows } = createTable(ENDPOINTS);
   const random = createSequence();
-  const placement = new Placement(table, hasher, 'a', random, new PromptHomes(), () => path);
+  const placement = new Placement({
+    table,
+    hasher,
+    hall: 'a',
+    random,
+    homes: new PromptHomes(),
+    demand: new PromptDemand(),
+    readLoadPath: () => path,
+  });
   const held = new Map<EndpointRow, number>(rows.map((row) => [row, 0]));
   const ends: { readonly atMs: number; readonly row: EndpointRow }[] = [];
   const met: { readonly atMs: number; readonly isOver: boolean }[] = [];
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -4,7 +4,9 @@
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint } from '../records.js';
-import { addLoads, subtractLoads } from '../systems/loadExchange.js';
+import { subtractLoads } from '../systems/loadExchange.js';
+import { addPairs } from '../systems/pairList.js';
+import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 
@@ -41,6 +43,7 @@
   readonly sent: { to: string; frame: PeerFrame }[] = [];
   readonly table = new EndpointTable(() => TAG);
   readonly homes = new PromptHomes();
+  readonly demand = new PromptDemand();
   readonly relay: LoadRelay;
   readonly knowledge: LoadKnowledge[] = [];
 
@@ -64,6 +67,7 @@
       mesh,
       table: this.table,
       homes: this.homes,
+      demand: this.demand,
       hall: 'mixco',
       hash: (text) => Number(text),
       random,
@@ -95,7 +99,7 @@
   addresses.map((one) => heartbeatOf(one, 'antigua', 0));
 
 test('adds and subtracts loads endpoint by endpoint', () => {
-  expect(addLoads([[7, 2], [7, 1, 9, 4], []])).toEqual([7, 3, 9, 4]);
+  expect(addPairs([[7, 2], [7, 1, 9, 4], []])).toEqual([7, 3, 9, 4]);
   expect(subtractLoads([7, 3, 9, 4], [7, 5, 9, 1])).toEqual([9, 3]);
 });
 
@@ -113,7 +117,10 @@
   box.setOwn(2);
   box.tick();
   expect(box.sent).toEqual(
-    ['1', '2'].map((to) => ({ to, frame: { type: 'boxLoads', address: '5', loads: [TAG, 2], homes: [] } })),
+    ['1', '2'].map((to) => ({
+      to,
+      frame: { type: 'boxLoads', address: '5', loads: [TAG, 2], homes: [], prompts: [] },
+    })),
   );
 });
 
@@ -123,14 +130,14 @@
   box.setOwn(2);
   box.tick();
   box.setOwn(3);
-  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9], homes: [], passTo: [] });
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9], homes: [], prompts: [], passTo: [] });
   expect(box.peersInFlight).toBe(7);
 });
 
 test('a sum that is not renewed counts for nothing after a while', () => {
   const box = new TestBox('5');
   box.peers = hallOf('1', '2');
-  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9], homes: [], passTo: [] });
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9], homes: [], prompts: [], passTo: [] });
   for (let count = 0; count < 7; count += 1) box.tick();
   expect(box.peersInFlight).toBe(0);
 });
@@ -139,14 +146,15 @@
   const box = new TestBox('1');
   box.peers = [...hallOf('2', '3'), ...othersOf('7', '8', '9')];
   box.setOwn(1);
-  box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3], homes: [] });
-  box.relay.handleBoxLoads({ type: 'boxLoads', address: '3', loads: [TAG, 2], homes: [] });
+  box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3], homes: [], prompts: [] });
+  box.relay.handleBoxLoads({ type: 'boxLoads', address: '3', loads: [TAG, 2], homes: [], prompts: [] });
   box.relay.handleHallLoads({
     type: 'hallLoads',
     hall: 'antigua',
     loads: [TAG, 10],
     coverage: { boxes: 3, ageMs: 200 },
     homes: [],
+    prompts: [],
   });
   box.tick();
   expect(box.peersInFlight).toBe(15);
@@ -159,6 +167,7 @@
       loads: [TAG, 6],
       coverage: { boxes: 3, ageMs: 500 },
       homes: [],
+      prompts: [],
     },
   });
   expect(box.listSent('hallLoads')).toEqual(['7', '8']);
@@ -170,6 +179,7 @@
         loads: [TAG, 16],
         coverage: { boxes: 6, ageMs: 700 },
         homes: [],
+        prompts: [],
         passTo: [],
       },
     });
@@ -181,7 +191,14 @@
   box.peers = [...hallOf('1', '2', '3'), ...othersOf('7', '8', '9')];
   const hear = (boxes: number): void => {
     const coverage = { boxes, ageMs: 300 };
-    box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [TAG, 9], coverage, homes: [], passTo: [] });
+    box.relay.handleFleetLoads({
+      type: 'fleetLoads',
+      loads: [TAG, 9],
+      coverage,
+      homes: [],
+      prompts: [],
+      passTo: [],
+    });
     box.tick();
   };
   hear(7);
@@ -197,13 +214,13 @@
 test('the second box of a hall speaks only while the first is not heard', () => {
   const box = new TestBox('2');
   box.peers = [...hallOf('1', '3'), ...othersOf('7')];
-  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [], homes: [], passTo: [] });
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [], homes: [], prompts: [], passTo: [] });
   box.tick();
   box.tick();
   expect(box.listSent('fleetLoads')).toEqual([]);
   box.tick();
   expect(box.listSent('fleetLoads')).toEqual(['1', '3']);
-  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [], homes: [], passTo: [] });
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [], homes: [], prompts: [], passTo: [] });
   box.tick();
   expect(box.listSent('fleetLoads')).toEqual(['1', '3']);
 });
@@ -211,7 +228,7 @@
 test('the loads of a box that fell silent leave the sum', () => {
   const box = new TestBox('1');
   box.peers = hallOf('2', '3');
-  box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3], homes: [] });
+  box.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [TAG, 3], homes: [], prompts: [] });
   for (let count = 0; count < 7; count += 1) box.tick();
   expect(box.peersInFlight).toBe(0);
 });
@@ -220,8 +237,14 @@
   const speaker = new TestBox('1');
   speaker.peers = [heartbeatOf('2', 'mixco', 0), heartbeatOf('9', 'antigua', 0)];
   speaker.homes.note(5, TAG);
-  speaker.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [], homes: [6, TAG] });
-  speaker.relay.handleHallLoads({ type: 'hallLoads', hall: 'antigua', loads: [], homes: [7, TAG] });
+  speaker.relay.handleBoxLoads({ type: 'boxLoads', address: '2', loads: [], homes: [6, TAG], prompts: [] });
+  speaker.relay.handleHallLoads({
+    type: 'hallLoads',
+    hall: 'antigua',
+    loads: [],
+    homes: [7, TAG],
+    prompts: [],
+  });
   speaker.relay.tick();
   const read = (type: string): unknown => {
     const found = speaker.sent.find(({ frame }) => frame.type === type)?.frame;
@@ -236,6 +259,40 @@
   expect(read('hallLoads')).toEqual([]);
 });
 
+test('what boxes are asked for reaches the speakers of all halls, and what is hot every box', () => {
+  const speaker = new TestBox('1');
+  speaker.peers = [heartbeatOf('2', 'mixco', 0), heartbeatOf('9', 'antigua', 0)];
+  const ask = (times: number): void => {
+    for (let count = 0; count < times; count += 1) speaker.demand.note(5);
+  };
+  ask(2);
+  speaker.relay.handleBoxLoads({
+    type: 'boxLoads',
+    address: '2',
+    loads: [],
+    homes: [],
+    prompts: [5, 1, 6, 1, 8, 2],
+  });
+  speaker.relay.handleHallLoads({
+    type: 'hallLoads',
+    hall: 'antigua',
+    loads: [],
+    homes: [],
+    prompts: [5, 4],
+  });
+  speaker.tick();
+  const read = (type: string): unknown => {
+    const found = speaker.sent.find(({ frame }) => frame.type === type)?.frame;
+    return found !== undefined && 'prompts' in found ? found.prompts : undefined;
+  };
+  expect(read('hallLoads')).toEqual([5, 3, 8, 2]);
+  expect(read('fleetLoads')).toEqual([5, 7]);
+  const box = new TestBox('2');
+  box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [], homes: [], prompts: [5, 7], passTo: [] });
+  expect(box.demand.readWidth(5, box.nowMs)).toBe(4);
+  expect(box.demand.readWidth(6, box.nowMs)).toBe(1);
+});
+
 /** A hall of boxes that reach each other, the first of them its speaker. */
 class TestHall {
   readonly sentBy = new Map<string, number>();
--- a/packages/router/src/__tests__/peerFrames.test.ts
+++ b/packages/router/src/__tests__/peerFrames.test.ts
@@ -34,3 +34,22 @@
   const list = { type: 'endpointsValue', revision: 9, endpoints: [listed('e-1')] };
   expect(read(encodePlain(list))).toMatchObject({ ...list, lapsed: [], address: '' });
 });
+
+test('sums of loads of a box that tells neither what is in them nor what was asked for are read as such', () => {
+  const sum = { type: 'fleetLoads', loads: [7, 2], homes: [], passTo: [] };
+  const frame = read(encodePlain(sum));
+  expect(frame).toMatchObject({ ...sum, prompts: [] });
+  expect(frame).not.toHaveProperty('coverage');
+});
+
+test('a sum says of how many boxes it is, how old the oldest are and what is hot', () => {
+  const sum: PeerFrame = {
+    type: 'hallLoads',
+    hall: 'mixco',
+    loads: [7, 2],
+    coverage: { boxes: 21, ageMs: 480 },
+    homes: [],
+    prompts: [9, 6],
+  };
+  expect(read(encodePeerFrame(sum))).toEqual(sum);
+});
--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -2,8 +2,10 @@
 import type { Hasher } from '@hazelwalk/core';
 import { createRandom } from '@hazelwalk/standins';
 import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
+import type { PlacementOptions } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
 import { choosePlainEndpoint } from '../systems/plainPlacement.js';
+import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 
@@ -16,15 +18,21 @@
 const noneExcluded: ReadonlySet<string> = new Set();
 const NOW_MS = 60_000;
 
-const createPlacement = (table: EndpointTable, homes = new PromptHomes()): Placement =>
-  new Placement(
+const createPlacement = (
+  table: EndpointTable,
+  homes = new PromptHomes(),
+  changes: Partial<PlacementOptions> = {},
+): Placement =>
+  new Placement({
     table,
     hasher,
-    'a',
-    () => 0.5,
+    hall: 'a',
+    random: () => 0.5,
     homes,
-    () => 'direct',
-  );
+    demand: new PromptDemand(),
+    readLoadPath: () => 'direct',
+    ...changes,
+  });
 const ask = (prompt: string): Parameters<Placement['choose']>[0] => ({
   service: 'llm',
   promptParts: [
@@ -167,6 +175,27 @@
   expect(placement.choose(plain, NOW_MS)?.row).toBe(far);
 });
 
+test('a hot prompt is spread over the first endpoints of its order, and its holders are told once', () => {
+  const { table } = createTable(12);
+  const homes = new PromptHomes();
+  const demand = new PromptDemand();
+  const random = createRandom(3);
+  const placement = createPlacement(table, homes, { demand, random });
+  placement.choose(ask('p'), NOW_MS);
+  const [key = 0] = demand.takeCounts();
+  demand.learn([key, 8], NOW_MS);
+  const order: string[] = [];
+  for (const excluded = new Set<string>(); order.length < 4;) {
+    const row = createPlacement(table).choose({ ...ask('p'), excluded }, NOW_MS)?.row;
+    excluded.add(row?.listing.id ?? '');
+    order.push(row?.listing.id ?? '');
+  }
+  const choices = Array.from({ length: 400 }, () => placement.choose(ask('p'), NOW_MS));
+  expect(new Set(choices.map((choice) => choice?.way))).toEqual(new Set(['hot']));
+  expect(new Set(choices.map((choice) => choice?.row.listing.id))).toEqual(new Set(order));
+  expect(homes.takeUntold(100).length).toBeLessThanOrEqual(2 * 3);
+});
+
 test('of what comes to a loaded endpoint of the own hall a part leaves, more if it holds more, and is spread', () => {
   const { table } = createTable(0);
   const near = table.upsert(createListing('near'), 0);
@@ -217,14 +246,15 @@
     for (let at = 0; at < 12; at += 1) {
       table.upsert(createListing(`e${at}`, { service, hall: halls[at % 2] ?? '' }), 0);
     }
-    const placement = new Placement(
+    const placement = new Placement({
       table,
       hasher,
-      halls[0],
-      () => 0.5,
-      new PromptHomes(),
-      () => 'direct',
-    );
+      hall: halls[0],
+      random: () => 0.5,
+      homes: new PromptHomes(),
+      demand: new PromptDemand(),
+      readLoadPath: () => 'direct',
+    });
     return Array.from({ length: 200 }, (_, at) => {
       const request = at % 3 === 0 ? { ...ask('p'), promptParts: [] } : ask(`p${at % 17}`);
       const choice = placement.choose({ ...request, service }, NOW_MS);
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -24,6 +24,7 @@
 import type { Publication } from './systems/publishedState.js';
 import { PublishedState } from './systems/publishedState.js';
 import type { HomeList } from './systems/promptHomes.js';
+import { PromptDemand } from './systems/promptDemand.js';
 import { PromptHomes } from './systems/promptHomes.js';
 import { Placement } from './systems/placement.js';
 import { Reachability } from './systems/reachability.js';
@@ -63,6 +64,7 @@
   private tickedAtMs = performance.now();
   private readonly peerValues: PeerValues;
   private readonly homes = new PromptHomes();
+  private readonly demand = new PromptDemand();
   private readonly relay: FeedRelay;
   private readonly loads: LoadRelay;
   private stopRequestedAtMs: number | undefined;
@@ -128,6 +130,7 @@
       mesh,
       table: this.table,
       homes: this.homes,
+      demand: this.demand,
       hall,
       hash,
       random: Math.random,
@@ -225,14 +228,15 @@
     return {
       dialect: options.dialect,
       table: this.table,
-      placement: new Placement(
-        this.table,
-        { h32: (text, seed) => hash(text, seed) },
-        options.hall,
-        Math.random,
-        this.homes,
-        () => (this.mesh.isFlat ? 'direct' : 'relayed'),
-      ),
+      placement: new Placement({
+        table: this.table,
+        hasher: { h32: (text, seed) => hash(text, seed) },
+        hall: options.hall,
+        random: Math.random,
+        homes: this.homes,
+        demand: this.demand,
+        readLoadPath: () => (this.mesh.isFlat ? 'direct' : 'relayed'),
+      }),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
       metrics: this.metrics,
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,11 +1,14 @@
 /**
- * Spreads loads, and with them what boxes learned of the homes of prompts. In a small fleet heartbeats carry both to
+ * Spreads loads, and with them what boxes learned of the homes of prompts and of the demand for them. In a small fleet heartbeats carry both to
  * every box. In a larger one each box tells its loads to two speakers of its hall; these tell the hall's sum to the
  * speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so that a box sends and
  * reads a few frames a second whatever the size of the fleet.
  */
 import type { LoadList, LoadSum } from '../systems/loadExchange.js';
-import { addLoads, applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
+import { applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
+import { addPairs } from '../systems/pairList.js';
+import type { PromptDemand } from '../systems/promptDemand.js';
+import { DemandBook } from '../systems/promptDemand.js';
 import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
 import { planSpread } from '../membership/spreadPlan.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
@@ -47,6 +50,7 @@
   readonly mesh: PeerMesh;
   readonly table: EndpointTable;
   readonly homes: PromptHomes;
+  readonly demand: PromptDemand;
   readonly hall: string;
   readonly hash: (text: string) => number;
   /** Between 0 and 1. */
@@ -60,6 +64,7 @@
 export class LoadRelay {
   private readonly boxes = new LoadBook(LOADS_LIFE_MS);
   private readonly halls = new LoadBook(LOADS_LIFE_MS);
+  private readonly demands = new DemandBook();
   private tickedAtMs = -Infinity;
   /** When a speaker last told the fleet's sum. */
   private heardFleetAtMs = -Infinity;
@@ -99,6 +104,7 @@
   handleBoxLoads(frame: BoxLoads): void {
     this.options.homes.learn(frame.homes);
     this.keepHomesForAll(frame.homes);
+    this.demands.noteBox(frame.prompts);
     this.boxes.note(frame.address, { loads: frame.loads, boxes: 1, ageMs: 0 }, this.options.now());
   }
 
@@ -107,6 +113,7 @@
     if (frame.hall === this.options.hall) return;
     this.options.homes.learn(frame.homes);
     this.keepHomes(frame.homes, this.hallHomes);
+    this.demands.noteHall(frame.hall, frame.prompts, this.options.now());
     const { boxes, ageMs } = frame.coverage ?? UNKNOWN_COVERAGE;
     this.halls.note(frame.hall, { loads: frame.loads, boxes, ageMs }, this.options.now());
   }
@@ -115,6 +122,7 @@
   handleFleetLoads(frame: FleetLoads): void {
     this.heardFleetAtMs = this.options.now();
     this.options.homes.learn(frame.homes);
+    this.options.demand.learn(frame.prompts, this.heardFleetAtMs);
     this.take([subtractLoads(frame.loads, this.toldLoads)], frame.coverage ?? UNKNOWN_COVERAGE);
     this.spread(frame, frame.passTo);
   }
@@ -140,6 +148,7 @@
   /** Tells this box's loads, and those of all if it speaks. */
   private takePart(nowMs: number): void {
     this.tellSpeakers();
+    this.demands.advance(nowMs);
     if (this.mustSpeak(nowMs)) this.speak(nowMs);
     else if (nowMs - this.heardFleetAtMs > LOADS_LIFE_MS) applyPeerLoads(this.options.table, []);
   }
@@ -161,15 +170,18 @@
   }
 
   private tellSpeakers(): void {
-    const { mesh, table, hall, homes } = this.options;
+    const { mesh, table, hall, homes, demand } = this.options;
     this.toldLoads = listOwnLoads(table);
     const news = homes.takeUntold(MAX_KEPT_PAIRS);
     this.keepHomesForAll(news);
+    const prompts = demand.takeCounts();
+    this.demands.noteBox(prompts);
     const frame: BoxLoads = {
       type: 'boxLoads',
       address: mesh.address,
       loads: [...this.toldLoads],
       homes: news,
+      prompts,
     };
     for (const address of this.listSpeakers((other) => other === hall)) mesh.send(address, frame);
   }
@@ -181,27 +193,36 @@
   }
 
   private speak(nowMs: number): void {
-    const { mesh, hall } = this.options;
+    const { mesh, hall, demand } = this.options;
     const hallPeers = this.boxes.sumFresh(nowMs);
     const halls = this.halls.sumFresh(nowMs);
-    const own = addLoads([hallPeers.loads, this.toldLoads]);
-    const peers = addLoads([hallPeers.loads, halls.loads]);
+    const own = addPairs([hallPeers.loads, this.toldLoads]);
+    const peers = addPairs([hallPeers.loads, halls.loads]);
     const ownCoverage = { boxes: hallPeers.boxes + 1, ageMs: hallPeers.ageMs };
     const coverage = {
       boxes: ownCoverage.boxes + halls.boxes,
       ageMs: Math.max(ownCoverage.ageMs, halls.ageMs),
     };
     this.take([peers], coverage);
+    const hot = this.demands.listHot();
+    demand.learn(hot, nowMs);
     const hallHomes = this.hallHomes.splice(0);
     const fleetHomes = this.fleetHomes.splice(0);
-    for (const address of this.listSpeakers((other) => other !== hall)) {
-      mesh.send(address, { type: 'hallLoads', hall, loads: own, coverage: ownCoverage, homes: fleetHomes });
-    }
+    const hallFrame: HallLoads = {
+      type: 'hallLoads',
+      hall,
+      loads: own,
+      coverage: ownCoverage,
+      homes: fleetHomes,
+      prompts: this.demands.listHall(),
+    };
+    for (const address of this.listSpeakers((other) => other !== hall)) mesh.send(address, hallFrame);
     const frame: FleetLoads = {
       type: 'fleetLoads',
-      loads: addLoads([peers, this.toldLoads]),
+      loads: addPairs([peers, this.toldLoads]),
       coverage,
       homes: hallHomes,
+      prompts: hot,
       passTo: [],
     };
     this.spread(frame, this.listHallRanks());
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -194,12 +194,16 @@
     ageMs: z.number().nonnegative(),
   })
   .optional();
+/** A prompt and how often it was asked for, in turn. Boxes of earlier versions do not say it. */
+const promptCounts = z.array(z.number()).default([]);
 const boxLoads = z.object({
   type: z.literal('boxLoads'),
   /** Address of the box that holds these loads. */
   address: z.string(),
   loads: loadList,
   homes: homeList,
+  /** What the box was asked for since its last such frame. */
+  prompts: promptCounts,
 });
 const hallLoads = z.object({
   type: z.literal('hallLoads'),
@@ -208,6 +212,8 @@
   loads: loadList,
   coverage: loadCoverage,
   homes: homeList,
+  /** What these boxes were asked for within a second, where it was more than once. */
+  prompts: promptCounts,
 });
 const fleetLoads = z.object({
   type: z.literal('fleetLoads'),
@@ -215,6 +221,8 @@
   loads: loadList,
   coverage: loadCoverage,
   homes: homeList,
+  /** Prompts that are hot in the fleet, with requests a second. */
+  prompts: promptCounts,
   /** Ranks of the boxes of the hall to whom the reader passes this on. */
   passTo: z.array(z.number()),
 });
@@ -323,6 +331,7 @@
   saidAgoMs: 18,
   coverage: 19,
   ageMs: 20,
+  prompts: 21,
 } as const;
 
 const cbor = new Encoder({
@@ -335,7 +344,7 @@
 /**
  * Encodes a frame with its length in front.
  *
- * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [], homes: [] }))
+ * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [], homes: [], prompts: [] }))
  */
 export function encodePeerFrame(frame: PeerFrame): Buffer {
   const payload = cbor.encode(frame);
--- a/packages/router/src/systems/loadExchange.ts
+++ b/packages/router/src/systems/loadExchange.ts
@@ -1,8 +1,10 @@
 /** Loads that boxes tell each other, so that each knows what all of them together have at an endpoint. */
+import type { PairList } from './pairList.js';
+import { addPairs, readPairs } from './pairList.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 
 /** Tag of an endpoint and the requests there, in turn. */
-export type LoadList = readonly number[];
+export type LoadList = PairList;
 
 /** This box's loads. Idle endpoints are left out. */
 export function listOwnLoads(table: EndpointTable): number[] {
@@ -11,22 +13,6 @@
   return loads;
 }
 
-/**
- * Adds loads endpoint by endpoint.
- *
- * @example addLoads([[7, 2], [7, 1, 9, 4]]) // [7, 3, 9, 4]
- */
-export function addLoads(lists: readonly LoadList[]): number[] {
-  const byTag = new Map<number, number>();
-  for (const loads of lists) {
-    for (let at = 0; at + 1 < loads.length; at += 2) {
-      const tag = loads[at] ?? 0;
-      byTag.set(tag, (byTag.get(tag) ?? 0) + (loads[at + 1] ?? 0));
-    }
-  }
-  return [...byTag].flat();
-}
-
 /**
  * What is left of a sum without one part of it; nothing is less than zero, since the part may be newer than the sum.
  *
@@ -34,22 +20,16 @@
  */
 export function subtractLoads(sum: LoadList, part: LoadList): number[] {
   const negative = part.map((value, at) => (at % 2 === 0 ? value : -value));
-  const rest = addLoads([sum, negative]);
-  const kept: number[] = [];
-  for (let at = 0; at + 1 < rest.length; at += 2) {
-    const requests = rest[at + 1] ?? 0;
-    if (requests > 0) kept.push(rest[at] ?? 0, requests);
-  }
-  return kept;
+  const rest = [...readPairs(addPairs([sum, negative]))];
+  return rest.filter(([, requests]) => requests > 0).flat();
 }
 
 /** Writes what the peers told into the table. */
 export function applyPeerLoads(table: EndpointTable, lists: readonly LoadList[]): void {
   for (const row of table.byId.values()) row.peersInFlight = 0;
-  const sums = addLoads(lists);
-  for (let at = 0; at + 1 < sums.length; at += 2) {
-    const row = table.findByTag(sums[at] ?? 0);
-    if (row !== undefined) row.peersInFlight += sums[at + 1] ?? 0;
+  for (const [tag, requests] of readPairs(addPairs(lists))) {
+    const row = table.findByTag(tag);
+    if (row !== undefined) row.peersInFlight += requests;
   }
 }
 
@@ -82,7 +62,7 @@
     }
     const all = [...this.byTeller.values()];
     return {
-      loads: addLoads(all.map((told) => told.loads)),
+      loads: addPairs(all.map((told) => told.loads)),
       boxes: all.reduce((sum, told) => sum + told.boxes, 0),
       ageMs: Math.max(0, ...all.map((told) => told.ageMs + nowMs - told.heardAtMs)),
     };
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -10,8 +10,10 @@
 import type { PromptPart } from '../records.js';
 import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import { drawLower } from './drawEndpoint.js';
 import { isUsable } from './endpointHealth.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
+import type { PromptDemand } from './promptDemand.js';
 import type { PromptHomes } from './promptHomes.js';
 
 /** How the loads of other boxes come: from each of them, or as sums by way of others, which makes them older. */
@@ -64,6 +66,8 @@
 export type PlacementWay =
   /** The first in the order of its prompt. */
   | 'home'
+  /** One of the first in that order, over which a hot prompt is spread. */
+  | 'hot'
   /** A later one in that order, since those before it have no room. */
   | 'overflow'
   /** The least loaded, since none has room. */
@@ -87,42 +91,55 @@
 /** A newcomer has met the prompts that are in use after this. */
 const NEWCOMER_MS = 30_000;
 
+/** Endpoints that are told to hold a hot prompt. */
+const HOT_HOLDERS = 3;
+
+/** What placement works with. */
+export interface PlacementOptions {
+  readonly table: EndpointTable;
+  readonly hasher: Hasher;
+  /** Hall of this box. */
+  readonly hall: string;
+  /** Between 0 and 1. */
+  readonly random: () => number;
+  readonly homes: PromptHomes;
+  readonly demand: PromptDemand;
+  readonly readLoadPath: () => LoadPath;
+}
+
 /** Chooses endpoints for one box. */
 export class Placement {
-  constructor(
-    private readonly table: EndpointTable,
-    private readonly hasher: Hasher,
-    private readonly hall: string,
-    private readonly random: () => number,
-    private readonly homes: PromptHomes,
-    private readonly readLoadPath: () => LoadPath,
-  ) {}
+  constructor(private readonly options: PlacementOptions) {}
 
   /** The endpoint to send to; undefined if none can take the request. */
   choose(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
+    const { hasher, hall, random, homes, demand } = this.options;
     const rows = this.listCandidates(request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
     const meanLoad = readMeanLoad(rows);
     if (prompt === undefined) {
-      const plain = choosePlainEndpoint(rows, this.hall, this.random);
+      const plain = choosePlainEndpoint(rows, hall, random);
       return plain === undefined ? undefined : describeChoice(plain, 'plain', meanLoad, undefined);
     }
-    const key = this.hasher.h32(readSharedPart(request.promptParts) ?? prompt);
-    const holders = new Set(this.homes.list(key));
-    const home = this.chooseHome(rows, prompt, meanLoad);
+    const key = hasher.h32(readSharedPart(request.promptParts) ?? prompt);
+    const holders = new Set(homes.list(key));
+    demand.note(key);
+    const width = demand.readWidth(key, nowMs);
+    const home = this.chooseHome(rows, prompt, meanLoad, width);
     if (home === undefined) return undefined;
     const { row, way } = home;
     const cacheSource = holders.has(row.tag)
       ? undefined
       : (this.findHolder(row, request, prompt, holders) ?? this.guessHolder(row, request, prompt, nowMs));
-    this.homes.note(key, row.tag);
+    // Of a hot prompt a few holders are enough to take it from: naming all of them each time would be news without end.
+    if (way !== 'hot' || holders.size < HOT_HOLDERS) homes.note(key, row.tag);
     return describeChoice(row, way, meanLoad, cacheSource);
   }
 
   /** Usable endpoints; if none is, those that are listed, since one of them may have come back. */
   private listCandidates(request: PlacementRequest, nowMs: number): EndpointRow[] {
-    const listed = this.table.listService(request.service);
+    const listed = this.options.table.listService(request.service);
     const live = listed.filter((row) => row.listing.state === 'live');
     const untried = live.filter((row) => !request.excluded.has(row.listing.id));
     const usable = untried.filter((row) => isUsable(row, nowMs));
@@ -133,10 +150,16 @@
     rows: readonly EndpointRow[],
     prompt: string,
     meanLoad: number,
+    width: number,
   ): Pick<PlacementChoice, 'row' | 'way'> | undefined {
-    const { factor, allowance } = LOAD_CAPS[this.readLoadPath()];
+    const { factor, allowance } = LOAD_CAPS[this.options.readLoadPath()];
     const cap = factor * meanLoad + allowance;
     const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
+    if (width > 1) {
+      const first = this.listBestRanked(withRoom, prompt, width);
+      const row = drawLower(first, readFleetLoad, this.options.random);
+      if (row !== undefined) return { row, way: 'hot' };
+    }
     const row = this.findBestRanked(withRoom, prompt);
     if (row !== undefined)
       return { row, way: row === this.findBestRanked(rows, prompt) ? 'home' : 'overflow' };
@@ -177,14 +200,23 @@
   }
 
   private listReachable(service: string): EndpointRow[] {
-    return this.table
+    return this.options.table
       .listService(service)
       .filter((row) => row.standing.type !== 'unreachable' && !row.isLapsed);
   }
 
+  /** The first few in the order of endpoints that all boxes share for a prompt. */
+  private listBestRanked(rows: readonly EndpointRow[], prompt: string, count: number): EndpointRow[] {
+    return rows
+      .map((row) => ({ row, score: this.options.hasher.h32(prompt, row.tag) }))
+      .sort((a, b) => b.score - a.score)
+      .slice(0, count)
+      .map(({ row }) => row);
+  }
+
   /** The first in the order of endpoints that all boxes share for a prompt. */
   private findBestRanked(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
-    return pickLeast(rows, (row) => -this.hasher.h32(prompt, row.tag));
+    return pickLeast(rows, (row) => -this.options.hasher.h32(prompt, row.tag));
   }
 }
 
--- a/packages/router/src/systems/plainPlacement.ts
+++ b/packages/router/src/systems/plainPlacement.ts
@@ -5,6 +5,7 @@
  * best, all would take the same endpoint until they hear otherwise. So only that part of the requests leaves an endpoint
  * which it has too many of, and those that leave are spread.
  */
+import { drawLower, drawOne } from './drawEndpoint.js';
 import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
@@ -34,29 +35,17 @@
   random: () => number,
 ): EndpointRow | undefined {
   const near = rows.filter((row) => row.listing.hall === hall);
-  const first = pickOne(near.length > 0 ? near : rows, random);
+  const first = drawOne(near.length > 0 ? near : rows, random);
   if (first === undefined) return undefined;
   const others = rows.filter((row) => row !== first);
   if (others.length === 0) return first;
   const othersUse = others.reduce((sum, row) => sum + readUse(row), 0) / others.length;
   const dueUse = othersUse + (near.length > 0 ? HALL_PREFERENCE : 0);
   if (random() < (dueUse / readUse(first)) ** LEAVING_POWER) return first;
-  return pickLessUsed(others, random) ?? first;
+  return drawLower(others, readUse, random) ?? first;
 }
 
 /** Share of its slots in use if it takes one request more. */
 function readUse(row: EndpointRow): number {
   return (readFleetLoad(row) + 1) / Math.max(1, row.listing.slots);
 }
-
-/** The less loaded of two drawn at random: avoids the fullest without sending all to the emptiest. */
-function pickLessUsed(rows: readonly EndpointRow[], random: () => number): EndpointRow | undefined {
-  const one = pickOne(rows, random);
-  const other = pickOne(rows, random);
-  if (one === undefined || other === undefined) return undefined;
-  return readUse(other) < readUse(one) ? other : one;
-}
-
-function pickOne<T>(items: readonly T[], random: () => number): T | undefined {
-  return items[Math.floor(random() * items.length)];
-}
--- /dev/null
+++ b/packages/router/src/systems/promptDemand.ts
@@ -0,0 +1,128 @@
+/**
+ * How often the fleet is asked for each prompt. A box sees next to nothing of that itself: of 25 requests a second for
+ * one prompt, one of 87 boxes gets one each three seconds. So boxes tell their speakers what they were asked for, and the
+ * speakers tell all which prompts are hot. A hot prompt is spread over several endpoints at once: loads are up to a
+ * second old, and in that time a single endpoint would get all of its requests.
+ */
+import type { PairList } from './pairList.js';
+import { addPairs, readPairs } from './pairList.js';
+
+/**
+ * Requests a second from which a prompt is hot. The most used prompt of a fleet of 87 boxes gets 1.1 when none is hot, so
+ * that chance brings it here in one second of a thousand.
+ */
+const HOT_PER_S = 6;
+/** How old loads are when the next ones come, at the most. */
+const LOAD_AGE_S = 1;
+/**
+ * Requests for one prompt that an endpoint may get before its load is heard of: about what the load cap leaves to the
+ * bound where an engine holds three requests in the mean.
+ */
+const REQUESTS_UNHEARD = 2;
+/** Periods over which a speaker counts; with two a second, as loads are told, a second. */
+const COUNTED_PERIODS = 2;
+/** What is left of a prompt's demand each period when it falls: it cools down in some eight seconds. */
+const COOLING = 0.9;
+/** A hall tells others only of prompts asked for so often in a second: of most it is once. */
+const LEAST_TOLD = 2;
+/** Prompts in one list, the ones in most demand: half a kilobyte. */
+const MAX_TOLD = 64;
+/** Hot prompts that were not named anew for so long are taken for cold; others' sums last as long. */
+const LIFE_MS = 3_000;
+
+/** What one box was asked for, and which prompts it knows to be hot. */
+export class PromptDemand {
+  private readonly counts = new Map<number, number>();
+  private hot = new Map<number, number>();
+  private learnedAtMs = -Infinity;
+
+  /** A request for a prompt came to this box. */
+  note(prompt: number): void {
+    this.counts.set(prompt, (this.counts.get(prompt) ?? 0) + 1);
+  }
+
+  /** What came since the last call. */
+  takeCounts(): number[] {
+    const counts = mostWanted(this.counts);
+    this.counts.clear();
+    return counts;
+  }
+
+  /** A speaker names all hot prompts, with requests a second. */
+  learn(hot: PairList, nowMs: number): void {
+    this.hot = new Map(readPairs(hot));
+    this.learnedAtMs = nowMs;
+  }
+
+  /** Over how many endpoints a prompt is to be spread; 1 unless it is hot. */
+  readWidth(prompt: number, nowMs: number): number {
+    const perS = nowMs - this.learnedAtMs > LIFE_MS ? 0 : (this.hot.get(prompt) ?? 0);
+    return Math.max(1, Math.ceil((perS * LOAD_AGE_S) / REQUESTS_UNHEARD));
+  }
+}
+
+interface HallCounts {
+  readonly counts: PairList;
+  readonly heardAtMs: number;
+}
+
+/** What a speaker adds up. */
+export class DemandBook {
+  private current: PairList[] = [];
+  private periods: PairList[] = [];
+  private readonly halls = new Map<string, HallCounts>();
+  private hot = new Map<number, number>();
+
+  /** A box of the hall tells what it was asked for since it told last. */
+  noteBox(counts: PairList): void {
+    if (counts.length > 0) this.current.push(counts);
+  }
+
+  /** Another hall tells what it was asked for within a second. */
+  noteHall(hall: string, counts: PairList, nowMs: number): void {
+    this.halls.set(hall, { counts, heardAtMs: nowMs });
+  }
+
+  /** Ends a period. */
+  advance(nowMs: number): void {
+    this.periods = [...this.periods, addPairs(this.current)].slice(-COUNTED_PERIODS);
+    this.current = [];
+    for (const [hall, { heardAtMs }] of this.halls) {
+      if (nowMs - heardAtMs > LIFE_MS) this.halls.delete(hall);
+    }
+    this.hot = this.findHot();
+  }
+
+  /** What the own hall was asked for within a second, as other halls are told. */
+  listHall(): number[] {
+    const counts = new Map(readPairs(addPairs(this.periods)));
+    for (const [prompt, count] of counts) if (count < LEAST_TOLD) counts.delete(prompt);
+    return mostWanted(counts);
+  }
+
+  /** Prompts that are hot in the whole fleet, with requests a second. */
+  listHot(): number[] {
+    return mostWanted(this.hot);
+  }
+
+  /** A prompt counts as hot at once, and cools down slowly: a lull between bursts does not move it back. */
+  private findHot(): Map<number, number> {
+    const lists = [...this.periods, ...[...this.halls.values()].map(({ counts }) => counts)];
+    const wanted = new Map(readPairs(addPairs(lists)));
+    const hot = new Map<number, number>();
+    for (const [prompt, perS] of this.hot) {
+      const cooled = perS * COOLING;
+      if (cooled >= HOT_PER_S) hot.set(prompt, cooled);
+    }
+    for (const [prompt, perS] of wanted) {
+      if (perS >= Math.max(HOT_PER_S, hot.get(prompt) ?? 0)) hot.set(prompt, perS);
+    }
+    return hot;
+  }
+}
+
+function mostWanted(counts: ReadonlyMap<number, number>): number[] {
+  const pairs = [...counts];
+  if (pairs.length > MAX_TOLD) pairs.sort(([, a], [, b]) => b - a);
+  return pairs.slice(0, MAX_TOLD).flat();
+}
