The load cap goes by the mean of the whole service, not of the endpoints that are left

Cause: endpoints that were tried, ejected or unreachable to this box left the mean, which raised the cap of the others by a factor the bound does not know (a third ejected: 2.6 times the mean in place of 1.7). The fallback took the one least loaded endpoint, the same for all boxes; it now draws two. Tests red before: an endpoint with 10 of a mean of 3.8 was chosen, so was one with 4 of 0.6 after seven tries.

--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -7,7 +7,7 @@
 import { choosePlainEndpoint } from '../systems/plainPlacement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
-import type { EndpointTable } from '../tables/endpointTable.js';
+import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 
 let hasher: Hasher;
 
@@ -84,6 +84,45 @@
   }
 });
 
+/** Endpoints of which all but the first `usable` in the order of a prompt are ejected and idle. */
+function createPartlyEjected(usable: number, held: number): { table: EndpointTable; order: EndpointRow[] } {
+  const { table, rows } = createTable(12);
+  const order: EndpointRow[] = [];
+  while (order.length < rows.length) {
+    const excluded = new Set(order.map((row) => row.listing.id));
+    order.push(createPlacement(table).choose({ ...ask('p'), excluded }, NOW_MS)!.row);
+  }
+  for (const [place, row] of order.entries()) {
+    if (place < usable) row.peersInFlight = held;
+    else row.standing = { type: 'ejected', untilMs: NOW_MS + 1_000, times: 0 };
+  }
+  return { table, order };
+}
+
+test('endpoints that this box does not use do not raise the cap of those that are left', () => {
+  const { table, order } = createPartlyEjected(7, 6);
+  order[0]!.peersInFlight = 10;
+  const mean = (6 * 6 + 10) / 12;
+  expect(order[0]!.peersInFlight + 1).toBeGreaterThan(2 * mean + 3);
+  expect(createPlacement(table).choose(ask('p'), NOW_MS)?.row).toBe(order[1]);
+});
+
+test('nor do endpoints that were tried', () => {
+  const { table, order } = createPartlyEjected(12, 1);
+  const tried = order.filter((_, place) => place !== 1 && place < 9);
+  for (const row of tried) row.peersInFlight = 0;
+  order[1]!.peersInFlight = 4;
+  const excluded = new Set(tried.map((row) => row.listing.id));
+  expect(createPlacement(table).choose({ ...ask('p'), excluded }, NOW_MS)?.row).toBe(order[9]);
+});
+
+test('where all that are left hold more than the cap, their order and their own mean decide', () => {
+  const { table, order } = createPartlyEjected(3, 10);
+  order[0]!.peersInFlight = 40;
+  const choice = createPlacement(table).choose(ask('p'), NOW_MS);
+  expect(choice).toMatchObject({ row: order[1], way: 'overflow' });
+});
+
 test('a newcomer takes its prompts from where they are held, once', () => {
   const { table } = createTable(6);
   const placement = createPlacement(table);
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -70,7 +70,7 @@
   | 'hot'
   /** A later one in that order, since those before it have no room. */
   | 'overflow'
-  /** The least loaded, since none has room. */
+  /** The less loaded of two drawn at random, since none has room. */
   | 'noRoom'
   /** By load and hall, without a prompt. */
   | 'plain';
@@ -79,7 +79,7 @@
 export interface PlacementChoice {
   readonly row: EndpointRow;
   readonly way: PlacementWay;
-  /** Requests that this box believed the endpoint to hold, and the mean of those that could be chosen. */
+  /** Requests that this box believed the endpoint to hold, and the mean of its service. */
   readonly load: number;
   readonly meanLoad: number;
   /** An endpoint that holds the shared prompt, as far as is known, while the chosen one does not. */
@@ -114,10 +114,12 @@
   /** The endpoint to send to; undefined if none can take the request. */
   choose(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
     const { hasher, hall, random, homes, demand } = this.options;
-    const rows = this.listCandidates(request, nowMs);
+    const listed = this.options.table.listService(request.service);
+    const live = listed.filter((row) => row.listing.state === 'live');
+    const rows = listCandidates(live, request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
-    const meanLoad = readMeanLoad(rows);
+    const meanLoad = readMeanLoad(live);
     if (prompt === undefined) {
       const plain = choosePlainEndpoint(rows, hall, random);
       return plain === undefined ? undefined : describeChoice(plain, 'plain', meanLoad, undefined);
@@ -137,34 +139,37 @@
     return describeChoice(row, way, meanLoad, cacheSource);
   }
 
-  /** Usable endpoints; if none is, those that are listed, since one of them may have come back. */
-  private listCandidates(request: PlacementRequest, nowMs: number): EndpointRow[] {
-    const listed = this.options.table.listService(request.service);
-    const live = listed.filter((row) => row.listing.state === 'live');
-    const untried = live.filter((row) => !request.excluded.has(row.listing.id));
-    const usable = untried.filter((row) => isUsable(row, nowMs));
-    return usable.length > 0 ? usable : untried;
-  }
-
+  /**
+   * The home, or what stands in for it. The cap goes by the mean of the whole service, so that endpoints which this box
+   * has tried, or believes to be gone, do not raise it for the others; only if all of these are over it, by their own.
+   */
   private chooseHome(
     rows: readonly EndpointRow[],
     prompt: string,
     meanLoad: number,
     width: number,
   ): Pick<PlacementChoice, 'row' | 'way'> | undefined {
-    const { factor, allowance } = LOAD_CAPS[this.options.readLoadPath()];
-    const cap = factor * meanLoad + allowance;
-    const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
+    const withRoom = this.listWithRoom(rows, meanLoad) ?? this.listWithRoom(rows, readMeanLoad(rows));
+    if (withRoom === undefined) {
+      const least = drawLower(rows, readFleetLoad, this.options.random);
+      return least === undefined ? undefined : { row: least, way: 'noRoom' };
+    }
     if (width > 1) {
       const first = this.listBestRanked(withRoom, prompt, width);
       const row = drawLower(first, readFleetLoad, this.options.random);
-      if (row !== undefined) return { row, way: 'hot' };
+      return row === undefined ? undefined : { row, way: 'hot' };
     }
     const row = this.findBestRanked(withRoom, prompt);
-    if (row !== undefined)
-      return { row, way: row === this.findBestRanked(rows, prompt) ? 'home' : 'overflow' };
-    const least = pickLeast(rows, readFleetLoad);
-    return least === undefined ? undefined : { row: least, way: 'noRoom' };
+    if (row === undefined) return undefined;
+    return { row, way: row === this.findBestRanked(rows, prompt) ? 'home' : 'overflow' };
+  }
+
+  /** Endpoints that may take one request more; undefined if none may. */
+  private listWithRoom(rows: readonly EndpointRow[], meanLoad: number): EndpointRow[] | undefined {
+    const { factor, allowance } = LOAD_CAPS[this.options.readLoadPath()];
+    const cap = factor * meanLoad + allowance;
+    const withRoom = rows.filter((row) => readFleetLoad(row) + 1 <= cap);
+    return withRoom.length > 0 ? withRoom : undefined;
   }
 
   /** An endpoint that is known to hold the prompt and can still be reached, if only to take the prompt from it. */
@@ -229,6 +234,17 @@
   return { row, way, load: readFleetLoad(row), meanLoad, cacheSource };
 }
 
+/** Usable endpoints; if none is, those that are listed, since one of them may have come back. */
+function listCandidates(
+  live: readonly EndpointRow[],
+  request: PlacementRequest,
+  nowMs: number,
+): readonly EndpointRow[] {
+  const untried = live.filter((row) => !request.excluded.has(row.listing.id));
+  const usable = untried.filter((row) => isUsable(row, nowMs));
+  return usable.length > 0 ? usable : untried;
+}
+
 function readMeanLoad(rows: readonly EndpointRow[]): number {
   return rows.reduce((sum, row) => sum + readFleetLoad(row), 0) / rows.length;
 }
