--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -10,6 +10,7 @@
 import { LoadRelay } from '../peers/loadRelay.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint, PromptPart } from '../records.js';
+import { listOwnLoads } from '../systems/loadExchange.js';
 import type { LoadPath } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
@@ -106,6 +107,10 @@
   tick(): void {
     this.relay.tick();
   }
+
+  listLoads(): number[] {
+    return listOwnLoads(this.table);
+  }
 }
 
 /** A fleet that serves callers. */
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -15,6 +15,8 @@
 export interface VirtualProgram {
   handleFrame(frame: RouterFrame): void;
   tick(): void;
+  /** Loads that heartbeats of a small fleet carry. */
+  listLoads(): number[];
 }
 
 /** One box. */
@@ -137,7 +139,7 @@
       boxes: mesh.countBoxes(),
       configurationVersion: 1,
       endpointsRevision: 1,
-      loads: [],
+      loads: mesh.isFlat ? (box.program?.listLoads() ?? []) : [],
       homes: [],
       incarnation: mesh.incarnation,
       isStopping: false,
