--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,7 +2,7 @@
  * The promises of the pages, judged by what callers and endpoints saw. Those about content hold always; those about
  * time only where nothing was done to the parts concerned for a while.
  */
-import type { CallerRecord, Ledger, PlannedEvent, SoakRoute } from './ledger.js';
+import type { CallerRecord, Ledger, PlannedEvent, RunRecord, SoakRoute } from './ledger.js';
 
 /** A broken promise. */
 export interface Violation {
@@ -24,6 +24,12 @@
 /** A stopping box still takes new requests for this long; later ones may meet the end of their connection. */
 const STOP_ACCEPTS_MS = 2_000;
 const RECOVERED_SHARE = 0.9;
+/** No endpoint holds over twice the mean of its service and three; so many requests of a calm window may meet more. */
+const LOAD_FACTOR = 2;
+const LOAD_ALLOWANCE = 3;
+const LOAD_WINDOW_MS = 5_000;
+const MOST_OVER_SHARE = 0.03;
+const LEAST_OVER = 20;
 
 const STATUS_OK = 200;
 /** Statuses by which the router says that a request did not run. */
@@ -40,6 +46,7 @@
     ...checkDrains(ledger),
     ...checkConfiguration(ledger),
     ...checkBudget(ledger),
+    ...checkLoadBound(ledger),
     ...checkRecovery(ledger),
   ];
 }
@@ -184,6 +191,26 @@
   });
 }
 
+function checkLoadBound(ledger: Ledger): Violation[] {
+  const services = new Set(ledger.runs.map((run) => run.service));
+  return [...services].flatMap((service) => {
+    const runs = ledger.runs.filter((run) => run.service === service);
+    const worst = runs
+      .filter((run) => ledger.wasAllCalm(run.atMs, run.atMs + LOAD_WINDOW_MS, SETTLE_MS))
+      .map(({ atMs }) => runs.filter((run) => run.atMs >= atMs && run.atMs < atMs + LOAD_WINDOW_MS))
+      .map((window) => ({ all: window.length, over: window.filter(isOverBound).length, at: window[0]?.atMs }))
+      .filter(({ all, over }) => over >= LEAST_OVER && over > MOST_OVER_SHARE * all)
+      .sort((a, b) => b.over / b.all - a.over / a.all)[0];
+    return worst === undefined
+      ? []
+      : [{ check: 'load bound', detail: `${service}: ${JSON.stringify(worst)}` }];
+  });
+}
+
+function isOverBound({ held, meanHeld }: RunRecord): boolean {
+  return held > LOAD_FACTOR * meanHeld + LOAD_ALLOWANCE;
+}
+
 function checkRecovery(ledger: Ledger): Violation[] {
   const over = listEvents(ledger, 'faultsOver').at(-1);
   if (over === undefined) return [];
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -34,6 +34,10 @@
   readonly requestId: string;
   readonly endpoint: string;
   readonly atMs: number;
+  readonly service: string;
+  /** Requests that the endpoint held when this one came, and the mean of the endpoints of its service. */
+  readonly held: number;
+  readonly meanHeld: number;
 }
 
 /** A question which configuration a box has in force. */
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -66,6 +66,8 @@
   readonly address: string;
   readonly process: StartedProcess<number>;
   isLeaving: boolean;
+  /** Requests that it holds now. */
+  held: number;
 }
 
 /** The processes of one seed. */
@@ -116,7 +118,7 @@
     );
     const link = new LinkProxy(process.announced);
     const address = `127.0.0.1:${await link.listen()}`;
-    const endpoint = { id, service, hall, link, address, process, isLeaving: false };
+    const endpoint = { id, service, hall, link, address, process, isLeaving: false, held: 0 };
     this.endpoints.set(id, endpoint);
     this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'ready'));
     return endpoint;
@@ -193,10 +195,20 @@
   }
 
   private noteEndpointLine(id: string, line: string): void {
-    const { run, atMs } = JSON.parse(line) as { run?: string; atMs?: number };
-    if (run !== undefined && atMs !== undefined) {
-      this.ledger.runs.push({ requestId: run, endpoint: id, atMs });
-    }
+    const told = JSON.parse(line) as { run?: string; ended?: string; atMs?: number };
+    const endpoint = this.endpoints.get(id);
+    if (endpoint === undefined) return;
+    if (told.ended !== undefined) endpoint.held -= 1;
+    if (told.run === undefined || told.atMs === undefined) return;
+    const { service, held } = endpoint;
+    const meanHeld = this.readMeanHeld(service);
+    this.ledger.runs.push({ requestId: told.run, endpoint: id, atMs: told.atMs, service, held, meanHeld });
+    endpoint.held += 1;
+  }
+
+  private readMeanHeld(service: string): number {
+    const listed = [...this.endpoints.values()].filter((one) => one.service === service && !one.isLeaving);
+    return listed.reduce((sum, one) => sum + one.held, 0) / Math.max(1, listed.length);
   }
 }
 
