--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -29,7 +29,7 @@
 }
 
 function run(requestId: string, endpoint = 'e-1', atMs = NOW_MS): void {
-  ledger.runs.push({ requestId, endpoint, atMs, service: 'app', held: 0, meanHeld: 0 });
+  ledger.runs.push({ requestId, endpoint, atMs, service: 'app', listed: 4, endedAtMs: atMs });
 }
 
 const answer = (status: number, body = '', seal?: string): CallerOutcome => ({
@@ -142,11 +142,21 @@
   expect(listBroken()).toEqual(['recovery']);
 });
 
-/** So many runs within five seconds, of which some met an endpoint that held more than the others. */
-function runMany(count: number, over: number, atMs = NOW_MS): void {
-  for (let at = 0; at < count; at += 1) {
-    const load = { held: at < over ? 8 : 3, meanHeld: 2 };
-    ledger.runs.push({ requestId: `${count}-${over}-${at}`, endpoint: 'e-1', atMs: atMs + at, service: 'app', ...load });
+/**
+ * Runs of a service with four endpoints that hold two requests each all the time, of which `over` came to the first while
+ * that held thirteen.
+ */
+function runMany(count: number, over: number): void {
+  const push = (endpoint: string, atMs: number, endedAtMs: number): void => {
+    const requestId = `${endpoint}-${ledger.runs.length}`;
+    ledger.runs.push({ requestId, endpoint, atMs, service: 'app', listed: 4, endedAtMs });
+  };
+  for (const endpoint of ['e-1', 'e-1', 'e-2', 'e-2', 'e-3', 'e-3', 'e-4', 'e-4'])
+    push(endpoint, NOW_MS, Infinity);
+  for (let at = 0; at < 11; at += 1) push('e-1', NOW_MS, Infinity);
+  for (let at = 0; at < count - 19; at += 1) {
+    const atMs = NOW_MS + 1 + at;
+    push(at < over ? 'e-1' : 'e-2', atMs, atMs + 1);
   }
 }
 
@@ -161,6 +171,7 @@
 test('loads in a window that was not calm, and a few requests over the bound, are passed over', () => {
   runMany(100, 19);
   expect(listBroken()).toEqual([]);
+  ledger.runs.length = 0;
   ledger.disturbances.push({ entity: 'e-9', fromMs: NOW_MS + 100, toMs: NOW_MS + 200 });
   runMany(100, 50);
   expect(listBroken()).toEqual([]);
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -194,21 +194,38 @@
 function checkLoadBound(ledger: Ledger): Violation[] {
   const services = new Set(ledger.runs.map((run) => run.service));
   return [...services].flatMap((service) => {
-    const runs = ledger.runs.filter((run) => run.service === service);
+    const runs = judgeLoads(ledger.runs.filter((run) => run.service === service));
     const worst = runs
-      .filter((run) => ledger.wasAllCalm(run.atMs, run.atMs + LOAD_WINDOW_MS, SETTLE_MS))
+      .filter(({ atMs }) => ledger.wasAllCalm(atMs, atMs + LOAD_WINDOW_MS, SETTLE_MS))
       .map(({ atMs }) => runs.filter((run) => run.atMs >= atMs && run.atMs < atMs + LOAD_WINDOW_MS))
-      .map((window) => ({ all: window.length, over: window.filter(isOverBound).length, at: window[0]?.atMs }))
+      .map((window) => ({ all: window.length, over: window.filter((run) => run.isOver).length, window }))
       .filter(({ all, over }) => over >= LEAST_OVER && over > MOST_OVER_SHARE * all)
       .sort((a, b) => b.over / b.all - a.over / a.all)[0];
-    return worst === undefined
-      ? []
-      : [{ check: 'load bound', detail: `${service}: ${JSON.stringify(worst)}` }];
+    if (worst === undefined) return [];
+    const { all, over, window } = worst;
+    return [{ check: 'load bound', detail: `${service}: ${over} of ${all} from ${window[0]?.atMs}` }];
   });
 }
 
-function isOverBound({ held, meanHeld }: RunRecord): boolean {
-  return held > LOAD_FACTOR * meanHeld + LOAD_ALLOWANCE;
+/** Which runs of a service met an endpoint over the bound, by what endpoints said of beginnings and ends. */
+function judgeLoads(runs: readonly RunRecord[]): { readonly atMs: number; readonly isOver: boolean }[] {
+  const ends = runs.filter((run) => run.endedAtMs < Infinity).sort((a, b) => a.endedAtMs - b.endedAtMs);
+  const held = new Map<string, number>();
+  let total = 0;
+  let ended = 0;
+  return [...runs]
+    .sort((a, b) => a.atMs - b.atMs)
+    .map((run) => {
+      for (let end = ends[ended]; end !== undefined && end.endedAtMs <= run.atMs; end = ends[++ended]) {
+        held.set(end.endpoint, (held.get(end.endpoint) ?? 0) - 1);
+        total -= 1;
+      }
+      const here = held.get(run.endpoint) ?? 0;
+      const bound = LOAD_FACTOR * (total / Math.max(1, run.listed)) + LOAD_ALLOWANCE;
+      held.set(run.endpoint, here + 1);
+      total += 1;
+      return { atMs: run.atMs, isOver: here > bound };
+    });
 }
 
 function checkRecovery(ledger: Ledger): Violation[] {
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -35,9 +35,10 @@
   readonly endpoint: string;
   readonly atMs: number;
   readonly service: string;
-  /** Requests that the endpoint held when this one came, and the mean of the endpoints of its service. */
-  readonly held: number;
-  readonly meanHeld: number;
+  /** Endpoints of the service that were listed then. */
+  readonly listed: number;
+  /** Infinite while it runs, and if the endpoint ended first. */
+  endedAtMs: number;
 }
 
 /** A question which configuration a box has in force. */
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -13,7 +13,7 @@
 import { endProcess, startProcess } from '@hazelwalk/standins';
 import type { StartedProcess } from '@hazelwalk/standins';
 import type { BoxAddress } from './callers.js';
-import type { Ledger } from './ledger.js';
+import type { Ledger, RunRecord } from './ledger.js';
 import { LinkProxy } from './linkProxy.js';
 
 const HALLS = ['mixco', 'antigua'] as const;
@@ -66,8 +66,6 @@
   readonly address: string;
   readonly process: StartedProcess<number>;
   isLeaving: boolean;
-  /** Requests that it holds now. */
-  held: number;
 }
 
 /** The processes of one seed. */
@@ -78,6 +76,8 @@
   version = 0;
   private storePort = 0;
   private endpointCount = 0;
+  /** Runs that have not ended, by endpoint and request. */
+  private readonly openRuns = new Map<string, RunRecord>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'hazelwalk-soak-'));
 
   constructor(
@@ -118,7 +118,7 @@
     );
     const link = new LinkProxy(process.announced);
     const address = `127.0.0.1:${await link.listen()}`;
-    const endpoint = { id, service, hall, link, address, process, isLeaving: false, held: 0 };
+    const endpoint = { id, service, hall, link, address, process, isLeaving: false };
     this.endpoints.set(id, endpoint);
     this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'ready'));
     return endpoint;
@@ -196,19 +196,26 @@
 
   private noteEndpointLine(id: string, line: string): void {
     const told = JSON.parse(line) as { run?: string; ended?: string; atMs?: number };
+    const { run, ended, atMs } = told;
     const endpoint = this.endpoints.get(id);
-    if (endpoint === undefined) return;
-    if (told.ended !== undefined) endpoint.held -= 1;
-    if (told.run === undefined || told.atMs === undefined) return;
-    const { service, held } = endpoint;
-    const meanHeld = this.readMeanHeld(service);
-    this.ledger.runs.push({ requestId: told.run, endpoint: id, atMs: told.atMs, service, held, meanHeld });
-    endpoint.held += 1;
+    if (endpoint === undefined || atMs === undefined) return;
+    if (ended !== undefined) this.endRun(`${id} ${ended}`, atMs);
+    if (run === undefined) return;
+    const { service } = endpoint;
+    const listed = this.countListed(service);
+    const record = { requestId: run, endpoint: id, atMs, service, listed, endedAtMs: Infinity };
+    this.ledger.runs.push(record);
+    this.openRuns.set(`${id} ${run}`, record);
   }
 
-  private readMeanHeld(service: string): number {
-    const listed = [...this.endpoints.values()].filter((one) => one.service === service && !one.isLeaving);
-    return listed.reduce((sum, one) => sum + one.held, 0) / Math.max(1, listed.length);
+  private endRun(key: string, atMs: number): void {
+    const record = this.openRuns.get(key);
+    if (record !== undefined) record.endedAtMs = atMs;
+    this.openRuns.delete(key);
+  }
+
+  private countListed(service: string): number {
+    return [...this.endpoints.values()].filter((one) => one.service === service && !one.isLeaving).length;
   }
 }
 
