--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -159,9 +159,11 @@
       const row = drawLower(first, readFleetLoad, this.options.random);
       return row === undefined ? undefined : { row, way: 'hot' };
     }
-    const row = this.findBestRanked(withRoom, prompt);
-    if (row === undefined) return undefined;
-    return { row, way: row === this.findBestRanked(rows, prompt) ? 'home' : 'overflow' };
+    // Ranking hashes each endpoint: most homes have room, and then once is enough.
+    const home = this.findBestRanked(rows, prompt);
+    if (home !== undefined && withRoom.includes(home)) return { row: home, way: 'home' };
+    const next = this.findBestRanked(withRoom, prompt);
+    return next === undefined ? undefined : { row: next, way: 'overflow' };
   }
 
   /** Endpoints that may take one request more; undefined if none may. */
