--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -293,6 +293,13 @@
   expect(box.demand.readWidth(6, box.nowMs)).toBe(1);
 });
 
+test('a box of a small fleet, where nobody adds up demand, keeps no counts of it', () => {
+  const box = new TestBox('5', true);
+  for (let prompt = 0; prompt < 1_000; prompt += 1) box.demand.note(prompt);
+  box.tick();
+  expect(box.demand.takeCounts()).toEqual([]);
+});
+
 /** A hall of boxes that reach each other, the first of them its speaker. */
 class TestHall {
   readonly sentBy = new Map<string, number>();
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,8 +1,8 @@
 /**
- * Spreads loads, and with them what boxes learned of the homes of prompts and of the demand for them. In a small fleet heartbeats carry both to
- * every box. In a larger one each box tells its loads to two speakers of its hall; these tell the hall's sum to the
- * speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so that a box sends and
- * reads a few frames a second whatever the size of the fleet.
+ * Spreads loads, and with them what boxes learned of the homes of prompts. In a small fleet heartbeats carry both to
+ * every box. In a larger one each box tells its loads, and what it was asked for, to two speakers of its hall; these tell
+ * the hall's sum to the speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so
+ * that a box sends and reads a few frames a second whatever the size of the fleet.
  */
 import type { LoadList, LoadSum } from '../systems/loadExchange.js';
 import { applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
@@ -12,7 +12,7 @@
 import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
 import { planSpread } from '../membership/spreadPlan.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
-import type { BoxLoads, FleetLoads, HallLoads, Heartbeat } from './peerFrames.js';
+import type { BoxLoads, FleetLoads, HallLoads, Heartbeat, LoadCoverage } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 
 /** Boxes of a hall that speak for it; the second one covers for the first. */
@@ -71,7 +71,7 @@
   /** What this box told last, and so is in the sums that come back. */
   private toldLoads: LoadList = [];
   /** What the loads of the others were taken from last, and when. */
-  private taken: Omit<LoadSum, 'loads'> = { boxes: 1, ageMs: 0 };
+  private taken: LoadCoverage = { boxes: 1, ageMs: 0 };
   private takenAtMs = -Infinity;
   /** Homes of prompts that this box, if it speaks, has still to tell its hall, and the other halls. */
   private readonly hallHomes: number[] = [];
@@ -154,7 +154,10 @@
   }
 
   private takeFromHeartbeats(nowMs: number): void {
-    const peers = this.options.mesh.listFresh();
+    const { mesh, demand } = this.options;
+    // Loads are fresh enough here for hot prompts to need nothing else: nobody adds up demand, and none is kept.
+    demand.takeCounts();
+    const peers = mesh.listFresh();
     const ageMs = Math.max(0, ...peers.map((peer) => nowMs - peer.heardAtMs));
     this.take(
       peers.map((peer) => peer.heartbeat.loads),
@@ -163,7 +166,7 @@
   }
 
   /** Writes the loads of the others into the table. */
-  private take(lists: readonly LoadList[], { boxes, ageMs }: Omit<LoadSum, 'loads'>): void {
+  private take(lists: readonly LoadList[], { boxes, ageMs }: LoadCoverage): void {
     this.taken = { boxes, ageMs };
     this.takenAtMs = this.options.now();
     applyPeerLoads(this.options.table, lists);
@@ -194,38 +197,49 @@
 
   private speak(nowMs: number): void {
     const { mesh, hall, demand } = this.options;
-    const hallPeers = this.boxes.sumFresh(nowMs);
-    const halls = this.halls.sumFresh(nowMs);
-    const own = addPairs([hallPeers.loads, this.toldLoads]);
-    const peers = addPairs([hallPeers.loads, halls.loads]);
-    const ownCoverage = { boxes: hallPeers.boxes + 1, ageMs: hallPeers.ageMs };
-    const coverage = {
-      boxes: ownCoverage.boxes + halls.boxes,
-      ageMs: Math.max(ownCoverage.ageMs, halls.ageMs),
-    };
-    this.take([peers], coverage);
+    const { ownHall, others, fleet } = this.addUp(nowMs);
+    this.take([others], fleet);
     const hot = this.demands.listHot();
     demand.learn(hot, nowMs);
-    const hallHomes = this.hallHomes.splice(0);
-    const fleetHomes = this.fleetHomes.splice(0);
     const hallFrame: HallLoads = {
       type: 'hallLoads',
       hall,
-      loads: own,
-      coverage: ownCoverage,
-      homes: fleetHomes,
+      loads: [...ownHall.loads],
+      coverage: toCoverage(ownHall),
+      homes: this.fleetHomes.splice(0),
       prompts: this.demands.listHall(),
     };
     for (const address of this.listSpeakers((other) => other !== hall)) mesh.send(address, hallFrame);
-    const frame: FleetLoads = {
+    const fleetFrame: FleetLoads = {
       type: 'fleetLoads',
-      loads: addPairs([peers, this.toldLoads]),
-      coverage,
-      homes: hallHomes,
+      loads: [...fleet.loads],
+      coverage: toCoverage(fleet),
+      homes: this.hallHomes.splice(0),
       prompts: hot,
       passTo: [],
     };
-    this.spread(frame, this.listHallRanks());
+    this.spread(fleetFrame, this.listHallRanks());
+  }
+
+  /** What the own hall holds, what all boxes but this one hold, and what all hold. */
+  private addUp(nowMs: number): { ownHall: LoadSum; others: LoadList; fleet: LoadSum } {
+    const hallPeers = this.boxes.sumFresh(nowMs);
+    const halls = this.halls.sumFresh(nowMs);
+    const others = addPairs([hallPeers.loads, halls.loads]);
+    const boxes = hallPeers.boxes + 1;
+    return {
+      ownHall: {
+        loads: addPairs([hallPeers.loads, this.toldLoads]),
+        boxes,
+        ageMs: hallPeers.ageMs,
+      },
+      others,
+      fleet: {
+        loads: addPairs([others, this.toldLoads]),
+        boxes: boxes + halls.boxes,
+        ageMs: Math.max(hallPeers.ageMs, halls.ageMs),
+      },
+    };
   }
 
   /** Ranks of the other boxes of the hall, in another order each time: one that fails to pass on is missed by others then. */
@@ -280,3 +294,7 @@
     return this.options.hash(address);
   }
 }
+
+function toCoverage({ boxes, ageMs }: LoadSum): LoadCoverage {
+  return { boxes, ageMs };
+}
