A hot prompt is spread further while loads are old

Cause: the spread assumed loads a second old; where boxes are late the sums say that they are older.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -94,8 +94,18 @@
     const onKnowledge = (): void => {};
     const { table } = this;
     this.relay = new LoadRelay({ mesh, table, homes, demand, hall, hash, random, now, onKnowledge });
+    const readLoadAgeMs = (): number => this.relay.readAgeMs();
     const readLoadPath = (): LoadPath => (mesh.isFlat ? 'direct' : 'relayed');
-    this.placement = new Placement({ table, hasher, hall, random, homes, demand, readLoadPath });
+    this.placement = new Placement({
+      table,
+      hasher,
+      hall,
+      random,
+      homes,
+      demand,
+      readLoadPath,
+      readLoadAgeMs,
+    });
   }
 
   handleFrame(frame: Parameters<VirtualProgram['handleFrame']>[0]): void {
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -43,6 +43,7 @@
     homes: new PromptHomes(),
     demand: new PromptDemand(),
     readLoadPath: () => path,
+    readLoadAgeMs: () => reportMs,
   });
   const held = new Map<EndpointRow, number>(rows.map((row) => [row, 0]));
   const ends: { readonly atMs: number; readonly row: EndpointRow }[] = [];
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -289,8 +289,8 @@
   expect(read('fleetLoads')).toEqual([5, 7]);
   const box = new TestBox('2');
   box.relay.handleFleetLoads({ type: 'fleetLoads', loads: [], homes: [], prompts: [5, 7], passTo: [] });
-  expect(box.demand.readWidth(5, box.nowMs)).toBe(4);
-  expect(box.demand.readWidth(6, box.nowMs)).toBe(1);
+  expect(box.demand.readWidth(5, box.nowMs, 0)).toBe(4);
+  expect(box.demand.readWidth(6, box.nowMs, 0)).toBe(1);
 });
 
 test('a box of a small fleet, where nobody adds up demand, keeps no counts of it', () => {
--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -31,6 +31,7 @@
     homes,
     demand: new PromptDemand(),
     readLoadPath: () => 'direct',
+    readLoadAgeMs: () => 300,
     ...changes,
   });
 const ask = (prompt: string): Parameters<Placement['choose']>[0] => ({
@@ -293,6 +294,7 @@
       homes: new PromptHomes(),
       demand: new PromptDemand(),
       readLoadPath: () => 'direct',
+      readLoadAgeMs: () => 300,
     });
     return Array.from({ length: 200 }, (_, at) => {
       const request = at % 3 === 0 ? { ...ask('p'), promptParts: [] } : ask(`p${at % 17}`);
--- a/packages/router/src/__tests__/promptDemand.test.ts
+++ b/packages/router/src/__tests__/promptDemand.test.ts
@@ -68,7 +68,18 @@
   expect(demand.takeCounts()).toEqual([PROMPT, 2]);
   expect(demand.takeCounts()).toEqual([]);
   demand.learn([PROMPT, 25], 1_000);
-  expect(demand.readWidth(PROMPT, 1_500)).toBe(13);
-  expect(demand.readWidth(6, 1_500)).toBe(1);
-  expect(demand.readWidth(PROMPT, 4_500)).toBe(1);
+  expect(demand.readWidth(PROMPT, 1_500, 600)).toBe(13);
+  expect(demand.readWidth(6, 1_500, 600)).toBe(1);
+  expect(demand.readWidth(PROMPT, 4_500, 600)).toBe(1);
+});
+
+test('a hot prompt is spread further while loads are old, and to all without any', () => {
+  const demand = new PromptDemand();
+  demand.learn([PROMPT, 20], 1_000);
+  expect([300, 1_000, 2_500, Infinity].map((ageMs) => demand.readWidth(PROMPT, 1_500, ageMs))).toEqual([
+    10,
+    10,
+    25,
+    Infinity,
+  ]);
 });
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -236,6 +236,7 @@
         homes: this.homes,
         demand: this.demand,
         readLoadPath: () => (this.mesh.isFlat ? 'direct' : 'relayed'),
+        readLoadAgeMs: () => this.loads.readAgeMs(),
       }),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -93,13 +93,17 @@
   /** What this box knows of the loads of the others. */
   readKnowledge(): LoadKnowledge {
     const { mesh, now } = this.options;
-    const sinceMs = now() - this.takenAtMs;
-    const ageMs = this.taken.ageMs + sinceMs;
-    if (!mesh.isFlat && sinceMs > LOADS_LIFE_MS) return { extent: 'missing', boxes: 1, ageMs };
+    const ageMs = this.readAgeMs();
+    if (!mesh.isFlat && now() - this.takenAtMs > LOADS_LIFE_MS) return { extent: 'missing', boxes: 1, ageMs };
     const { boxes } = this.taken;
     return { extent: boxes < WHOLE_SHARE * mesh.countBoxes() ? 'partial' : 'whole', boxes, ageMs };
   }
 
+  /** How old the oldest loads are that this box knows; infinite before the first. */
+  readAgeMs(): number {
+    return this.taken.ageMs + this.options.now() - this.takenAtMs;
+  }
+
   /** A box of the hall tells its loads to this speaker. */
   handleBoxLoads(frame: BoxLoads): void {
     this.options.homes.learn(frame.homes);
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -105,6 +105,8 @@
   readonly homes: PromptHomes;
   readonly demand: PromptDemand;
   readonly readLoadPath: () => LoadPath;
+  /** How old the oldest loads of other boxes are that this one knows. */
+  readonly readLoadAgeMs: () => number;
 }
 
 /** Chooses endpoints for one box. */
@@ -127,7 +129,7 @@
     const key = hasher.h32(readSharedPart(request.promptParts) ?? prompt);
     const holders = new Set(homes.list(key));
     demand.note(key);
-    const width = demand.readWidth(key, nowMs);
+    const width = demand.readWidth(key, nowMs, this.options.readLoadAgeMs());
     const home = this.chooseHome(rows, prompt, meanLoad, width);
     if (home === undefined) return undefined;
     const { row, way } = home;
--- a/packages/router/src/systems/promptDemand.ts
+++ b/packages/router/src/systems/promptDemand.ts
@@ -12,8 +12,9 @@
  * that chance brings it here in one second of a thousand.
  */
 const HOT_PER_S = 6;
-/** How old loads are when the next ones come, at the most. */
-const LOAD_AGE_S = 1;
+/** How old loads are when the next ones come where no box is late; on busy machines they say themselves that they are older. */
+const LEAST_LOAD_AGE_MS = 1_000;
+const MS_PER_S = 1_000;
 /**
  * Requests for one prompt that an endpoint may get before its load is heard of: about what the load cap leaves to the
  * bound where an engine holds three requests in the mean.
@@ -54,10 +55,17 @@
     this.learnedAtMs = nowMs;
   }
 
-  /** Over how many endpoints a prompt is to be spread; 1 unless it is hot. */
-  readWidth(prompt: number, nowMs: number): number {
+  /**
+   * Over how many endpoints a prompt is to be spread; 1 unless it is hot. The older loads are, the more: in fleets whose
+   * boxes stand still three quarters of the time, for a second, a prompt for 0.3 of the long generations had 5.4 in 100
+   * requests over the load bound with the least age and has 4.5; for 0.3 s, 2.8 and 2.1.
+   *
+   * @param loadAgeMs how old the oldest loads are that this box knows
+   */
+  readWidth(prompt: number, nowMs: number, loadAgeMs: number): number {
+    const ageS = Math.max(LEAST_LOAD_AGE_MS, loadAgeMs) / MS_PER_S;
     const perS = nowMs - this.learnedAtMs > LIFE_MS ? 0 : (this.hot.get(prompt) ?? 0);
-    return Math.max(1, Math.ceil((perS * LOAD_AGE_S) / REQUESTS_UNHEARD));
+    return Math.max(1, Math.ceil((perS * ageS) / REQUESTS_UNHEARD));
   }
 }
 
