The gauge of kept endpoints is set where their number changes, not 25 times a second

All changes of the table go through applyEndpoints and handleRemoved. Values are the same; a test follows them. The file of the test box also takes its endpoints from createListing, which it had written out again.

--- a/packages/router/src/__fixtures__/restingBox.ts
+++ b/packages/router/src/__fixtures__/restingBox.ts
@@ -9,6 +9,7 @@
 import type { FleetConfiguration, ListedEndpoint } from '../records.js';
 import { PublishedState } from '../systems/publishedState.js';
 import { EndpointTable } from '../tables/endpointTable.js';
+import { createListing } from './createEndpoints.js';
 
 export const BOUND_MS = 3_000;
 /** After the first answer of the platform a box takes vanished entries for lapsed ones; after this for gone ones. */
@@ -18,15 +19,7 @@
 /** Hashes an address to the number behind its last dot, so that the rank of a box is what its address says. */
 const rankOf = (address: string): number => Number(address.split('.')[3]?.split(':')[0] ?? 0);
 
-export const listed = (id: string): ListedEndpoint => ({
-  id,
-  service: 'app',
-  host: '10.1.0.1',
-  port: 80,
-  hall: 'mixco',
-  slots: 4,
-  state: 'live',
-});
+export const listed = (id: string): ListedEndpoint => createListing(id, { service: 'app', hall: 'mixco' });
 
 export const heartbeatOf = (address: string, changes: Partial<Heartbeat> = {}): Heartbeat => ({
   type: 'heartbeat',
@@ -66,6 +59,7 @@
   nowMs = 100_000;
   linked = [heartbeatOf('10.0.0.1:1'), heartbeatOf(FOLLOWER)];
   readonly sent: { to: string; frame: PeerFrame }[] = [];
+  readonly metrics = new RouterMetrics();
   readonly state: PublishedState;
   readonly relay: FeedRelay;
   readonly values: PeerValues;
@@ -79,7 +73,7 @@
       sendToHall: (to: string, frame: PeerFrame) => void this.sent.push({ to, frame }),
     } as unknown as PeerMesh;
     const now = (): number => this.nowMs;
-    const metrics = new RouterMetrics();
+    const { metrics } = this;
     const log = new DecisionLog('box', metrics, now);
     this.state = new PublishedState({
       table: new EndpointTable(() => 1),
--- a/packages/router/src/__tests__/cutOffBox.test.ts
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -117,3 +117,21 @@
     { frame: { endpoints: [], lapsed: [{ id: 'e-10' }], platformWord: undefined } },
   ]);
 });
+
+test('the gauge of kept endpoints follows as they lapse, are listed again and end', async () => {
+  const readGauge = async (): Promise<string | undefined> =>
+    /^hazelwalk_lapsed_endpoints (\d+)$/m.exec(await box.metrics.format())?.[1];
+  expect(await readGauge()).toBe('0');
+  box.state.noteReadFailed('connect time-out');
+  const change = { type: 'removed', id: 'e-10' } as const;
+  box.state.applyEndpoints([change], 11, 'peer');
+  expect(await readGauge()).toBe('1');
+  box.publish(11, 12);
+  box.state.applyEndpoints([{ type: 'listed', endpoint: listed('e-10') }], 13, 'platform');
+  expect(await readGauge()).toBe('0');
+  box.state.applyEndpoints([change], 14, 'platform');
+  expect(await readGauge()).toBe('1');
+  box.nowMs += BOUND_MS;
+  box.state.tick(box.nowMs);
+  expect(await readGauge()).toBe('0');
+});
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -187,6 +187,7 @@
     const wasInformed = this.isInformed;
     this.revision = Math.max(this.revision, revision);
     for (const change of changes) this.applyEndpointChange(change, revision, source);
+    this.measureLapsed();
     this.tellIfInformed(wasInformed);
   }
 
@@ -221,7 +222,6 @@
     this.contact.tick(nowMs);
     this.noteContact();
     this.directory.tick(nowMs);
-    this.measureLapsed();
   }
 
   private noteAnswer(): void {
@@ -303,6 +303,7 @@
   }
 
   private handleRemoved(id: string, reason: string): void {
+    this.measureLapsed();
     this.options.onEndpointRemoved(id);
     this.options.log.write('lifecycle', 'endpointRemoved', { id, reason });
   }
