--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -8,6 +8,7 @@
 import type { FleetPlan, VirtualBox, VirtualProgram } from '../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../membership/__fixtures__/virtualFleet.js';
 import { LoadRelay } from '../peers/loadRelay.js';
+import type { RouterFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint, PromptPart } from '../records.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
@@ -17,6 +18,7 @@
 import { PromptHomes } from '../systems/promptHomes.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import { createListing } from './createEndpoints.js';
 
 /** From a box to an endpoint. */
 const SEND_MS = 2;
@@ -108,7 +110,7 @@
     });
   }
 
-  handleFrame(frame: Parameters<VirtualProgram['handleFrame']>[0]): void {
+  handleFrame(frame: RouterFrame): void {
     if (frame.type === 'boxLoads') this.relay.handleBoxLoads(frame);
     else if (frame.type === 'hallLoads') this.relay.handleHallLoads(frame);
     else if (frame.type === 'fleetLoads') this.relay.handleFleetLoads(frame);
@@ -214,15 +216,7 @@
     for (let at = 0; at < endpoints; at += 1) {
       const id = `${name}-${at}`;
       const hall = `hall-${at % this.plan.fleet.halls}`;
-      const listing: ListedEndpoint = {
-        id,
-        service: name,
-        host: '10.8.0.1',
-        port: at,
-        hall,
-        slots,
-        state: 'live',
-      };
+      const listing = createListing(id, { service: name, hall, slots });
       this.endpoints.set(id, { listing, held: 0, slowness: 1, taken: 0, waiting: [] });
     }
   }
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -1,9 +1,10 @@
 import { createRandom } from '@hazelwalk/standins';
+import { createListing } from '../__fixtures__/createEndpoints.js';
+import { heartbeatOf as createHeartbeat } from '../__fixtures__/restingBox.js';
 import type { LoadKnowledge } from '../peers/loadRelay.js';
 import { LoadRelay } from '../peers/loadRelay.js';
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
-import type { ListedEndpoint } from '../records.js';
 import { subtractLoads } from '../systems/loadExchange.js';
 import { addPairs } from '../systems/pairList.js';
 import { PromptDemand } from '../systems/promptDemand.js';
@@ -11,30 +12,10 @@
 import { EndpointTable } from '../tables/endpointTable.js';
 
 const TAG = 77;
-const endpoint: ListedEndpoint = {
-  id: 'e-1',
-  service: 'llm',
-  host: '10.1.0.1',
-  port: 80,
-  hall: 'mixco',
-  slots: 4,
-  state: 'live',
-};
+const endpoint = createListing('e-1');
 
-const heartbeatOf = (address: string, hall: string, requests: number): Heartbeat => ({
-  type: 'heartbeat',
-  hall,
-  feed: 'able',
-  linkMbps: 1_000,
-  address,
-  boxes: 40,
-  configurationVersion: 1,
-  endpointsRevision: 1,
-  loads: requests === 0 ? [] : [TAG, requests],
-  homes: [],
-  incarnation: 1,
-  isStopping: false,
-});
+const heartbeatOf = (address: string, hall: string, requests: number): Heartbeat =>
+  createHeartbeat(address, { hall, loads: requests === 0 ? [] : [TAG, requests] });
 
 /** One box of the hall mixco in a fleet of two halls; its address ranks it. */
 class TestBox {
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -2,7 +2,7 @@
  * Counters and histograms, served as text on the metrics address. Only the parts of the library that are used are
  * loaded: the rest (push gateways, clusters) costs a box a fifth of its start-up time.
  */
-import type { Counter as CounterType } from 'prom-client';
+import type { Counter as CounterType, Gauge as GaugeType } from 'prom-client';
 import Counter from 'prom-client/lib/counter.js';
 import Gauge from 'prom-client/lib/gauge.js';
 import Histogram from 'prom-client/lib/histogram.js';
@@ -41,29 +41,16 @@
   /** Log lines left out to bound their volume. */
   readonly suppressedLines = this.counter('log_lines_suppressed', 'Log lines left out', ['event']);
   /** Version of the configuration in force. */
-  readonly configurationVersion = new Gauge({
-    name: 'hazelwalk_configuration_version',
-    help: 'Version of the configuration in force',
-    registers: [this.registry],
-  });
+  readonly configurationVersion = this.gauge(
+    'configuration_version',
+    'Version of the configuration in force',
+  );
   /** Endpoints whose entry vanished and that are kept, since it may only have lapsed. */
-  readonly lapsedEndpoints = new Gauge({
-    name: 'hazelwalk_lapsed_endpoints',
-    help: 'Endpoints kept although their entry vanished',
-    registers: [this.registry],
-  });
+  readonly lapsedEndpoints = this.gauge('lapsed_endpoints', 'Endpoints kept although their entry vanished');
   /** Boxes whose loads this one knows, itself included. */
-  readonly loadBoxes = new Gauge({
-    name: 'hazelwalk_load_boxes',
-    help: 'Boxes whose loads are known here',
-    registers: [this.registry],
-  });
+  readonly loadBoxes = this.gauge('load_boxes', 'Boxes whose loads are known here');
   /** How old the oldest of these loads are. */
-  readonly loadAgeMs = new Gauge({
-    name: 'hazelwalk_load_age_ms',
-    help: 'Age of the oldest loads that are known here',
-    registers: [this.registry],
-  });
+  readonly loadAgeMs = this.gauge('load_age_ms', 'Age of the oldest loads that are known here');
   /** Time to the first byte of an answer. */
   readonly firstByteMs = new Histogram({
     name: 'hazelwalk_first_byte_ms',
@@ -78,6 +65,10 @@
     return this.registry.metrics();
   }
 
+  private gauge(name: string, help: string): GaugeType {
+    return new Gauge({ name: `hazelwalk_${name}`, help, registers: [this.registry] });
+  }
+
   private counter<T extends string>(name: string, help: string, labelNames: readonly T[]): CounterType<T> {
     return new Counter({
       name: `hazelwalk_${name}_total`,
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -4,8 +4,9 @@
  * the hall's sum to the speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so
  * that a box sends and reads a few frames a second whatever the size of the fleet.
  */
+import { FreshBook, TOLD_LIFE_MS } from '../systems/freshBook.js';
 import type { LoadList, LoadSum } from '../systems/loadExchange.js';
-import { applyPeerLoads, listOwnLoads, LoadBook, subtractLoads } from '../systems/loadExchange.js';
+import { applyPeerLoads, listOwnLoads, subtractLoads, sumTold } from '../systems/loadExchange.js';
 import { addPairs } from '../systems/pairList.js';
 import type { PromptDemand } from '../systems/promptDemand.js';
 import { DemandBook } from '../systems/promptDemand.js';
@@ -19,8 +20,6 @@
 const SPEAKERS_PER_HALL = 2;
 /** Pace in a large fleet. Loads pass two or three boxes: a second old at the most, half of it in the mean. */
 const LOADS_MS = 500;
-/** What was not renewed for several periods counts for nothing. */
-const LOADS_LIFE_MS = 3_000;
 /** The second speaker speaks when the first one missed two periods. */
 const COVER_MS = 2 * LOADS_MS + LOADS_MS / 2;
 
@@ -62,8 +61,8 @@
 
 /** One box's part in spreading loads. */
 export class LoadRelay {
-  private readonly boxes = new LoadBook(LOADS_LIFE_MS);
-  private readonly halls = new LoadBook(LOADS_LIFE_MS);
+  private readonly boxes = new FreshBook<LoadSum>();
+  private readonly halls = new FreshBook<LoadSum>();
   private readonly demands = new DemandBook();
   private tickedAtMs = -Infinity;
   /** When a speaker last told the fleet's sum. */
@@ -94,7 +93,7 @@
   readKnowledge(): LoadKnowledge {
     const { mesh, now } = this.options;
     const ageMs = this.readAgeMs();
-    if (!mesh.isFlat && now() - this.takenAtMs > LOADS_LIFE_MS) return { extent: 'missing', boxes: 1, ageMs };
+    if (!mesh.isFlat && now() - this.takenAtMs > TOLD_LIFE_MS) return { extent: 'missing', boxes: 1, ageMs };
     const { boxes } = this.taken;
     return { extent: boxes < WHOLE_SHARE * mesh.countBoxes() ? 'partial' : 'whole', boxes, ageMs };
   }
@@ -154,7 +153,7 @@
     this.tellSpeakers();
     this.demands.advance(nowMs);
     if (this.mustSpeak(nowMs)) this.speak(nowMs);
-    else if (nowMs - this.heardFleetAtMs > LOADS_LIFE_MS) applyPeerLoads(this.options.table, []);
+    else if (nowMs - this.heardFleetAtMs > TOLD_LIFE_MS) applyPeerLoads(this.options.table, []);
   }
 
   private takeFromHeartbeats(nowMs: number): void {
@@ -227,8 +226,8 @@
 
   /** What the own hall holds, what all boxes but this one hold, and what all hold. */
   private addUp(nowMs: number): { ownHall: LoadSum; others: LoadList; fleet: LoadSum } {
-    const hallPeers = this.boxes.sumFresh(nowMs);
-    const halls = this.halls.sumFresh(nowMs);
+    const hallPeers = sumTold(this.boxes.listFresh(nowMs), nowMs);
+    const halls = sumTold(this.halls.listFresh(nowMs), nowMs);
     const others = addPairs([hallPeers.loads, halls.loads]);
     const boxes = hallPeers.boxes + 1;
     return {
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -38,6 +38,7 @@
   /** Attempts whose endpoint vouches that it did not run them. */
   notRunCount = 0;
   private lastChoice: PlacementChoice | undefined;
+  /** Endpoints that the request was handed to. */
   private sent = 0;
   private readonly triedIds = new Set<string>();
 
@@ -46,11 +47,6 @@
     private readonly options: AttemptSetOptions,
   ) {}
 
-  /** Endpoints that the request was handed to. */
-  get sentCount(): number {
-    return this.sent;
-  }
-
   /** Whether it cannot be ruled out that the request ran. */
   get mayHaveRun(): boolean {
     return this.sent > this.notRunCount;
--- a/packages/router/src/systems/loadExchange.ts
+++ b/packages/router/src/systems/loadExchange.ts
@@ -1,4 +1,5 @@
 /** Loads that boxes tell each other, so that each knows what all of them together have at an endpoint. */
+import type { Told } from './freshBook.js';
 import type { PairList } from './pairList.js';
 import { addPairs, readPairs } from './pairList.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
@@ -40,31 +41,11 @@
   readonly ageMs: number;
 }
 
-interface ToldLoads extends LoadSum {
-  readonly heardAtMs: number;
-}
-
-/** The last loads that others told, each under its teller's name; they count for a limited time. */
-export class LoadBook {
-  private readonly byTeller = new Map<string, ToldLoads>();
-
-  constructor(private readonly lifeMs: number) {}
-
-  /** Takes over what a teller said. */
-  note(teller: string, told: LoadSum, nowMs: number): void {
-    this.byTeller.set(teller, { ...told, heardAtMs: nowMs });
-  }
-
-  /** The sum of the loads that still count. */
-  sumFresh(nowMs: number): LoadSum {
-    for (const [teller, told] of this.byTeller) {
-      if (nowMs - told.heardAtMs > this.lifeMs) this.byTeller.delete(teller);
-    }
-    const all = [...this.byTeller.values()];
-    return {
-      loads: addPairs(all.map((told) => told.loads)),
-      boxes: all.reduce((sum, told) => sum + told.boxes, 0),
-      ageMs: Math.max(0, ...all.map((told) => told.ageMs + nowMs - told.heardAtMs)),
-    };
-  }
+/** Adds up the sums that still count. */
+export function sumTold(told: readonly Told<LoadSum>[], nowMs: number): LoadSum {
+  return {
+    loads: addPairs(told.map(({ value }) => value.loads)),
+    boxes: told.reduce((sum, { value }) => sum + value.boxes, 0),
+    ageMs: Math.max(0, ...told.map(({ value, heardAtMs }) => value.ageMs + nowMs - heardAtMs)),
+  };
 }
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -15,6 +15,7 @@
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
 import type { PromptHomes } from './promptHomes.js';
+import { MAX_HOLDERS } from './promptHomes.js';
 
 /** How the loads of other boxes come: from each of them, or as sums by way of others, which makes them older. */
 export type LoadPath = 'direct' | 'relayed';
@@ -91,9 +92,6 @@
 /** A newcomer has met the prompts that are in use after this. */
 const NEWCOMER_MS = 30_000;
 
-/** Endpoints that are told to hold a hot prompt. */
-const HOT_HOLDERS = 3;
-
 /** What placement works with. */
 export interface PlacementOptions {
   readonly table: EndpointTable;
@@ -137,7 +135,7 @@
       ? undefined
       : (this.findHolder(row, request, prompt, holders) ?? this.guessHolder(row, request, prompt, nowMs));
     // Of a hot prompt a few holders are enough to take it from: naming all of them each time would be news without end.
-    if (way !== 'hot' || holders.size < HOT_HOLDERS) homes.note(key, row.tag);
+    if (way !== 'hot' || holders.size < MAX_HOLDERS) homes.note(key, row.tag);
     return describeChoice(row, way, meanLoad, cacheSource);
   }
 
--- a/packages/router/src/systems/promptDemand.ts
+++ b/packages/router/src/systems/promptDemand.ts
@@ -4,6 +4,7 @@
  * speakers tell all which prompts are hot. A hot prompt is spread over several endpoints at once: loads are up to a
  * second old, and in that time a single endpoint would get all of its requests.
  */
+import { FreshBook, TOLD_LIFE_MS } from './freshBook.js';
 import type { PairList } from './pairList.js';
 import { addPairs, readPairs } from './pairList.js';
 
@@ -28,8 +29,6 @@
 const LEAST_TOLD = 2;
 /** Prompts in one list, the ones in most demand: half a kilobyte. */
 const MAX_TOLD = 64;
-/** Hot prompts that were not named anew for so long are taken for cold; others' sums last as long. */
-const LIFE_MS = 3_000;
 
 /** What one box was asked for, and which prompts it knows to be hot. */
 export class PromptDemand {
@@ -64,21 +63,16 @@
    */
   readWidth(prompt: number, nowMs: number, loadAgeMs: number): number {
     const ageS = Math.max(LEAST_LOAD_AGE_MS, loadAgeMs) / MS_PER_S;
-    const perS = nowMs - this.learnedAtMs > LIFE_MS ? 0 : (this.hot.get(prompt) ?? 0);
+    const perS = nowMs - this.learnedAtMs > TOLD_LIFE_MS ? 0 : (this.hot.get(prompt) ?? 0);
     return Math.max(1, Math.ceil((perS * ageS) / REQUESTS_UNHEARD));
   }
 }
 
-interface HallCounts {
-  readonly counts: PairList;
-  readonly heardAtMs: number;
-}
-
 /** What a speaker adds up. */
 export class DemandBook {
   private current: PairList[] = [];
   private periods: PairList[] = [];
-  private readonly halls = new Map<string, HallCounts>();
+  private readonly halls = new FreshBook<PairList>();
   private hot = new Map<number, number>();
 
   /** A box of the hall tells what it was asked for since it told last. */
@@ -88,17 +82,14 @@
 
   /** Another hall tells what it was asked for within a second. */
   noteHall(hall: string, counts: PairList, nowMs: number): void {
-    this.halls.set(hall, { counts, heardAtMs: nowMs });
+    this.halls.note(hall, counts, nowMs);
   }
 
   /** Ends a period. */
   advance(nowMs: number): void {
     this.periods = [...this.periods, addPairs(this.current)].slice(-COUNTED_PERIODS);
     this.current = [];
-    for (const [hall, { heardAtMs }] of this.halls) {
-      if (nowMs - heardAtMs > LIFE_MS) this.halls.delete(hall);
-    }
-    this.hot = this.findHot();
+    this.hot = this.findHot(nowMs);
   }
 
   /** What the own hall was asked for within a second, as other halls are told. */
@@ -114,8 +105,8 @@
   }
 
   /** A prompt counts as hot at once, and cools down slowly: a lull between bursts does not move it back. */
-  private findHot(): Map<number, number> {
-    const lists = [...this.periods, ...[...this.halls.values()].map(({ counts }) => counts)];
+  private findHot(nowMs: number): Map<number, number> {
+    const lists = [...this.periods, ...this.halls.listFresh(nowMs).map(({ value }) => value)];
     const wanted = new Map(readPairs(addPairs(lists)));
     const hot = new Map<number, number>();
     for (const [prompt, perS] of this.hot) {
--- a/packages/router/src/systems/promptHomes.ts
+++ b/packages/router/src/systems/promptHomes.ts
@@ -9,7 +9,7 @@
 /** Prompts that are remembered; the one used longest ago gives way. */
 const MAX_PROMPTS = 16_384;
 /** Endpoints that are remembered for one prompt: its home, one that stands in for it, and one that was left. */
-const MAX_HOLDERS = 3;
+export const MAX_HOLDERS = 3;
 /** Pairs that wait to be told; in a rush the oldest are left out, since others learn them when they need them. */
 const MAX_UNTOLD_PAIRS = 4_096;
 
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -126,17 +126,15 @@
 
   /** Announces that an endpoint leaves. */
   announceLeaving(endpoint: SoakEndpoint): void {
-    endpoint.isLeaving = true;
     const { id, service, address, hall } = endpoint;
     this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'draining'));
-    this.ledger.events.push({ type: 'endpointLeaves', endpoint: id, atMs: Date.now() });
+    this.noteLeaving(endpoint);
   }
 
   /** Takes an endpoint off the list, without a word of it. */
   unlist(endpoint: SoakEndpoint): void {
-    endpoint.isLeaving = true;
     this.store.remove(`servers/${endpoint.id}`);
-    this.ledger.events.push({ type: 'endpointLeaves', endpoint: endpoint.id, atMs: Date.now() });
+    this.noteLeaving(endpoint);
   }
 
   /** Ends an endpoint's process and takes it off the list. */
@@ -194,6 +192,11 @@
     });
   }
 
+  private noteLeaving(endpoint: SoakEndpoint): void {
+    endpoint.isLeaving = true;
+    this.ledger.events.push({ type: 'endpointLeaves', endpoint: endpoint.id, atMs: Date.now() });
+  }
+
   private noteEndpointLine(id: string, line: string): void {
     const told = JSON.parse(line) as { run?: string; ended?: string; atMs?: number };
     const { run, ended, atMs } = told;
