Logs: the content of a request that an endpoint broke off

Cause: no line of a request named what it asks for, so that its tries could not be connected, and the hypotheses of the incident not told apart. Change: attemptBroke, with a fingerprint of method, host, path, caller and body. No logic changed.

--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerRequest } from '../records.js';
+import { fingerprintRequest } from '../quarantine/requestFingerprint.js';
 import type { RouterContext } from '../routerContext.js';
 import type { AnswerDelivery } from './answerDelivery.js';
 import { createDelivery } from './answerDelivery.js';
@@ -15,7 +16,7 @@
 import type { Assignment } from './assignment.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeFacts, RetryReason } from './exchangeLog.js';
-import { logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
+import { logBreak, logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
 import { pickRetryAfterMs, sendRefusal } from './refusal.js';
 import { readRequestBody } from './requestBody.js';
 import { isRepeatable, judgeSilence } from './silence.js';
@@ -42,6 +43,8 @@
   private isSettled = false;
   /** Its body is read, but the box does not know yet what to serve. */
   private isWaitingForStart = false;
+  /** Names it by its content; undefined until it is needed. */
+  private fingerprint: string | undefined;
 
   constructor(
     private readonly context: RouterContext,
@@ -231,6 +234,12 @@
   private handleBroken(attempt: Attempt, detail: string): void {
     this.drop(attempt, 'broken');
     this.context.noteSign(attempt.row, 'broke');
+    logBreak(this.context, this.listFacts(), attempt.row, {
+      content: this.readFingerprint(),
+      sentAgoMs: Math.round(this.context.now() - attempt.sentAtMs),
+      hasAnswered: this.delivery !== undefined,
+      detail,
+    });
     this.goOnElsewhere(attempt, 'broken', detail);
   }
 
@@ -384,6 +393,18 @@
     logOutcome(context, this.listFacts(), outcome, detail);
   }
 
+  private readFingerprint(): string {
+    const { req, request, assignment } = this;
+    this.fingerprint ??= fingerprintRequest({
+      method: req.method ?? '',
+      host: req.headers.host ?? '',
+      path: req.url ?? '',
+      caller: assignment?.team?.name ?? request.apiKey ?? '',
+      body: this.attempts.body,
+    });
+    return this.fingerprint;
+  }
+
   private listFacts(): ExchangeFacts {
     const { assignment } = this;
     return {
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -56,6 +56,32 @@
   });
 }
 
+/** How an attempt broke. */
+export interface BreakFacts {
+  /** Names the request by its content: the same for all that ask for the same. */
+  readonly content: string;
+  /** How long the endpoint had had it. */
+  readonly sentAgoMs: number;
+  /** Whether an answer had begun. */
+  readonly hasAnswered: boolean;
+  readonly detail: string;
+}
+
+/** Writes that an endpoint broke off a request: the same content in many of these lines points at the request. */
+export function logBreak(
+  context: RouterContext,
+  facts: ExchangeFacts,
+  row: EndpointRow,
+  broken: BreakFacts,
+): void {
+  context.log.write('notable', 'attemptBroke', {
+    ...facts,
+    ...broken,
+    endpoint: row.listing.id,
+    endpointInFlight: row.inFlight,
+  });
+}
+
 /** Writes that a request is not sent again although it could be. */
 export function logRetryDenied(context: RouterContext, facts: ExchangeFacts, reason: RetryReason): void {
   context.metrics.retriesDenied.inc({ reason: 'budget' });
