A request that crashed three endpoints, one after the other, is sent to endpoints no more

Cause: nothing connected one try of a request with the next; attempts, tried endpoints and retry budget belong to a try. Change: requests are known by method, host, path, caller and body. Where a connection breaks off, a new one tells a crashed endpoint (refused) from a broken link. Crashes count one after the other, over all boxes, which tell each other; the third condemns for ten minutes, with 503, 'not run' and a Retry-After that is the time left. A whole answer clears. From the second crash on a request's endpoint is drawn at random, so that innocent ones part from the guilty one. Tables are bounded.

--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -98,6 +98,12 @@
   routeUnknown: info(2021, 404, 'No route leads here', 'Check host and path.'),
   apiKeyUnknown: info(2022, 401, 'The key belongs to no team', 'Use a current key.'),
   endpointsBusy: info(2023, 503, 'The endpoints refused for lack of room', 'Come back after Retry-After.'),
+  requestQuarantined: info(
+    2024,
+    503,
+    'The same request crashed its endpoints and is not sent for now',
+    'Mend the request, or come back after Retry-After.',
+  ),
 
   deadlineExceeded: info(3001, 504, 'The deadline passed', 'Ask again with more time.'),
   stewardLost: info(
--- /dev/null
+++ b/packages/router/src/__tests__/crashCheck.test.ts
@@ -0,0 +1,49 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+import { createListing } from '../__fixtures__/createEndpoints.js';
+import { CrashCheck } from '../proxy/crashCheck.js';
+import { EndpointConnections } from '../proxy/endpointConnections.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+import { EndpointTable } from '../tables/endpointTable.js';
+
+let server: Server;
+let crashed: EndpointRow[];
+let check: CrashCheck;
+let row: EndpointRow;
+
+async function addEndpoint(state: 'live' | 'leaving'): Promise<void> {
+  server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const table = new EndpointTable(() => 1);
+  row = table.upsert(
+    { ...createListing('e-1', { service: 'app', hall: 'mixco' }), host: '127.0.0.1', port, state },
+    0,
+  );
+  crashed = [];
+  const connections = new EndpointConnections({ countBoxes: () => 1, now: () => 0, onOpened: () => {} });
+  check = new CrashCheck(connections, (one) => crashed.push(one));
+}
+
+const end = (): Promise<void> => new Promise((resolve) => server.close(() => resolve()));
+
+afterEach(() => server.close());
+
+test('an endpoint whose connection broke but which accepts new ones did not crash', async () => {
+  await addEndpoint('live');
+  expect(await check.check(row)).toBe('running');
+  expect(crashed).toEqual([]);
+});
+
+test('an endpoint where nobody listens crashed; all that ask at once get one check', async () => {
+  await addEndpoint('live');
+  await end();
+  expect(await Promise.all([check.check(row), check.check(row)])).toEqual(['crashed', 'crashed']);
+  expect(crashed).toEqual([row]);
+});
+
+test('an endpoint that was leaving has ended as planned', async () => {
+  await addEndpoint('leaving');
+  await end();
+  expect(await check.check(row)).toBe('unknown');
+});
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -6,6 +6,8 @@
 import { DecisionLog } from './observability/decisionLog.js';
 import { LoadKnowledgeLog } from './observability/loadKnowledgeLog.js';
 import { RouterMetrics } from './observability/metrics.js';
+import { createQuarantineLog } from './observability/quarantineLog.js';
+import { StandingLog } from './observability/standingLog.js';
 import type { Heartbeat, RouterFrame } from './peers/peerFrames.js';
 import { FeedRelay } from './peers/feedRelay.js';
 import { LoadRelay } from './peers/loadRelay.js';
@@ -13,14 +15,18 @@
 import { TcpTransport } from './peers/peerTransport.js';
 import { PeerValues } from './peers/peerValues.js';
 import { CallerServer } from './proxy/callerServer.js';
+import { CrashCheck } from './proxy/crashCheck.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
 import type { Exchange } from './proxy/exchange.js';
+import { Quarantine } from './quarantine/quarantine.js';
+import { QuarantineRelay } from './quarantine/quarantineRelay.js';
 import type { RouterContext } from './routerContext.js';
 import type { FleetRouterOptions, RouterInput } from './routerOptions.js';
-import type { HealthSign, StandingChange } from './systems/endpointHealth.js';
+import type { HealthSign } from './systems/endpointHealth.js';
 import { isUsable, noteSign } from './systems/endpointHealth.js';
 import type { FeedDuty } from './systems/feedDuty.js';
 import { listOwnLoads } from './systems/loadExchange.js';
+import { PlannedStop } from './systems/plannedStop.js';
 import type { Publication } from './systems/publishedState.js';
 import { PublishedState } from './systems/publishedState.js';
 import type { HomeList } from './systems/promptHomes.js';
@@ -36,15 +42,6 @@
 const TICK_MS = 40;
 /** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
 const STALL_MS = 400;
-/**
- * After a stop is requested callers are still sent here until the platform has noticed: two checks, a second apart.
- * Later connections are refused, also where the platform goes on for lack of other boxes: work that begins now could
- * not be finished.
- */
-const STOP_LINGER_MS = 2_300;
-/** A stopping box ends this long before it would be killed. */
-const STOP_MARGIN_MS = 500;
-
 /** Homes of prompts told in one heartbeat; in a steady state there are next to none to tell. */
 const MAX_TOLD_HOMES = 256;
 
@@ -52,6 +49,7 @@
 export class FleetRouter {
   readonly metrics = new RouterMetrics();
   readonly log: DecisionLog;
+  private readonly standingLog: StandingLog;
   private readonly inputs = new SynchronousSource<RouterInput>();
   private readonly table: EndpointTable;
   private readonly state: PublishedState;
@@ -67,7 +65,9 @@
   private readonly demand = new PromptDemand();
   private readonly relay: FeedRelay;
   private readonly loads: LoadRelay;
-  private stopRequestedAtMs: number | undefined;
+  private readonly quarantine: Quarantine;
+  private readonly crashNews: QuarantineRelay;
+  private readonly plannedStop: PlannedStop;
   private ticker: NodeJS.Timeout | undefined;
   private resolveStopped: () => void = () => {};
   /** Settles when a planned stop is complete. */
@@ -81,6 +81,7 @@
   ) {
     const now = this.now;
     this.log = new DecisionLog(options.boxId, this.metrics, now);
+    this.standingLog = new StandingLog(this.log, this.metrics, now);
     this.table = new EndpointTable(hash);
     this.state = new PublishedState({
       table: this.table,
@@ -100,7 +101,7 @@
       onOpened: () => this.metrics.connections.inc(),
     });
     this.reachability = new Reachability(this.table, this.connections, now, (row, change, because) =>
-      this.noteStanding(row, change, because),
+      this.standingLog.noteEndpoint(row, change, because),
     );
     this.mesh = new PeerMesh(
       {
@@ -113,18 +114,17 @@
         firstIncarnation: Date.now(),
       },
       {
-        createHeartbeat: () => this.createHeartbeat(this.loads.listHomesForNewLink()),
+        createHeartbeat: () => this.createGreeting(),
         onRead: (type) => this.metrics.peerFrames.inc({ type }),
         onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
         onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
-        onStanding: (address, standing, because) => this.notePeerStanding(address, standing, because),
+        onStanding: (address, standing, because) =>
+          this.standingLog.noteBox(address, standing, because, countBoxes()),
       },
     );
-    const { mesh, state } = this;
+    const { mesh, state, log, metrics } = this;
     const { applyBoundMs, hall, linkMbps } = options;
     this.peerValues = new PeerValues({ mesh, state, log: this.log, now, applyBoundMs });
-    const values = this.peerValues;
-    const { log, metrics } = this;
     const loadKnowledge = new LoadKnowledgeLog({ log, metrics, countBoxes });
     this.loads = new LoadRelay({
       mesh,
@@ -137,10 +137,15 @@
       now,
       onKnowledge: (knowledge) => loadKnowledge.note(knowledge),
     });
+    this.quarantine = new Quarantine(
+      now,
+      createQuarantineLog({ log, metrics, now, readCount: () => this.quarantine.quarantinedCount }),
+    );
+    this.crashNews = new QuarantineRelay({ mesh, quarantine: this.quarantine, hall, rank: hash, now });
     this.relay = new FeedRelay({
       mesh,
       state,
-      values,
+      values: this.peerValues,
       log: this.log,
       hall,
       linkMbps,
@@ -149,6 +154,14 @@
       applyBoundMs,
     });
     this.callers = new CallerServer(this.createContext(countBoxes));
+    this.plannedStop = new PlannedStop({
+      now,
+      log,
+      graceMs: options.stopGraceMs,
+      countExchanges: () => this.exchanges.size,
+      refuseNew: () => this.callers.refuseNew(),
+      onStopped: () => this.resolveStopped(),
+    });
   }
 
   /** Creates a box; nothing is bound yet. */
@@ -177,7 +190,7 @@
 
   /** Whether callers should be sent here: it knows what to serve and is not stopping. */
   isReady(): boolean {
-    return this.state.isInformed && this.stopRequestedAtMs === undefined;
+    return this.state.isInformed && !this.plannedStop.isUnderWay;
   }
 
   /** Version of the configuration in force; 0 before the first. */
@@ -240,6 +253,9 @@
       }),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
+      crashCheck: new CrashCheck(this.connections, (row) => this.noteSign(row, 'connectRefused')),
+      quarantine: this.quarantine,
+      crashNews: this.crashNews,
       metrics: this.metrics,
       log: this.log,
       exchanges: this.exchanges,
@@ -247,7 +263,7 @@
       hash,
       readIndex: () => this.state.index,
       isInformed: () => this.state.isInformed,
-      isStopping: () => this.stopRequestedAtMs !== undefined,
+      isStopping: () => this.plannedStop.isUnderWay,
       noteSign: (row, sign) => this.noteSign(row, sign),
     };
   }
@@ -265,7 +281,7 @@
       case 'peerFrame':
         return this.handlePeerFrame(input.frame);
       case 'stopRequested':
-        return this.handleStopRequested();
+        return this.plannedStop.request();
     }
   }
 
@@ -279,8 +295,10 @@
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
     this.loads.tick();
+    this.quarantine.tick();
+    this.crashNews.tick();
     if (nowMs - this.heartbeatAtMs >= this.mesh.paceMs) this.sendHeartbeat();
-    this.advanceStop(nowMs);
+    this.plannedStop.tick();
   }
 
   /** While this process stood still nobody was silent: the silence that it saw is its own. */
@@ -299,6 +317,13 @@
     this.mesh.broadcast(this.createHeartbeat(homes));
   }
 
+  /** What a box on a link that just came up may have missed goes with the first heartbeat. */
+  private createGreeting(): Heartbeat {
+    const crashes = this.crashNews.listForNewLink();
+    const heartbeat = this.createHeartbeat(this.loads.listHomesForNewLink());
+    return crashes.length === 0 ? heartbeat : { ...heartbeat, crashes };
+  }
+
   private createHeartbeat(homes: HomeList): Heartbeat {
     return {
       type: 'heartbeat',
@@ -313,7 +338,7 @@
       loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
       homes: [...homes],
       incarnation: this.mesh.incarnation,
-      isStopping: this.stopRequestedAtMs !== undefined,
+      isStopping: this.plannedStop.isUnderWay,
     };
   }
 
@@ -321,6 +346,7 @@
     switch (frame.type) {
       case 'heartbeat':
         this.homes.learn(frame.homes);
+        this.crashNews.handleGreeting(frame.hall, frame.crashes ?? []);
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
         return this.relay.handleNotice(frame);
@@ -338,6 +364,8 @@
         return this.peerValues.takeChange(frame.change);
       case 'endpointsValue':
         return this.peerValues.takeEndpoints(frame);
+      case 'crashNews':
+        return this.crashNews.handleNews(frame);
     }
   }
 
@@ -363,41 +391,7 @@
     const change = noteSign(this.table, row, sign, this.now());
     if (change === 'unreachable' && sign === 'connectTimedOut')
       this.reachability.suspectHall(row.listing.hall);
-    if (change !== undefined) this.noteStanding(row, change, sign);
-  }
-
-  private noteStanding(row: EndpointRow, change: StandingChange, because: string): void {
-    this.metrics.standings.inc({ change });
-    this.log.write('notable', 'endpointStanding', {
-      endpoint: row.listing.id,
-      service: row.listing.service,
-      hall: row.listing.hall,
-      change,
-      because,
-      failureRate: Math.round(row.failureRate * 100) / 100,
-      inFlight: row.inFlight,
-      heardAgoMs: Math.round(this.now() - row.heardAtMs),
-    });
-  }
-
-  private notePeerStanding(address: string, standing: 'down' | 'up', because: string): void {
-    this.metrics.peerStandings.inc({ standing });
-    this.log.write('notable', 'boxStanding', { address, standing, because, boxes: this.mesh.countBoxes() });
-  }
-
-  private handleStopRequested(): void {
-    if (this.stopRequestedAtMs !== undefined) return;
-    this.stopRequestedAtMs = this.now();
-    this.log.write('lifecycle', 'stopping', { requestsInFlight: this.exchanges.size });
-  }
-
-  private advanceStop(nowMs: number): void {
-    if (this.stopRequestedAtMs === undefined) return;
-    const stoppingMs = nowMs - this.stopRequestedAtMs;
-    if (stoppingMs < STOP_LINGER_MS) return;
-    this.callers.refuseNew();
-    const isLate = stoppingMs >= this.options.stopGraceMs - STOP_MARGIN_MS;
-    if (this.exchanges.size === 0 || isLate) this.resolveStopped();
+    if (change !== undefined) this.standingLog.noteEndpoint(row, change, sign);
   }
 
   /** A failure of the loop leaves the tables in doubt: better no box than a wrong one. */
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -1,7 +1,7 @@
 /** Many boxes in virtual time, each with the membership that ships, without sockets. */
 import { createHasher } from '@hazelwalk/core';
 import { createRandom, Timeline } from '@hazelwalk/standins';
-import type { Heartbeat, RouterFrame } from '../../peers/peerFrames.js';
+import type { CrashedRunReport, Heartbeat, RouterFrame } from '../../peers/peerFrames.js';
 import { PeerMesh } from '../../peers/peerMesh.js';
 import { VirtualNetwork } from './virtualNetwork.js';
 
@@ -17,6 +17,8 @@
   tick(): void;
   /** Loads that heartbeats of a small fleet carry. */
   listLoads(): number[];
+  /** What is told on a new link of requests that crash their endpoints. */
+  listCrashes?(): CrashedRunReport[];
 }
 
 /** One box. */
@@ -155,7 +157,7 @@
         firstIncarnation: timeline.nowMs,
       },
       {
-        createHeartbeat,
+        createHeartbeat: () => ({ ...createHeartbeat(), crashes: box.program?.listCrashes?.() ?? [] }),
         onRead: () => {},
         onFrame: (frame) => box.program?.handleFrame(frame),
         onProblem: () => {},
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -38,6 +38,12 @@
   readonly peerFrames = this.counter('peer_frames', 'Frames from peers', ['type']);
   /** Boxes of the own hall found to be down, and back. */
   readonly peerStandings = this.counter('peer_standings', 'Changes of standing of boxes', ['standing']);
+  /** Changes of what is known against requests that met crashes of endpoints. */
+  readonly quarantineChanges = this.counter('quarantine_changes', 'Changes of standing of requests', [
+    'change',
+  ]);
+  /** Requests, by content, that are not sent to endpoints since they crash them. */
+  readonly quarantined = this.gauge('quarantined_requests', 'Requests not sent since they crash endpoints');
   /** Log lines left out to bound their volume. */
   readonly suppressedLines = this.counter('log_lines_suppressed', 'Log lines left out', ['event']);
   /** Version of the configuration in force. */
--- /dev/null
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -0,0 +1,36 @@
+/** Tells operators which requests are held against crashes, and by whose word. */
+import type { OnQuarantineChange } from '../quarantine/quarantine.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { RouterMetrics } from './metrics.js';
+
+/** Crashes of which a request's first is no news: every request under way at the endpoint has it. */
+const LEAST_TOLD_CRASHES = 2;
+
+/** What the log works with. */
+export interface QuarantineLogOptions {
+  readonly log: DecisionLog;
+  readonly metrics: RouterMetrics;
+  readonly now: () => number;
+  /** Requests that are not sent to endpoints now. */
+  readonly readCount: () => number;
+}
+
+/** Creates what writes the changes of a quarantine down. */
+export function createQuarantineLog(options: QuarantineLogOptions): OnQuarantineChange {
+  const { log, metrics, now, readCount } = options;
+  return (content, change, { runs, crashes, untilMs }) => {
+    metrics.quarantineChanges.inc({ change });
+    metrics.quarantined.set(readCount());
+    if (crashes < LEAST_TOLD_CRASHES) return;
+    const lastEndMs = Math.max(...runs.map((run) => run.endedAtMs));
+    log.write('notable', 'quarantine', {
+      content,
+      change,
+      crashes,
+      endpointTags: runs.map((run) => run.endpointTag).join(),
+      witnesses: runs.map((run) => run.witness).join(),
+      lastCrashAgoMs: Math.round(now() - lastEndMs),
+      waitMs: untilMs === undefined ? undefined : Math.round(untilMs - now()),
+    });
+  };
+}
--- /dev/null
+++ b/packages/router/src/observability/standingLog.ts
@@ -0,0 +1,35 @@
+/** Writes down what a box comes to believe of endpoints and of other boxes. */
+import type { StandingChange } from '../systems/endpointHealth.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { RouterMetrics } from './metrics.js';
+
+/** Lines and counters of changed beliefs. */
+export class StandingLog {
+  constructor(
+    private readonly log: DecisionLog,
+    private readonly metrics: RouterMetrics,
+    private readonly now: () => number,
+  ) {}
+
+  /** An endpoint gets new requests no more, or again. */
+  noteEndpoint(row: EndpointRow, change: StandingChange, because: string): void {
+    this.metrics.standings.inc({ change });
+    this.log.write('notable', 'endpointStanding', {
+      endpoint: row.listing.id,
+      service: row.listing.service,
+      hall: row.listing.hall,
+      change,
+      because,
+      failureRate: Math.round(row.failureRate * 100) / 100,
+      inFlight: row.inFlight,
+      heardAgoMs: Math.round(this.now() - row.heardAtMs),
+    });
+  }
+
+  /** A box of the own hall was found to be down, or is back. */
+  noteBox(address: string, standing: 'down' | 'up', because: string, boxes: number): void {
+    this.metrics.peerStandings.inc({ standing });
+    this.log.write('notable', 'boxStanding', { address, standing, because, boxes });
+  }
+}
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -34,6 +34,18 @@
   })
   .optional() satisfies z.ZodType<PlatformWord | undefined>;
 
+/** A run of a request that ended with its endpoint. */
+const crashedRunReport = z.object({
+  /** Names the request by its content. */
+  content: z.string(),
+  endpointTag: z.number(),
+  /** How long ago the request was sent there, and how long ago it ended. */
+  sentAgoMs: z.number(),
+  endedAgoMs: z.number(),
+  /** Rank of the address of the box that saw it. */
+  witness: z.number(),
+});
+
 const heartbeat = z.object({
   type: z.literal('heartbeat'),
   /** Hall of the sender. */
@@ -59,6 +71,8 @@
   incarnation: z.number(),
   /** The sender is stopping. */
   isStopping: z.boolean(),
+  /** On a link that just came up: requests that ended with their endpoints; absent if there are none. */
+  crashes: z.array(crashedRunReport).optional(),
 });
 const heartbeatHeard = z.object({
   /** Sent back on the link that the heartbeat came on: proof that this link still carries something. */
@@ -226,6 +240,14 @@
   /** Ranks of the boxes of the hall to whom the reader passes this on. */
   passTo: z.array(z.number()),
 });
+const crashNews = z.object({
+  type: z.literal('crashNews'),
+  /** Hall in which it was seen. */
+  hall: z.string(),
+  crashes: z.array(crashedRunReport),
+  /** Requests, by content, that an endpoint answered whole. */
+  cleared: z.array(z.string()),
+});
 const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
   heartbeatHeard,
@@ -244,6 +266,7 @@
   boxLoads,
   hallLoads,
   fleetLoads,
+  crashNews,
 ]);
 
 /** A box's sign of life. */
@@ -280,6 +303,10 @@
 export type HallLoads = z.infer<typeof hallLoads>;
 /** What the fleet has at the endpoints, told to the boxes of a hall by its speaker. */
 export type FleetLoads = z.infer<typeof fleetLoads>;
+/** A run of a request that ended with its endpoint, as boxes tell each other. */
+export type CrashedRunReport = z.infer<typeof crashedRunReport>;
+/** What was seen of requests that may crash their endpoints. */
+export type CrashNews = z.infer<typeof crashNews>;
 /** A frame between boxes. */
 export type PeerFrame = z.infer<typeof peerFrame>;
 
@@ -332,6 +359,13 @@
   coverage: 19,
   ageMs: 20,
   prompts: 21,
+  content: 22,
+  endpointTag: 23,
+  sentAgoMs: 24,
+  endedAgoMs: 25,
+  witness: 26,
+  crashes: 27,
+  cleared: 28,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -77,8 +77,10 @@
 /** A request at one endpoint. */
 export class Attempt {
   readonly row: EndpointRow;
-  /** When the request was handed to the connection; 0 before. */
+  /** When the request was handed to the connection; 0 before. Silence counts from here: later if this process stood still. */
   sentAtMs = 0;
+  /** When the request was handed to the connection. */
+  handedOverAtMs = 0;
   /** Its connection said nothing for so long that others like it were closed. */
   isDoubted = false;
   private phase: AttemptPhase = { type: 'connecting' };
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -71,10 +71,11 @@
    * Starts an attempt at an endpoint that was not tried yet; false if there is none.
    *
    * @param resumeAfter id of the last event that the caller has, if its stream goes on
+   * @param isSpread the endpoint is drawn at random, whatever the prompt
    */
-  open(assignment: Assignment, resumeAfter: string | undefined): boolean {
+  open(assignment: Assignment, resumeAfter: string | undefined, isSpread: boolean): boolean {
     const { context, options } = this;
-    const { promptParts } = options.request;
+    const promptParts = isSpread ? [] : options.request.promptParts;
     const choice = context.placement.choose(
       { service: assignment.service, promptParts, excluded: this.triedIds },
       context.now(),
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -20,7 +20,13 @@
 const USED_CONNECTIONS_SHARE = 0.9;
 
 /** Why there is no connection. Nothing was sent in any of these cases. */
-export type ConnectFailure = 'connectRefused' | 'connectTimedOut' | 'connectionLimit';
+export type ConnectFailure =
+  /** Nobody listens there: the process that did has ended. */
+  | 'connectRefused'
+  | 'connectTimedOut'
+  /** Any other error of the network. */
+  | 'connectBroken'
+  | 'connectionLimit';
 
 /** One open connection. */
 export interface EndpointConnection {
@@ -174,9 +180,9 @@
         resolve(Ok(socket));
       });
       // Stays for the life of the socket: an error is always followed by `close`, which is what counts.
-      socket.on('error', () => {
+      socket.on('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
-        resolve(Err('connectRefused'));
+        resolve(Err(error.code === 'ECONNREFUSED' ? 'connectRefused' : 'connectBroken'));
       });
     });
   }
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -7,19 +7,22 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerRequest } from '../records.js';
-import { fingerprintRequest } from '../quarantine/requestFingerprint.js';
 import type { RouterContext } from '../routerContext.js';
 import type { AnswerDelivery } from './answerDelivery.js';
 import { createDelivery } from './answerDelivery.js';
-import type { AnswerHead, Attempt, AttemptEvent } from './attempt.js';
+import type { AnswerHead, Attempt, AttemptEvent, BreakReason } from './attempt.js';
+import type { ConnectFailure } from './endpointConnections.js';
 import { assignRequest } from './assignment.js';
 import type { Assignment } from './assignment.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeFacts, RetryReason } from './exchangeLog.js';
 import { logBreak, logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
+import type { RouterRefusal } from './refusal.js';
 import { pickRetryAfterMs, sendRefusal } from './refusal.js';
 import { readRequestBody } from './requestBody.js';
-import { isRepeatable, judgeSilence } from './silence.js';
+import { RequestSuspicion } from './requestSuspicion.js';
+import { isRepeatable } from './silence.js';
+import { watchSilence } from './silenceWatch.js';
 
 /** A request that names no deadline is held at most this long beyond its route's time-out. */
 const DEFAULT_DEADLINE_MS = 30_000;
@@ -27,9 +30,8 @@
 const MAX_UNSENT = 4;
 /** A box that just started takes requests before it has read what to serve; they wait for it this long. */
 const START_WAIT_MS = 1_000;
+const LEAST_REDIRECT = 300;
 const LEAST_SERVER_ERROR = 500;
-/** A kept connection that says nothing for so long may be dead: several times what endpoints take for an answer. */
-const SILENT_CONNECTION_MS = 1_000;
 
 /** One request under way. */
 export class Exchange {
@@ -43,8 +45,7 @@
   private isSettled = false;
   /** Its body is read, but the box does not know yet what to serve. */
   private isWaitingForStart = false;
-  /** Names it by its content; undefined until it is needed. */
-  private fingerprint: string | undefined;
+  private readonly suspicion: RequestSuspicion;
 
   constructor(
     private readonly context: RouterContext,
@@ -59,6 +60,11 @@
       readExpiry: () => this.expiresAtMs,
       onEvent: (attempt, event) => this.handleEvent(attempt, event),
     });
+    this.suspicion = new RequestSuspicion(context, {
+      req,
+      readCaller: () => this.assignment?.team?.name ?? request.apiKey ?? '',
+      readBody: () => this.attempts.body,
+    });
   }
 
   /** Reads the body and goes on from there. */
@@ -117,9 +123,11 @@
 
   /** Sends the request to an endpoint, or gives up if there is none. */
   private place(resumeAfter: string | undefined): void {
-    const { assignment } = this;
+    const { assignment, suspicion } = this;
     if (assignment === undefined) return;
-    const isPlaced = this.attempts.open(assignment, resumeAfter);
+    const waitMs = suspicion.readWaitMs();
+    if (waitMs > 0) return this.giveUp('requestQuarantined', waitMs);
+    const isPlaced = this.attempts.open(assignment, resumeAfter, suspicion.mustSpread());
     if (!isPlaced) this.giveUp('noEndpoint');
   }
 
@@ -139,7 +147,7 @@
       case 'end':
         return this.handleEnd(attempt);
       case 'broken':
-        return this.handleBroken(attempt, `${event.reason}: ${event.detail}`);
+        return this.handleBroken(attempt, event.reason, event.detail);
     }
   }
 
@@ -147,13 +155,11 @@
     const nowMs = this.context.now();
     this.heardAtMs = nowMs;
     attempt.sentAtMs = nowMs;
+    attempt.handedOverAtMs = nowMs;
     if (attempt.row.inFlight === 1) attempt.row.busySinceMs = nowMs;
   }
 
-  private handleUnsent(
-    attempt: Attempt,
-    reason: 'connectRefused' | 'connectTimedOut' | 'connectionLimit',
-  ): void {
+  private handleUnsent(attempt: Attempt, reason: ConnectFailure): void {
     this.drop(attempt, reason);
     if (reason !== 'connectionLimit') this.context.noteSign(attempt.row, reason);
     this.attempts.unsentCount += 1;
@@ -187,7 +193,7 @@
     else if (head.status !== this.delivery.status) {
       // The caller has the head of another answer already: this one cannot continue it.
       this.abandon(attempt, 'resume refused');
-      this.handleBroken(attempt, `resume answered with status ${head.status}`);
+      this.handleBroken(attempt, 'resumeRefused', `status ${head.status}`);
     }
   }
 
@@ -226,26 +232,27 @@
     const { delivery } = this;
     if (delivery === undefined) return;
     attempt.row.heardAtMs = this.context.now();
-    if (!delivery.isWhole()) return this.handleBroken(attempt, 'the answer ended inside an event');
+    if (!delivery.isWhole()) return this.handleBroken(attempt, 'connectionLost', 'ended inside an event');
+    if (delivery.status < LEAST_REDIRECT) this.suspicion.noteAnswered();
     delivery.finish();
     this.settle('answered');
   }
 
-  private handleBroken(attempt: Attempt, detail: string): void {
+  private handleBroken(attempt: Attempt, reason: BreakReason | 'resumeRefused', detail: string): void {
     this.drop(attempt, 'broken');
-    this.context.noteSign(attempt.row, 'broke');
-    logBreak(this.context, this.listFacts(), attempt.row, {
-      content: this.readFingerprint(),
-      sentAgoMs: Math.round(this.context.now() - attempt.sentAtMs),
-      hasAnswered: this.delivery !== undefined,
-      detail,
-    });
-    this.goOnElsewhere(attempt, 'broken', detail);
+    const { context, suspicion } = this;
+    context.noteSign(attempt.row, 'broke');
+    logBreak(context, this.listFacts(), attempt, { content: suspicion.content, reason, detail });
+    const goOn = (): void => this.goOnElsewhere(attempt, 'broken', `${reason}: ${detail}`);
+    if (reason !== 'connectionLost') return goOn();
+    const { mustWait, checked } = suspicion.noteBroken(attempt);
+    if (mustWait) void checked.then(goOn);
+    else goOn();
   }
 
   /** After an attempt that may have run: sends again what may repeat, or ends the request as failed. */
   private goOnElsewhere(attempt: Attempt, reason: 'broken' | 'silent', detail: string): void {
-    if (this.attempts.live.length > 0) return;
+    if (this.isSettled || this.attempts.live.length > 0) return;
     const { assignment, delivery } = this;
     if (assignment === undefined) return;
     if (!isRepeatable(assignment.route)) return this.fail(detail);
@@ -260,17 +267,15 @@
   }
 
   private checkSilence(attempt: Attempt, nowMs: number): void {
-    const { assignment } = this;
+    const { assignment, context, winner, heardAtMs } = this;
     if (assignment === undefined || attempt.sentAtMs === 0) return;
-    const isAnswering = attempt === this.winner;
-    const silentMs = nowMs - (isAnswering ? this.heardAtMs : attempt.sentAtMs);
-    this.doubtConnection(attempt, isAnswering, silentMs);
-    const verdict = judgeSilence({
+    const answeredAtMs = attempt === winner ? heardAtMs : undefined;
+    const hasOthers = this.attempts.live.length > 1;
+    const { verdict, silentMs } = watchSilence(context, attempt, {
       route: assignment.route,
-      silentMs,
-      isUnreachable: attempt.row.standing.type === 'unreachable',
-      hasOthers: this.attempts.live.length > 1,
-      isAnswering,
+      answeredAtMs,
+      hasOthers,
+      nowMs,
     });
     switch (verdict) {
       case 'wait':
@@ -282,15 +287,6 @@
     }
   }
 
-  /** Open connections may go silent without a reset while new ones work: what comes next goes on a new one. */
-  private doubtConnection(attempt: Attempt, isAnswering: boolean, silentMs: number): void {
-    if (attempt.isDoubted || isAnswering || silentMs < SILENT_CONNECTION_MS) return;
-    if (!attempt.isOnKeptConnection) return;
-    attempt.isDoubted = true;
-    this.context.connections.retireIdle(attempt.row.listing.id);
-    this.context.metrics.retiredPools.inc();
-  }
-
   private hedge(attempt: Attempt, silentMs: number): void {
     if (!this.mayRetry('hedge')) return;
     this.context.noteSign(attempt.row, 'silent');
@@ -314,6 +310,10 @@
       context.metrics.retriesDenied.inc({ reason: 'attempts' });
       return false;
     }
+    if (this.suspicion.readWaitMs() > 0) {
+      context.metrics.retriesDenied.inc({ reason: 'quarantine' });
+      return false;
+    }
     if (context.budget.take(assignment.service, context.now())) return true;
     logRetryDenied(context, this.listFacts(), reason);
     return false;
@@ -341,42 +341,30 @@
   }
 
   /** Ends a request that no endpoint takes. */
-  private giveUp(code: ResultCode): void {
+  private giveUp(code: ResultCode, retryAfterMs = pickRetryAfterMs()): void {
     if (this.attempts.live.length > 0) return;
     if (this.attempts.mayHaveRun) return this.fail(code);
-    this.refuse(code === 'connectFailed' ? 'noEndpoint' : code, pickRetryAfterMs());
+    this.refuse(code === 'connectFailed' ? 'noEndpoint' : code, retryAfterMs);
   }
 
   /** Ends a request that may have run: as failed, or as visibly cut off if its answer has begun. */
   private fail(detail: string, code: ResultCode = 'endpointBroke'): void {
     if (this.isSettled) return;
-    if (this.delivery?.hasStarted === true) {
-      this.settle(code, detail);
-      this.res.destroy();
-      return;
-    }
+    const hasStarted = this.delivery?.hasStarted === true;
     this.settle(code, detail);
-    sendRefusal(
-      this.res,
-      this.context.dialect,
-      { code, ran: 'unknown', retryAfterMs: 0 },
-      this.request.requestId,
-      false,
-    );
+    if (hasStarted) this.res.destroy();
+    else this.respond({ code, ran: 'unknown', retryAfterMs: 0 }, false);
   }
 
   /** Ends a request that did not run and never will. */
   private refuse(code: ResultCode, retryAfterMs: number): void {
     if (this.isSettled) return;
     this.settle(code);
-    const closes = !this.req.complete;
-    sendRefusal(
-      this.res,
-      this.context.dialect,
-      { code, ran: 'no', retryAfterMs },
-      this.request.requestId,
-      closes,
-    );
+    this.respond({ code, ran: 'no', retryAfterMs }, !this.req.complete);
+  }
+
+  private respond(refusal: RouterRefusal, closes: boolean): void {
+    sendRefusal(this.res, this.context.dialect, refusal, this.request.requestId, closes);
   }
 
   private handleCallerClosed(): void {
@@ -393,18 +381,6 @@
     logOutcome(context, this.listFacts(), outcome, detail);
   }
 
-  private readFingerprint(): string {
-    const { req, request, assignment } = this;
-    this.fingerprint ??= fingerprintRequest({
-      method: req.method ?? '',
-      host: req.headers.host ?? '',
-      path: req.url ?? '',
-      caller: assignment?.team?.name ?? request.apiKey ?? '',
-      body: this.attempts.body,
-    });
-    return this.fingerprint;
-  }
-
   private listFacts(): ExchangeFacts {
     const { assignment } = this;
     return {
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -3,6 +3,7 @@
 import type { RouterContext } from '../routerContext.js';
 import type { PlacementChoice, PlacementWay } from '../systems/placement.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import type { Attempt } from './attempt.js';
 
 /** Why a request is sent again. */
 export type RetryReason = 'unsent' | 'notRun' | 'serverError' | 'broken' | 'silent' | 'hedge' | 'resume';
@@ -60,10 +61,7 @@
 export interface BreakFacts {
   /** Names the request by its content: the same for all that ask for the same. */
   readonly content: string;
-  /** How long the endpoint had had it. */
-  readonly sentAgoMs: number;
-  /** Whether an answer had begun. */
-  readonly hasAnswered: boolean;
+  readonly reason: string;
   readonly detail: string;
 }
 
@@ -71,14 +69,15 @@
 export function logBreak(
   context: RouterContext,
   facts: ExchangeFacts,
-  row: EndpointRow,
+  attempt: Pick<Attempt, 'row' | 'handedOverAtMs'>,
   broken: BreakFacts,
 ): void {
   context.log.write('notable', 'attemptBroke', {
     ...facts,
     ...broken,
-    endpoint: row.listing.id,
-    endpointInFlight: row.inFlight,
+    endpoint: attempt.row.listing.id,
+    endpointInFlight: attempt.row.inFlight,
+    sentAgoMs: Math.round(context.now() - attempt.handedOverAtMs),
   });
 }
 
--- /dev/null
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -0,0 +1,75 @@
+/**
+ * Runs of one request that ended with their endpoint, and how many crashes they prove.
+ *
+ * Crashes count one after the other: a run counts if it began after the crash counted before it. Endpoints that go down
+ * together (a rack, a hall behind a cut that refuses) share a cause, and many requests for the same, under way on several
+ * of them, would otherwise be condemned by one fault. A request that does crash its endpoints has such a chain of crashes
+ * as soon as it was sent again twice.
+ */
+
+/** A run of a request that ended with its endpoint, on the clock of the box that keeps it. */
+export interface CrashedRun {
+  /** Tag of the endpoint. */
+  readonly endpointTag: number;
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+  /** Rank of the address of the box that saw it. */
+  readonly witness: number;
+}
+
+/**
+ * Times seen by two boxes are compared with this much in doubt: news take a few milliseconds and up to one tick of either
+ * loop (40 ms); the rest is for boxes that are slow.
+ */
+const CLOCK_MARGIN_MS = 250;
+/** Runs kept for one request: the chain that counts, and the newest of the others. */
+const MAX_KEPT_RUNS = 8;
+
+/**
+ * Returns the crashes that count, the earliest first.
+ *
+ * @example findCrashChain([{ endpointTag: 1, sentAtMs: 0, endedAtMs: 50, witness: 1 }]).length // 1
+ */
+export function findCrashChain(runs: readonly CrashedRun[]): CrashedRun[] {
+  const chain: CrashedRun[] = [];
+  for (const run of [...runs].sort((a, b) => a.endedAtMs - b.endedAtMs)) {
+    const last = chain.at(-1);
+    if (last === undefined || beganAfter(run, last)) chain.push(run);
+  }
+  return chain;
+}
+
+/**
+ * Adds a run to those known; undefined if it tells nothing new. Of several copies that one endpoint had when it crashed
+ * the one sent last is kept: it began after the most other crashes.
+ */
+export function addCrashedRun(
+  runs: readonly CrashedRun[],
+  run: CrashedRun,
+): readonly CrashedRun[] | undefined {
+  const known = runs.find((other) => isSameCrash(other, run));
+  if (known === undefined) return keepMostTelling([...runs, run]);
+  if (run.sentAtMs <= known.sentAtMs + marginBetween(run, known)) return undefined;
+  const endedAtMs = Math.min(run.endedAtMs, known.endedAtMs);
+  return keepMostTelling([...runs.filter((other) => other !== known), { ...run, endedAtMs }]);
+}
+
+function beganAfter(run: CrashedRun, earlier: CrashedRun): boolean {
+  return run.sentAtMs >= earlier.endedAtMs + marginBetween(run, earlier);
+}
+
+/** An endpoint that is back under its id may crash again: a run that began after the first crash belongs to another. */
+function isSameCrash(a: CrashedRun, b: CrashedRun): boolean {
+  return a.endpointTag === b.endpointTag && !beganAfter(a, b) && !beganAfter(b, a);
+}
+
+function marginBetween(a: CrashedRun, b: CrashedRun): number {
+  return a.witness === b.witness ? 0 : CLOCK_MARGIN_MS;
+}
+
+function keepMostTelling(runs: readonly CrashedRun[]): readonly CrashedRun[] {
+  if (runs.length <= MAX_KEPT_RUNS) return runs;
+  const chain = findCrashChain(runs);
+  const others = runs.filter((run) => !chain.includes(run)).sort((a, b) => b.endedAtMs - a.endedAtMs);
+  return [...chain, ...others].slice(0, MAX_KEPT_RUNS);
+}
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -2,8 +2,11 @@
 import type { HttpDialect } from './httpDialect.js';
 import type { DecisionLog } from './observability/decisionLog.js';
 import type { RouterMetrics } from './observability/metrics.js';
+import type { CrashCheck } from './proxy/crashCheck.js';
 import type { EndpointConnections } from './proxy/endpointConnections.js';
 import type { Exchange } from './proxy/exchange.js';
+import type { Quarantine } from './quarantine/quarantine.js';
+import type { QuarantineRelay } from './quarantine/quarantineRelay.js';
 import type { HealthSign } from './systems/endpointHealth.js';
 import type { Placement } from './systems/placement.js';
 import type { RetryBudget } from './systems/retryBudget.js';
@@ -17,6 +20,11 @@
   readonly placement: Placement;
   readonly budget: RetryBudget;
   readonly connections: EndpointConnections;
+  readonly crashCheck: CrashCheck;
+  /** What is known against requests that were under way at endpoints that crashed. */
+  readonly quarantine: Quarantine;
+  /** Takes what this box sees of such requests, and tells the others. */
+  readonly crashNews: QuarantineRelay;
   readonly metrics: RouterMetrics;
   readonly log: DecisionLog;
   /** Requests under way. */
--- a/packages/router/src/systems/endpointHealth.ts
+++ b/packages/router/src/systems/endpointHealth.ts
@@ -18,7 +18,9 @@
   /** A connection was refused. */
   | 'connectRefused'
   /** A connection did not come up in time. */
-  | 'connectTimedOut';
+  | 'connectTimedOut'
+  /** A connection failed in another way. */
+  | 'connectBroken';
 
 /** Weight of the newest sign in the moving average of failures. */
 const FAILURE_WEIGHT = 0.15;
@@ -68,6 +70,7 @@
       return noteFailure(table, row, nowMs);
     case 'connectRefused':
     case 'connectTimedOut':
+    case 'connectBroken':
       return markUnreachable(row, nowMs);
   }
 }
