News of crashes: known again however late they come, passed on two hops at most, verdicts told

Cause: found by fleets in virtual time (87 boxes did not end): a run that came by two ways had two times, counted as new and was passed on for ever; and news that a cut held up all seemed to be of one moment, so that a hall that was cut off counted one crash where there were three. Change: a run carries the clock of the box that saw it; frames count their hops; a box that condemns a request says so. Tests: fleets of 8, 87 and 195 boxes, restarts, a hall cut off, a hundred such requests.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -137,11 +137,11 @@
       now,
       onKnowledge: (knowledge) => loadKnowledge.note(knowledge),
     });
-    this.quarantine = new Quarantine(
-      now,
-      createQuarantineLog({ log, metrics, now, readCount: () => this.quarantine.quarantinedCount }),
-    );
-    this.crashNews = new QuarantineRelay({ mesh, quarantine: this.quarantine, hall, rank: hash, now });
+    const readCount = (): number => this.quarantine.quarantinedCount;
+    this.quarantine = new Quarantine(now, createQuarantineLog({ log, metrics, now, readCount }));
+    const { quarantine } = this;
+    const { random } = Math;
+    this.crashNews = new QuarantineRelay({ mesh, quarantine, hall, rank: hash, now, random });
     this.relay = new FeedRelay({
       mesh,
       state,
@@ -319,9 +319,8 @@
 
   /** What a box on a link that just came up may have missed goes with the first heartbeat. */
   private createGreeting(): Heartbeat {
-    const crashes = this.crashNews.listForNewLink();
-    const heartbeat = this.createHeartbeat(this.loads.listHomesForNewLink());
-    return crashes.length === 0 ? heartbeat : { ...heartbeat, crashes };
+    const homes = this.loads.listHomesForNewLink();
+    return { ...this.createHeartbeat(homes), ...this.crashNews.createGreeting() };
   }
 
   private createHeartbeat(homes: HomeList): Heartbeat {
@@ -346,7 +345,7 @@
     switch (frame.type) {
       case 'heartbeat':
         this.homes.learn(frame.homes);
-        this.crashNews.handleGreeting(frame.hall, frame.crashes ?? []);
+        this.crashNews.handleGreeting(frame);
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
         return this.relay.handleNotice(frame);
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -1,8 +1,9 @@
 /** Many boxes in virtual time, each with the membership that ships, without sockets. */
 import { createHasher } from '@hazelwalk/core';
 import { createRandom, Timeline } from '@hazelwalk/standins';
-import type { CrashedRunReport, Heartbeat, RouterFrame } from '../../peers/peerFrames.js';
+import type { Heartbeat, RouterFrame } from '../../peers/peerFrames.js';
 import { PeerMesh } from '../../peers/peerMesh.js';
+import type { CrashGreeting } from '../../quarantine/quarantineRelay.js';
 import { VirtualNetwork } from './virtualNetwork.js';
 
 /** Pace of the boxes' loops. */
@@ -18,7 +19,7 @@
   /** Loads that heartbeats of a small fleet carry. */
   listLoads(): number[];
   /** What is told on a new link of requests that crash their endpoints. */
-  listCrashes?(): CrashedRunReport[];
+  createCrashGreeting?(): CrashGreeting;
 }
 
 /** One box. */
@@ -157,7 +158,7 @@
         firstIncarnation: timeline.nowMs,
       },
       {
-        createHeartbeat: () => ({ ...createHeartbeat(), crashes: box.program?.listCrashes?.() ?? [] }),
+        createHeartbeat: () => ({ ...createHeartbeat(), ...box.program?.createCrashGreeting?.() }),
         onRead: () => {},
         onFrame: (frame) => box.program?.handleFrame(frame),
         onProblem: () => {},
--- a/packages/router/src/observability/quarantineLog.ts
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -22,7 +22,7 @@
     metrics.quarantineChanges.inc({ change });
     metrics.quarantined.set(readCount());
     if (crashes < LEAST_TOLD_CRASHES) return;
-    const lastEndMs = Math.max(...runs.map((run) => run.endedAtMs));
+    const lastEndMs = Math.max(...runs.map((run) => run.heardEndAtMs));
     log.write('notable', 'quarantine', {
       content,
       change,
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -39,11 +39,21 @@
   /** Names the request by its content. */
   content: z.string(),
   endpointTag: z.number(),
-  /** How long ago the request was sent there, and how long ago it ended. */
-  sentAgoMs: z.number(),
-  endedAgoMs: z.number(),
-  /** Rank of the address of the box that saw it. */
+  /** Names the life of the box that saw it. */
   witness: z.number(),
+  /** When the request was sent there and when it ended, on the clock of that life. */
+  sentAtMs: z.number(),
+  endedAtMs: z.number(),
+  /** How long ago it ended. */
+  endedAgoMs: z.number(),
+});
+
+/** A request that is sent to endpoints no more. */
+const condemnedRequest = z.object({
+  /** Names the request by its content. */
+  content: z.string(),
+  /** How long ago it last crashed an endpoint. */
+  endedAgoMs: z.number(),
 });
 
 const heartbeat = z.object({
@@ -73,6 +83,7 @@
   isStopping: z.boolean(),
   /** On a link that just came up: requests that ended with their endpoints; absent if there are none. */
   crashes: z.array(crashedRunReport).optional(),
+  condemned: z.array(condemnedRequest).optional(),
 });
 const heartbeatHeard = z.object({
   /** Sent back on the link that the heartbeat came on: proof that this link still carries something. */
@@ -242,9 +253,10 @@
 });
 const crashNews = z.object({
   type: z.literal('crashNews'),
-  /** Hall in which it was seen. */
-  hall: z.string(),
+  /** How often it was passed on before. */
+  hops: z.number(),
   crashes: z.array(crashedRunReport),
+  condemned: z.array(condemnedRequest),
   /** Requests, by content, that an endpoint answered whole. */
   cleared: z.array(z.string()),
 });
@@ -305,6 +317,8 @@
 export type FleetLoads = z.infer<typeof fleetLoads>;
 /** A run of a request that ended with its endpoint, as boxes tell each other. */
 export type CrashedRunReport = z.infer<typeof crashedRunReport>;
+/** A request that is sent to endpoints no more, as boxes tell each other. */
+export type CondemnedRequest = z.infer<typeof condemnedRequest>;
 /** What was seen of requests that may crash their endpoints. */
 export type CrashNews = z.infer<typeof crashNews>;
 /** A frame between boxes. */
@@ -361,11 +375,14 @@
   prompts: 21,
   content: 22,
   endpointTag: 23,
-  sentAgoMs: 24,
-  endedAgoMs: 25,
-  witness: 26,
-  crashes: 27,
-  cleared: 28,
+  sentAtMs: 24,
+  endedAtMs: 25,
+  endedAgoMs: 26,
+  witness: 27,
+  crashes: 28,
+  cleared: 29,
+  hops: 30,
+  condemned: 31,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
+++ b/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
@@ -3,9 +3,10 @@
 import { createRandom, drawExponential } from '@hazelwalk/standins';
 import type { VirtualBox, VirtualProgram } from '../../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../../membership/__fixtures__/virtualFleet.js';
-import type { CrashedRunReport, RouterFrame } from '../../peers/peerFrames.js';
+import type { RouterFrame } from '../../peers/peerFrames.js';
 import type { PeerMesh } from '../../peers/peerMesh.js';
 import { CONDEMNING_CRASHES, Quarantine } from '../quarantine.js';
+import type { CrashGreeting, QuarantineRelayOptions } from '../quarantineRelay.js';
 import { QuarantineRelay } from '../quarantineRelay.js';
 
 /** From sending a request until its endpoint crashes: a wait in its queue, and a run. */
@@ -17,14 +18,18 @@
   readonly quarantine: Quarantine;
   readonly relay: QuarantineRelay;
 
-  constructor(box: VirtualBox, mesh: PeerMesh, rank: (address: string) => number, now: () => number) {
-    this.quarantine = new Quarantine(now, () => {});
-    this.relay = new QuarantineRelay({ mesh, quarantine: this.quarantine, hall: box.hall, rank, now });
+  constructor(
+    box: VirtualBox,
+    mesh: PeerMesh,
+    shared: Pick<QuarantineRelayOptions, 'rank' | 'now' | 'random'>,
+  ) {
+    this.quarantine = new Quarantine(shared.now, () => {});
+    this.relay = new QuarantineRelay({ ...shared, mesh, quarantine: this.quarantine, hall: box.hall });
   }
 
   handleFrame(frame: RouterFrame): void {
     if (frame.type === 'crashNews') this.relay.handleNews(frame);
-    if (frame.type === 'heartbeat') this.relay.handleGreeting(frame.hall, frame.crashes ?? []);
+    if (frame.type === 'heartbeat') this.relay.handleGreeting(frame);
   }
 
   tick(): void {
@@ -36,8 +41,8 @@
     return [];
   }
 
-  listCrashes(): CrashedRunReport[] {
-    return this.relay.listForNewLink();
+  createCrashGreeting(): CrashGreeting {
+    return this.relay.createGreeting();
   }
 }
 
@@ -150,7 +155,9 @@
   }
 
   private createProgram(box: VirtualBox, mesh: PeerMesh): VirtualProgram {
-    const program = new CrashProgram(box, mesh, this.rank, () => this.fleet.timeline.nowMs);
+    const { rank, random } = this;
+    const now = (): number => this.fleet.timeline.nowMs;
+    const program = new CrashProgram(box, mesh, { rank, random, now });
     this.programs.set(box, program);
     return program;
   }
--- a/packages/router/src/quarantine/__tests__/crashedRuns.test.ts
+++ b/packages/router/src/quarantine/__tests__/crashedRuns.test.ts
@@ -6,6 +6,7 @@
   endpointTag,
   sentAtMs,
   endedAtMs,
+  heardEndAtMs: endedAtMs,
   witness,
 });
 
@@ -33,6 +34,16 @@
   expect(addCrashedRun(known, run(1, 0, 500, 3))).toBeUndefined();
 });
 
+test('one run is known again however late it is told', () => {
+  const known = addAll([run(1, 0, 500)]);
+  expect(addCrashedRun(known, { ...run(1, 0, 500), heardEndAtMs: 2_000 })).toBeUndefined();
+});
+
+test('what one box saw is in the order in which it saw it, though the news come late', () => {
+  const first = { ...run(1, 0, 100), heardEndAtMs: 180 };
+  expect(findCrashChain([first, run(2, 105, 200)])).toHaveLength(2);
+});
+
 test('an endpoint that is back under its id and crashes again counts again', () => {
   expect(findCrashChain(addAll([run(1, 0, 100), run(1, 3_000, 3_100)]))).toHaveLength(2);
 });
@@ -54,7 +65,11 @@
   );
   fc.assert(
     fc.property(runs, (drawn) => {
-      const all = drawn.map(({ lastedMs, ...one }) => ({ ...one, endedAtMs: one.sentAtMs + lastedMs }));
+      const all = drawn.map(({ lastedMs, ...one }) => ({
+        ...one,
+        endedAtMs: one.sentAtMs + lastedMs,
+        heardEndAtMs: one.sentAtMs + lastedMs,
+      }));
       const forth = findCrashChain(addAll(all));
       expect(findCrashChain(addAll([...all].reverse())).length).toBe(forth.length);
     }),
--- a/packages/router/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/router/src/quarantine/__tests__/quarantine.test.ts
@@ -16,13 +16,18 @@
   );
 });
 
-/** A run of 100 ms that ends now with an endpoint. */
 function crash(content: string, endpointTag: number): boolean {
   nowMs += 100;
+  return noteCrashNow(content, endpointTag);
+}
+
+/** A run of 100 ms that ends now with an endpoint. */
+function noteCrashNow(content: string, endpointTag = 1): boolean {
   return quarantine.noteCrash(content, {
     endpointTag,
     sentAtMs: nowMs - 100,
     endedAtMs: nowMs,
+    heardEndAtMs: nowMs,
     witness: 1,
   });
 }
@@ -66,6 +71,16 @@
   expect(quarantine.readWaitMs('a')).toBe(QUARANTINE_MS);
 });
 
+test('the verdict of another box counts like an own one', () => {
+  crash('a', 1);
+  expect(quarantine.noteVerdict('a', nowMs - 500)).toBe(true);
+  expect(quarantine.noteVerdict('a', nowMs - 500)).toBe(false);
+  expect(quarantine.readWaitMs('a')).toBe(QUARANTINE_MS - 500);
+  crash('a', 2);
+  expect(quarantine.readWaitMs('a')).toBe(QUARANTINE_MS);
+  expect(quarantine.noteVerdict('b', nowMs - QUARANTINE_MS)).toBe(false);
+});
+
 test('a suspicion that is not renewed is forgotten', () => {
   crashSeveral('a', 1);
   nowMs += QUARANTINE_MS;
@@ -77,12 +92,7 @@
   crashSeveral('a', CONDEMNING_CRASHES);
   crashSeveral('b', CONDEMNING_CRASHES - 1);
   for (let at = 0; at < FLOOD; at += 1) {
-    quarantine.noteCrash(`flood-${at}`, {
-      endpointTag: 1,
-      sentAtMs: nowMs - 50,
-      endedAtMs: nowMs,
-      witness: 1,
-    });
+    noteCrashNow(`flood-${at}`);
   }
   expect(quarantine.readWaitMs('a')).toBeGreaterThan(0);
   expect(quarantine.mustSpread('b')).toBe(true);
@@ -93,7 +103,7 @@
 
 test('news of long ago is none', () => {
   nowMs += QUARANTINE_MS;
-  const old = { endpointTag: 1, sentAtMs: nowMs - QUARANTINE_MS - 100, endedAtMs: nowMs - QUARANTINE_MS };
-  expect(quarantine.noteCrash('a', { ...old, witness: 1 })).toBe(false);
+  const old = { endpointTag: 1, witness: 1, sentAtMs: 0, endedAtMs: 100 };
+  expect(quarantine.noteCrash('a', { ...old, heardEndAtMs: nowMs - QUARANTINE_MS })).toBe(false);
   expect(quarantine.isEmpty).toBe(true);
 });
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -7,32 +7,35 @@
  * as soon as it was sent again twice.
  */
 
-/** A run of a request that ended with its endpoint, on the clock of the box that keeps it. */
+/** A run of a request that ended with its endpoint. */
 export interface CrashedRun {
   /** Tag of the endpoint. */
   readonly endpointTag: number;
+  /** Names the life of the box that saw it. */
+  readonly witness: number;
+  /** On the clock of that life. */
   readonly sentAtMs: number;
   readonly endedAtMs: number;
-  /** Rank of the address of the box that saw it. */
-  readonly witness: number;
+  /** When it ended, on the clock of the box that keeps it. */
+  readonly heardEndAtMs: number;
 }
 
 /**
  * Times seen by two boxes are compared with this much in doubt: news take a few milliseconds and up to one tick of either
- * loop (40 ms); the rest is for boxes that are slow.
+ * loop (40 ms); the rest is for boxes that are slow. What one box saw is compared by its own clock, without doubt.
  */
 const CLOCK_MARGIN_MS = 250;
-/** Runs kept for one request: the chain that counts, and the newest of the others. */
+/** Runs kept for one request: the chain that counts, and some of the others. */
 const MAX_KEPT_RUNS = 8;
 
 /**
  * Returns the crashes that count, the earliest first.
  *
- * @example findCrashChain([{ endpointTag: 1, sentAtMs: 0, endedAtMs: 50, witness: 1 }]).length // 1
+ * @example findCrashChain([{ endpointTag: 1, witness: 1, sentAtMs: 0, endedAtMs: 50, heardEndAtMs: 50 }]).length // 1
  */
 export function findCrashChain(runs: readonly CrashedRun[]): CrashedRun[] {
   const chain: CrashedRun[] = [];
-  for (const run of [...runs].sort((a, b) => a.endedAtMs - b.endedAtMs)) {
+  for (const run of [...runs].sort((a, b) => a.heardEndAtMs - b.heardEndAtMs)) {
     const last = chain.at(-1);
     if (last === undefined || beganAfter(run, last)) chain.push(run);
   }
@@ -47,15 +50,24 @@
   runs: readonly CrashedRun[],
   run: CrashedRun,
 ): readonly CrashedRun[] | undefined {
-  const known = runs.find((other) => isSameCrash(other, run));
-  if (known === undefined) return keepMostTelling([...runs, run]);
-  if (run.sentAtMs <= known.sentAtMs + marginBetween(run, known)) return undefined;
-  const endedAtMs = Math.min(run.endedAtMs, known.endedAtMs);
-  return keepMostTelling([...runs.filter((other) => other !== known), { ...run, endedAtMs }]);
+  if (runs.some((other) => isSameRun(other, run))) return undefined;
+  const copy = runs.find((other) => isSameCrash(other, run));
+  if (copy !== undefined && readHeardSendMs(run) <= readHeardSendMs(copy) + CLOCK_MARGIN_MS) return undefined;
+  const kept = keepMostTelling([...runs.filter((other) => other !== copy), run]);
+  return kept.includes(run) ? kept : undefined;
+}
+
+function isSameRun(a: CrashedRun, b: CrashedRun): boolean {
+  return a.endpointTag === b.endpointTag && a.witness === b.witness && a.sentAtMs === b.sentAtMs;
 }
 
 function beganAfter(run: CrashedRun, earlier: CrashedRun): boolean {
-  return run.sentAtMs >= earlier.endedAtMs + marginBetween(run, earlier);
+  if (run.witness === earlier.witness) return run.sentAtMs >= earlier.endedAtMs;
+  return readHeardSendMs(run) >= earlier.heardEndAtMs + CLOCK_MARGIN_MS;
+}
+
+function readHeardSendMs({ heardEndAtMs, endedAtMs, sentAtMs }: CrashedRun): number {
+  return heardEndAtMs - (endedAtMs - sentAtMs);
 }
 
 /** An endpoint that is back under its id may crash again: a run that began after the first crash belongs to another. */
@@ -63,13 +75,12 @@
   return a.endpointTag === b.endpointTag && !beganAfter(a, b) && !beganAfter(b, a);
 }
 
-function marginBetween(a: CrashedRun, b: CrashedRun): number {
-  return a.witness === b.witness ? 0 : CLOCK_MARGIN_MS;
-}
-
 function keepMostTelling(runs: readonly CrashedRun[]): readonly CrashedRun[] {
   if (runs.length <= MAX_KEPT_RUNS) return runs;
   const chain = findCrashChain(runs);
-  const others = runs.filter((run) => !chain.includes(run)).sort((a, b) => b.endedAtMs - a.endedAtMs);
+  // By an order on which all boxes agree, so that none hands on what the others have dropped.
+  const others = runs
+    .filter((run) => !chain.includes(run))
+    .sort((a, b) => a.witness - b.witness || a.sentAtMs - b.sentAtMs);
   return [...chain, ...others].slice(0, MAX_KEPT_RUNS);
 }
--- a/packages/router/src/quarantine/quarantine.ts
+++ b/packages/router/src/quarantine/quarantine.ts
@@ -38,11 +38,20 @@
   /** Its time is over: it may be sent again, and the next crash condemns it. */
   | 'ended';
 
+/** Whether the crashes of a request have been enough already. */
+type Verdict =
+  | 'none'
+  /** By this box's own count, or by that of another. */
+  | 'condemned'
+  /** It was condemned, and the time for which that holds is over. */
+  | 'released';
+
 /** What a box knows against one request. */
 export interface SuspectRecord {
   readonly runs: readonly CrashedRun[];
   /** Crashes that count. */
   readonly crashes: number;
+  readonly verdict: Verdict;
   /** Until when it is not sent; undefined if it may be. */
   readonly untilMs: number | undefined;
   readonly changedAtMs: number;
@@ -92,18 +101,39 @@
   /** Notes a run that ended with its endpoint; false if that was known or is too long ago. */
   noteCrash(content: string, run: CrashedRun): boolean {
     const nowMs = this.now();
-    if (nowMs - run.endedAtMs >= QUARANTINE_MS) return false;
+    if (nowMs - run.heardEndAtMs >= QUARANTINE_MS) return false;
     const known = this.find(content);
     const runs = addCrashedRun(known?.runs ?? [], run);
     if (runs === undefined) return false;
-    const record = judge(runs, nowMs);
+    const record = judge(runs, known?.verdict ?? 'none', nowMs);
     this.keep(content, record);
     if (record.crashes > (known?.crashes ?? 0)) {
-      this.onChange(content, record.untilMs === undefined ? 'suspected' : 'quarantined', record);
+      this.onChange(content, record.verdict === 'condemned' ? 'quarantined' : 'suspected', record);
     }
     return true;
   }
 
+  /**
+   * Another box has condemned a request. News that a cut held up all seem to be of one moment, so that this box may not
+   * see by itself that the crashes came one after the other. False if nothing follows from it.
+   */
+  noteVerdict(content: string, lastCrashAtMs: number): boolean {
+    const nowMs = this.now();
+    const untilMs = lastCrashAtMs + QUARANTINE_MS;
+    if (untilMs <= nowMs || this.readWaitMs(content) > 0) return false;
+    const runs = this.find(content)?.runs ?? [];
+    const record: SuspectRecord = {
+      runs,
+      crashes: CONDEMNING_CRASHES,
+      verdict: 'condemned',
+      untilMs,
+      changedAtMs: nowMs,
+    };
+    this.keep(content, record);
+    this.onChange(content, 'quarantined', record);
+    return true;
+  }
+
   /** Notes that a request was answered whole: it does not crash its endpoints. False if nothing was known against it. */
   noteAnswered(content: string): boolean {
     const known = this.find(content);
@@ -125,7 +155,7 @@
     if (nowMs - this.sweptAtMs < SWEEP_MS) return;
     this.sweptAtMs = nowMs;
     for (const [content, record] of this.quarantined.iterate()) {
-      if (nowMs >= (record.untilMs ?? 0)) this.end(content, record, nowMs);
+      if (nowMs >= (record.untilMs ?? 0)) this.end(content, nowMs);
     }
     for (const book of [this.seenOnce, this.seenTwice]) {
       for (const [content, { changedAtMs }] of book.iterate()) {
@@ -135,9 +165,14 @@
   }
 
   /** One crash more is enough after that: the request is known. */
-  private end(content: string, record: SuspectRecord, nowMs: number): void {
-    const runs = findCrashChain(record.runs).slice(0, CONDEMNING_CRASHES - 1);
-    const released = { runs, crashes: runs.length, untilMs: undefined, changedAtMs: nowMs };
+  private end(content: string, nowMs: number): void {
+    const released: SuspectRecord = {
+      runs: [],
+      crashes: CONDEMNING_CRASHES - 1,
+      verdict: 'released',
+      untilMs: undefined,
+      changedAtMs: nowMs,
+    };
     this.keep(content, released);
     this.onChange(content, 'ended', released);
   }
@@ -169,14 +204,15 @@
   }
 }
 
-function judge(runs: readonly CrashedRun[], nowMs: number): SuspectRecord {
-  const chain = findCrashChain(runs);
-  const isCondemned = chain.length >= CONDEMNING_CRASHES;
-  const lastMs = Math.max(...runs.map((run) => run.endedAtMs));
+function judge(runs: readonly CrashedRun[], before: Verdict, nowMs: number): SuspectRecord {
+  const crashes = findCrashChain(runs).length;
+  const isCondemned = before !== 'none' || crashes >= CONDEMNING_CRASHES;
+  if (!isCondemned) return { runs, crashes, verdict: 'none', untilMs: undefined, changedAtMs: nowMs };
   return {
     runs,
-    crashes: chain.length,
-    untilMs: isCondemned ? lastMs + QUARANTINE_MS : undefined,
+    crashes: Math.max(crashes, CONDEMNING_CRASHES),
+    verdict: 'condemned',
+    untilMs: Math.max(...runs.map((run) => run.heardEndAtMs)) + QUARANTINE_MS,
     changedAtMs: nowMs,
   };
 }
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -1,15 +1,16 @@
 /**
- * Tells the other boxes which requests ended with their endpoint, and which were answered after all: a request that
- * crashes its endpoints comes to any box. Nothing is said while no endpoint crashes.
+ * Tells the other boxes which requests ended with their endpoint, which of them are condemned, and which were answered
+ * after all: a request that crashes its endpoints comes to any box. Nothing is said while no endpoint crashes.
  *
  * In a small fleet each box tells all others. In a larger one it tells its hall; the first two boxes of a hall pass on what
  * is new to them, from their hall to the others and from the others to their hall. What a box missed while it was down or
  * cut off it hears on the link that comes up after.
  */
-import type { CrashedRunReport, CrashNews } from '../peers/peerFrames.js';
+import type { CondemnedRequest, CrashedRunReport, CrashNews, Heartbeat } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { CrashedRun } from './crashedRuns.js';
 import type { Quarantine } from './quarantine.js';
+import { QUARANTINE_MS } from './quarantine.js';
 
 /** Boxes of a hall that pass news on between halls; the second makes up for frames that the first loses. */
 const RELAYS_PER_HALL = 2;
@@ -17,6 +18,11 @@
 const MAX_TOLD_ON_NEW_LINK = 64;
 /** Reports in one frame; what a crash of an engine with all its slots in use brings to one box is less. */
 const MAX_REPORTS_PER_FRAME = 256;
+/** Lives of boxes are told apart by a number drawn below this. */
+const MAX_WITNESS = 2 ** 32;
+/** From the box that saw it, to one that passes it to the other halls, to one that passes it on there, to the rest. */
+const HOPS_TO_OTHER_HALLS = 1;
+const HOPS_WITHIN_OTHER_HALLS = 2;
 
 /** What the relay works with. */
 export interface QuarantineRelayOptions {
@@ -26,6 +32,8 @@
   /** Rank of an address, by which all boxes agree on those that pass news on. */
   readonly rank: (address: string) => number;
   readonly now: () => number;
+  /** Between 0 and 1. */
+  readonly random: () => number;
 }
 
 /** One run of a request that ended with its endpoint. */
@@ -34,18 +42,34 @@
   readonly run: CrashedRun;
 }
 
+/** What is told at a time; ages are worked out when it is sent. */
+interface News {
+  readonly crashes: readonly SeenCrash[];
+  /** Contents. */
+  readonly condemned: readonly string[];
+  readonly cleared: readonly string[];
+}
+
+/** What a box is told on a new link, as its first heartbeat carries it. */
+export type CrashGreeting = Pick<Heartbeat, 'crashes' | 'condemned'>;
+
 /** One box's part in spreading what is known against requests. */
 export class QuarantineRelay {
   private crashes: SeenCrash[] = [];
+  private condemned: string[] = [];
   private cleared: string[] = [];
+  private readonly witness: number;
 
-  constructor(private readonly options: QuarantineRelayOptions) {}
+  constructor(private readonly options: QuarantineRelayOptions) {
+    this.witness = Math.floor(options.random() * MAX_WITNESS);
+  }
 
   /** This box saw a run end with its endpoint. */
-  noteCrash(content: string, run: Omit<CrashedRun, 'witness'>): void {
-    const { quarantine, rank, mesh } = this.options;
-    const seen = { content, run: { ...run, witness: rank(mesh.address) } };
-    if (quarantine.noteCrash(content, seen.run)) this.crashes.push(seen);
+  noteCrash(content: string, run: Pick<CrashedRun, 'endpointTag' | 'sentAtMs' | 'endedAtMs'>): void {
+    const seen = { content, run: { ...run, witness: this.witness, heardEndAtMs: run.endedAtMs } };
+    const { fresh, condemned } = this.take([seen]);
+    this.crashes.push(...fresh);
+    this.condemned.push(...condemned);
   }
 
   /** This box saw a request answered whole. */
@@ -55,67 +79,100 @@
 
   /** Runs once a tick: what was seen since the last one goes out together. */
   tick(): void {
-    if (this.crashes.length === 0 && this.cleared.length === 0) return;
-    const crashes = this.crashes.splice(0).slice(-MAX_REPORTS_PER_FRAME);
-    const news = this.createNews(this.options.hall, crashes, this.cleared.splice(0));
-    this.sendWhere(news, (hall) => this.options.mesh.isFlat || hall === this.options.hall);
-    if (this.mustPassOn()) this.sendWhere(news, (hall) => hall !== this.options.hall);
+    if (this.crashes.length + this.condemned.length + this.cleared.length === 0) return;
+    const news: News = {
+      crashes: this.crashes.splice(0).slice(-MAX_REPORTS_PER_FRAME),
+      condemned: this.condemned.splice(0),
+      cleared: this.cleared.splice(0),
+    };
+    const { mesh, hall } = this.options;
+    this.sendWhere(0, news, (other) => mesh.isFlat || other === hall);
+    if (this.mustPassOn()) this.passOn(0, news);
   }
 
   /** Takes over what another box tells; passes on what is new here, if that falls to this box. */
-  handleNews(news: CrashNews): void {
-    const fresh = this.takeReports(news.crashes);
-    const cleared = news.cleared.filter((content) => this.options.quarantine.noteAnswered(content));
-    if (fresh.length === 0 && cleared.length === 0) return;
-    if (!this.mustPassOn()) return;
-    const { hall } = this.options;
-    const isFromHere = news.hall === hall;
-    this.sendWhere(this.createNews(news.hall, fresh, cleared), (other) => (other === hall) !== isFromHere);
+  handleNews({ hops, crashes, condemned, cleared }: CrashNews): void {
+    const { quarantine, now } = this.options;
+    const nowMs = now();
+    const { fresh, condemned: found } = this.take(
+      crashes.map(({ content, endedAgoMs, ...run }) => ({
+        content,
+        run: { ...run, heardEndAtMs: nowMs - endedAgoMs },
+      })),
+    );
+    const told = condemned.filter(({ content, endedAgoMs }) =>
+      quarantine.noteVerdict(content, nowMs - endedAgoMs),
+    );
+    const news: News = {
+      crashes: fresh,
+      condemned: [...found, ...told.map(({ content }) => content)],
+      cleared: cleared.filter((content) => quarantine.noteAnswered(content)),
+    };
+    const isNews = news.crashes.length + news.condemned.length + news.cleared.length > 0;
+    if (isNews && this.mustPassOn()) this.passOn(hops, news);
   }
 
   /** Takes over what a box tells on a link that just came up. */
-  handleGreeting(hall: string, reports: readonly CrashedRunReport[]): void {
-    if (reports.length > 0) this.handleNews({ type: 'crashNews', hall, crashes: [...reports], cleared: [] });
+  handleGreeting({ hall, crashes = [], condemned = [] }: Pick<Heartbeat, 'hall'> & CrashGreeting): void {
+    if (crashes.length + condemned.length === 0) return;
+    const hops = hall === this.options.hall ? 0 : HOPS_TO_OTHER_HALLS;
+    this.handleNews({ type: 'crashNews', hops, crashes, condemned, cleared: [] });
   }
 
   /** What a box on a new link is told: in a large fleet by those that pass news on. */
-  listForNewLink(): CrashedRunReport[] {
+  createGreeting(): CrashGreeting {
     const { quarantine, mesh } = this.options;
-    if (quarantine.isEmpty || (!mesh.isFlat && !this.mustPassOn())) return [];
-    return quarantine
-      .listWorst(MAX_TOLD_ON_NEW_LINK)
-      .flatMap(([content, { runs }]) => runs.map((run) => this.toReport({ content, run })));
+    if (quarantine.isEmpty || (!mesh.isFlat && !this.mustPassOn())) return {};
+    const worst = quarantine.listWorst(MAX_TOLD_ON_NEW_LINK);
+    return {
+      crashes: worst.flatMap(([content, { runs }]) => runs.map((run) => this.toReport({ content, run }))),
+      condemned: this.listVerdicts(worst.map(([content]) => content)),
+    };
   }
 
-  private takeReports(reports: readonly CrashedRunReport[]): SeenCrash[] {
-    const { quarantine, now } = this.options;
-    const nowMs = now();
-    const seen = reports.map(({ content, endpointTag, witness, sentAgoMs, endedAgoMs }) => ({
-      content,
-      run: { endpointTag, witness, sentAtMs: nowMs - sentAgoMs, endedAtMs: nowMs - endedAgoMs },
-    }));
-    return seen.filter(({ content, run }) => quarantine.noteCrash(content, run));
+  /** Takes crashes over; returns those that are new here, and the requests that they condemn. */
+  private take(seen: readonly SeenCrash[]): { fresh: SeenCrash[]; condemned: string[] } {
+    const { quarantine } = this.options;
+    const condemned = new Set<string>();
+    const fresh = seen.filter(({ content, run }) => {
+      const wasCondemned = quarantine.readWaitMs(content) > 0;
+      const isNew = quarantine.noteCrash(content, run);
+      if (!wasCondemned && quarantine.readWaitMs(content) > 0) condemned.add(content);
+      return isNew;
+    });
+    return { fresh, condemned: [...condemned] };
   }
 
-  private createNews(hall: string, crashes: readonly SeenCrash[], cleared: string[]): CrashNews {
-    return { type: 'crashNews', hall, crashes: crashes.map((seen) => this.toReport(seen)), cleared };
+  /** News go from the hall where they were seen to the others, and there to all. */
+  private passOn(hops: number, news: News): void {
+    if (hops >= HOPS_WITHIN_OTHER_HALLS) return;
+    const isHome = hops === HOPS_TO_OTHER_HALLS;
+    this.sendWhere(hops + 1, news, (hall) => (hall === this.options.hall) === isHome);
   }
 
-  private toReport({ content, run }: SeenCrash): CrashedRunReport {
-    const nowMs = this.options.now();
-    const { endpointTag, witness, sentAtMs, endedAtMs } = run;
-    return {
-      content,
-      endpointTag,
-      witness,
-      sentAgoMs: Math.round(nowMs - sentAtMs),
-      endedAgoMs: Math.round(nowMs - endedAtMs),
+  private sendWhere(hops: number, news: News, isMeant: (hall: string) => boolean): void {
+    const { mesh } = this.options;
+    const frame: CrashNews = {
+      type: 'crashNews',
+      hops,
+      crashes: news.crashes.map((seen) => this.toReport(seen)),
+      condemned: this.listVerdicts(news.condemned),
+      cleared: [...news.cleared],
     };
+    for (const { hall, address } of mesh.listLinked()) if (isMeant(hall)) mesh.send(address, frame);
   }
 
-  private sendWhere(news: CrashNews, isMeant: (hall: string) => boolean): void {
-    const { mesh } = this.options;
-    for (const { hall, address } of mesh.listLinked()) if (isMeant(hall)) mesh.send(address, news);
+  private toReport({ content, run }: SeenCrash): CrashedRunReport {
+    const { heardEndAtMs, ...seen } = run;
+    return { content, ...seen, endedAgoMs: Math.max(0, this.options.now() - heardEndAtMs) };
+  }
+
+  private listVerdicts(contents: readonly string[]): CondemnedRequest[] {
+    const { quarantine } = this.options;
+    return contents
+      .map((content) => ({ content, waitMs: quarantine.readWaitMs(content) }))
+      .filter(({ waitMs }) => waitMs > 0)
+      .map(({ content, waitMs }) => ({ content, endedAgoMs: QUARANTINE_MS - waitMs }));
   }
 
   /** Whether this box passes news on between halls: it is one of the first of its hall. In a small fleet none does. */
