Innocent requests beside those that crash their endpoints are not held back

Cause: shown by a site of 13 engines in virtual time with three such requests at once: 5 to 23 requests a minute that were only beside them met three crashes and were condemned. Change: a crash does not count against a request if another one under way there is condemned or has met at least as many; six crashes condemn whatever explains them. A request is judged 0.3 s after its third crash, when what other boxes saw has come, and waits meanwhile.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -295,7 +295,6 @@
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
     this.loads.tick();
-    this.quarantine.tick();
     this.crashNews.tick();
     if (nowMs - this.heartbeatAtMs >= this.mesh.paceMs) this.sendHeartbeat();
     this.plannedStop.tick();
--- a/packages/router/src/observability/quarantineLog.ts
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -18,11 +18,11 @@
 /** Creates what writes the changes of a quarantine down. */
 export function createQuarantineLog(options: QuarantineLogOptions): OnQuarantineChange {
   const { log, metrics, now, readCount } = options;
-  return (content, change, { runs, crashes, untilMs }) => {
+  return (content, change, { runs, crashes, verdict }) => {
     metrics.quarantineChanges.inc({ change });
     metrics.quarantined.set(readCount());
     if (crashes < LEAST_TOLD_CRASHES) return;
-    const lastEndMs = Math.max(...runs.map((run) => run.heardEndAtMs));
+    const lastEndMs = Math.max(-Infinity, ...runs.map((run) => run.heardEndAtMs));
     log.write('notable', 'quarantine', {
       content,
       change,
@@ -30,7 +30,7 @@
       endpointTags: runs.map((run) => run.endpointTag).join(),
       witnesses: runs.map((run) => run.witness).join(),
       lastCrashAgoMs: Math.round(now() - lastEndMs),
-      waitMs: untilMs === undefined ? undefined : Math.round(untilMs - now()),
+      waitMs: verdict.type === 'condemned' ? Math.round(verdict.untilMs - now()) : undefined,
     });
   };
 }
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -124,9 +124,11 @@
   /** Sends the request to an endpoint, or gives up if there is none. */
   private place(resumeAfter: string | undefined): void {
     const { assignment, suspicion } = this;
-    if (assignment === undefined) return;
+    if (assignment === undefined || this.isSettled) return;
     const waitMs = suspicion.readWaitMs();
     if (waitMs > 0) return this.giveUp('requestQuarantined', waitMs);
+    const judgedInMs = suspicion.readJudgedInMs();
+    if (judgedInMs > 0) return void setTimeout(() => this.place(resumeAfter), judgedInMs);
     const isPlaced = this.attempts.open(assignment, resumeAfter, suspicion.mustSpread());
     if (!isPlaced) this.giveUp('noEndpoint');
   }
--- a/packages/router/src/proxy/requestSuspicion.ts
+++ b/packages/router/src/proxy/requestSuspicion.ts
@@ -40,6 +40,12 @@
     return quarantine.isEmpty ? 0 : quarantine.readWaitMs(this.content);
   }
 
+  /** How long it takes until it is known whether the request may be sent; 0 if that is known. */
+  readJudgedInMs(): number {
+    const { quarantine } = this.context;
+    return quarantine.isEmpty ? 0 : quarantine.readJudgedInMs(this.content);
+  }
+
   /** Whether its endpoint is to be drawn at random. */
   mustSpread(): boolean {
     const { quarantine } = this.context;
--- a/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
+++ b/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
@@ -33,7 +33,6 @@
   }
 
   tick(): void {
-    this.quarantine.tick();
     this.relay.tick();
   }
 
@@ -108,6 +107,11 @@
     const { quarantine } = this.findProgram(box);
     if (quarantine.readWaitMs(content) > 0) return false;
     const { timeline } = this.fleet;
+    const judgedInMs = quarantine.readJudgedInMs(content);
+    if (judgedInMs > 0) {
+      timeline.after(judgedInMs, () => this.sendAt(box, content));
+      return false;
+    }
     const sentAtMs = timeline.nowMs;
     const tally = this.findTally(content);
     tally.sentAtMs.push(sentAtMs);
--- a/packages/router/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/router/src/quarantine/__tests__/quarantine.test.ts
@@ -1,5 +1,5 @@
 import type { QuarantineChange } from '../quarantine.js';
-import { CONDEMNING_CRASHES, Quarantine, QUARANTINE_MS } from '../quarantine.js';
+import { CONDEMNING_CRASHES, JUDGE_AFTER_MS, Quarantine, QUARANTINE_MS } from '../quarantine.js';
 
 const FLOOD = 100_000;
 
@@ -36,18 +36,56 @@
   for (let at = 0; at < times; at += 1) crash(content, at);
 }
 
+function awaitJudgement(): void {
+  nowMs += JUDGE_AFTER_MS;
+  quarantine.tick();
+}
+
+function condemn(content: string): void {
+  crashSeveral(content, CONDEMNING_CRASHES);
+  awaitJudgement();
+}
+
 test('the third crash condemns, no earlier one does', () => {
   crashSeveral('a', CONDEMNING_CRASHES - 1);
+  awaitJudgement();
   expect(quarantine.readWaitMs('a')).toBe(0);
   expect(quarantine.mustSpread('a')).toBe(true);
   crash('a', 9);
-  expect(quarantine.readWaitMs('a')).toBe(QUARANTINE_MS);
+  expect(quarantine.readJudgedInMs('a')).toBe(JUDGE_AFTER_MS);
+  awaitJudgement();
+  expect(quarantine.readWaitMs('a')).toBe(QUARANTINE_MS - JUDGE_AFTER_MS);
   expect(quarantine.readWaitMs('b')).toBe(0);
-  expect(changes).toEqual(['suspected', 'suspected', 'quarantined']);
+  expect(changes).toEqual(['suspected', 'suspected', 'suspected', 'quarantined']);
+});
+
+test('crashes do not count that another request explains, which has met more', () => {
+  for (const tag of [1, 2, 3]) {
+    crash('guilty', tag);
+    noteCrashNow('beside', tag);
+  }
+  crash('guilty', 4);
+  awaitJudgement();
+  expect(quarantine.readWaitMs('guilty')).toBeGreaterThan(0);
+  expect(quarantine.readWaitMs('beside')).toBe(0);
+  crash('beside', 5);
+  crash('beside', 6);
+  awaitJudgement();
+  expect(quarantine.readWaitMs('beside')).toBe(0);
+});
+
+test('two guilty ones that always come together are condemned in the end', () => {
+  for (const tag of [1, 2, 3, 4, 5, 6]) {
+    crash('a', tag);
+    noteCrashNow('b', tag);
+    awaitJudgement();
+  }
+  expect(quarantine.readWaitMs('a')).toBeGreaterThan(0);
+  expect(quarantine.readWaitMs('b')).toBeGreaterThan(0);
 });
 
 test('a whole answer clears a request, whatever was known', () => {
-  crashSeveral('a', CONDEMNING_CRASHES);
+  condemn('a');
   expect(quarantine.noteAnswered('a')).toBe(true);
   expect(quarantine.readWaitMs('a')).toBe(0);
   expect(quarantine.isEmpty).toBe(true);
@@ -55,7 +93,7 @@
 });
 
 test('a verdict ends, and then one crash is enough', () => {
-  crashSeveral('a', CONDEMNING_CRASHES);
+  condemn('a');
   nowMs += QUARANTINE_MS;
   quarantine.tick();
   expect(quarantine.readWaitMs('a')).toBe(0);
@@ -65,7 +103,7 @@
 });
 
 test('a crash after the verdict, of a copy that was under way, makes it last longer', () => {
-  crashSeveral('a', CONDEMNING_CRASHES);
+  condemn('a');
   nowMs += 400;
   crash('a', 9);
   expect(quarantine.readWaitMs('a')).toBe(QUARANTINE_MS);
@@ -89,7 +127,7 @@
 });
 
 test('a flood of requests that each meet a crash pushes out neither the condemned nor those seen twice', () => {
-  crashSeveral('a', CONDEMNING_CRASHES);
+  condemn('a');
   crashSeveral('b', CONDEMNING_CRASHES - 1);
   for (let at = 0; at < FLOOD; at += 1) {
     noteCrashNow(`flood-${at}`);
--- a/packages/router/src/quarantine/boundedBook.ts
+++ b/packages/router/src/quarantine/boundedBook.ts
@@ -13,19 +13,20 @@
   }
 
   /**
-   * Writes an entry as the newest one.
+   * Writes an entry as the newest one; returns the key that had to go for it.
    *
    * @example
    * const book = new BoundedBook<number>(1);
    * book.set('a', 1);
-   * book.set('b', 2); // 'a' is gone
+   * book.set('b', 2); // 'a', which is gone
    */
-  set(key: string, value: T): void {
+  set(key: string, value: T): string | undefined {
     this.entries.delete(key);
     this.entries.set(key, value);
-    if (this.entries.size <= this.maxEntries) return;
+    if (this.entries.size <= this.maxEntries) return undefined;
     const oldest = this.entries.keys().next().value;
     if (oldest !== undefined) this.entries.delete(oldest);
+    return oldest;
   }
 
   delete(key: string): void {
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -71,7 +71,7 @@
 }
 
 /** An endpoint that is back under its id may crash again: a run that began after the first crash belongs to another. */
-function isSameCrash(a: CrashedRun, b: CrashedRun): boolean {
+export function isSameCrash(a: CrashedRun, b: CrashedRun): boolean {
   return a.endpointTag === b.endpointTag && !beganAfter(a, b) && !beganAfter(b, a);
 }
 
--- a/packages/router/src/quarantine/quarantine.ts
+++ b/packages/router/src/quarantine/quarantine.ts
@@ -3,15 +3,20 @@
  * any more after the third crash. Without this one such request ended 46 runs of 13 engines in 110 s.
  *
  * A crash proves little against any one of the requests that were under way there, so the first condemns none: the
- * requests go on elsewhere as their kind allows. Those that meet a second crash are spread at random from then on, so that
- * innocent ones do not go along with the guilty one from endpoint to endpoint. A whole answer clears a request at once.
+ * requests go on elsewhere as their kind allows. Three things keep innocent ones apart from the guilty. From the second
+ * crash on the endpoint of a request is drawn at random, so that it does not go along with the guilty one from endpoint to
+ * endpoint. A crash does not count against a request if another one under way there is condemned or has met at least as many. And a whole
+ * answer clears a request at once.
  */
-import { BoundedBook } from './boundedBook.js';
 import type { CrashedRun } from './crashedRuns.js';
-import { addCrashedRun, findCrashChain } from './crashedRuns.js';
+import { addCrashedRun, findCrashChain, isSameCrash } from './crashedRuns.js';
+import type { SuspectRecord } from './suspectTable.js';
+import { SuspectTable } from './suspectTable.js';
 
-/** Crashes one after the other after which a request is sent to endpoints no more. */
+/** Crashes one after the other, each not explained by another request, after which a request is sent no more. */
 export const CONDEMNING_CRASHES = 3;
+/** Crashes after which it does not matter whether others may have caused them: two guilty ones may come together. */
+const CONDEMNING_CRASHES_AT_ALL = 6;
 /** Crashes after which the endpoint of a request is drawn at random instead of following its prompt. */
 const SPREADING_CRASHES = 2;
 /**
@@ -19,11 +24,11 @@
  * time costs one endpoint each ten minutes; short enough that a mended endpoint serves the request the same day.
  */
 export const QUARANTINE_MS = 600_000;
-/** Requests seen in one crash: the ones in flight at some hundred crashes. The oldest are dropped first. */
-const MAX_SEEN_ONCE = 4_096;
-/** Requests seen in two crashes; and those not sent any more. With the ones above some three megabytes. */
-const MAX_SEEN_TWICE = 1_024;
-const MAX_QUARANTINED = 1_024;
+/**
+ * A request with enough crashes is judged after this long, and is not sent meanwhile: other boxes saw who else was under
+ * way there, and tell it within three ticks of 40 ms and the links between them.
+ */
+export const JUDGE_AFTER_MS = 300;
 /** Pace at which what is too old is dropped. */
 const SWEEP_MS = 1_000;
 
@@ -38,33 +43,13 @@
   /** Its time is over: it may be sent again, and the next crash condemns it. */
   | 'ended';
 
-/** Whether the crashes of a request have been enough already. */
-type Verdict =
-  | 'none'
-  /** By this box's own count, or by that of another. */
-  | 'condemned'
-  /** It was condemned, and the time for which that holds is over. */
-  | 'released';
-
-/** What a box knows against one request. */
-export interface SuspectRecord {
-  readonly runs: readonly CrashedRun[];
-  /** Crashes that count. */
-  readonly crashes: number;
-  readonly verdict: Verdict;
-  /** Until when it is not sent; undefined if it may be. */
-  readonly untilMs: number | undefined;
-  readonly changedAtMs: number;
-}
-
 /** Told when the standing of a request changes. */
 export type OnQuarantineChange = (content: string, change: QuarantineChange, record: SuspectRecord) => void;
 
 /** One box's record of requests that were under way at endpoints that crashed. */
 export class Quarantine {
-  private readonly seenOnce = new BoundedBook<SuspectRecord>(MAX_SEEN_ONCE);
-  private readonly seenTwice = new BoundedBook<SuspectRecord>(MAX_SEEN_TWICE);
-  private readonly quarantined = new BoundedBook<SuspectRecord>(MAX_QUARANTINED);
+  private readonly table = new SuspectTable();
+  private readonly pending = new Set<string>();
   private sweptAtMs = -Infinity;
 
   constructor(
@@ -74,41 +59,58 @@
 
   /** Whether nothing is known against any request: then none needs to be named by its content. */
   get isEmpty(): boolean {
-    return this.listBooks().every((book) => book.size === 0);
+    return this.table.isEmpty;
   }
 
   /** Requests that are not sent to endpoints now. */
   get quarantinedCount(): number {
-    return this.quarantined.size;
+    return this.table.quarantined.size;
   }
 
   /** For how long a request is not to be sent to any endpoint; 0 if it may be sent. */
   readWaitMs(content: string): number {
-    const untilMs = this.quarantined.get(content)?.untilMs ?? 0;
-    return Math.max(0, untilMs - this.now());
+    const verdict = this.table.quarantined.get(content)?.verdict;
+    return verdict?.type === 'condemned' ? Math.max(0, verdict.untilMs - this.now()) : 0;
+  }
+
+  /** How long it takes until a request is judged; 0 if it does not wait for that. */
+  readJudgedInMs(content: string): number {
+    if (!this.pending.has(content)) return 0;
+    const verdict = this.table.find(content)?.verdict;
+    return verdict?.type === 'pending' ? Math.max(1, verdict.judgeAtMs - this.now()) : 0;
   }
 
   /** Whether a request met a crash lately. */
   isSuspected(content: string): boolean {
-    return this.find(content) !== undefined;
+    return this.table.find(content) !== undefined;
   }
 
   /** Whether a request is to be kept apart from those that it was together with so far. */
   mustSpread(content: string): boolean {
-    return (this.find(content)?.crashes ?? 0) >= SPREADING_CRASHES;
+    return (this.table.find(content)?.crashes ?? 0) >= SPREADING_CRASHES;
   }
 
   /** Notes a run that ended with its endpoint; false if that was known or is too long ago. */
   noteCrash(content: string, run: CrashedRun): boolean {
     const nowMs = this.now();
     if (nowMs - run.heardEndAtMs >= QUARANTINE_MS) return false;
-    const known = this.find(content);
+    const known = this.table.find(content);
     const runs = addCrashedRun(known?.runs ?? [], run);
     if (runs === undefined) return false;
-    const record = judge(runs, known?.verdict ?? 'none', nowMs);
-    this.keep(content, record);
-    if (record.crashes > (known?.crashes ?? 0)) {
-      this.onChange(content, record.verdict === 'condemned' ? 'quarantined' : 'suspected', record);
+    const verdict = known?.verdict ?? { type: 'none' };
+    const crashes = findCrashChain(runs).length;
+    const record: SuspectRecord = { runs, crashes, verdict, changedAtMs: nowMs };
+    switch (verdict.type) {
+      case 'condemned':
+      case 'released':
+        this.condemn(content, runs, run.heardEndAtMs);
+        break;
+      case 'pending':
+        this.table.keep(content, record);
+        break;
+      case 'none':
+        this.suspect(content, record, known?.crashes ?? 0);
+        break;
     }
     return true;
   }
@@ -118,101 +120,102 @@
    * see by itself that the crashes came one after the other. False if nothing follows from it.
    */
   noteVerdict(content: string, lastCrashAtMs: number): boolean {
-    const nowMs = this.now();
-    const untilMs = lastCrashAtMs + QUARANTINE_MS;
-    if (untilMs <= nowMs || this.readWaitMs(content) > 0) return false;
-    const runs = this.find(content)?.runs ?? [];
-    const record: SuspectRecord = {
-      runs,
-      crashes: CONDEMNING_CRASHES,
-      verdict: 'condemned',
-      untilMs,
-      changedAtMs: nowMs,
-    };
-    this.keep(content, record);
-    this.onChange(content, 'quarantined', record);
+    if (lastCrashAtMs + QUARANTINE_MS <= this.now() || this.readWaitMs(content) > 0) return false;
+    this.condemn(content, this.table.find(content)?.runs ?? [], lastCrashAtMs);
     return true;
   }
 
   /** Notes that a request was answered whole: it does not crash its endpoints. False if nothing was known against it. */
   noteAnswered(content: string): boolean {
-    const known = this.find(content);
+    const known = this.table.find(content);
     if (known === undefined) return false;
-    this.drop(content);
+    this.table.drop(content);
+    this.pending.delete(content);
     this.onChange(content, 'cleared', known);
     return true;
   }
 
   /** What is known, the requests that most is known against first, for a box that may have missed it. */
   listWorst(maxRequests: number): [string, SuspectRecord][] {
-    const worst = [...this.quarantined.listNewest(), ...this.seenTwice.listNewest()];
-    return worst.slice(0, maxRequests);
+    const { quarantined, seenTwice } = this.table;
+    return [...quarantined.listNewest(), ...seenTwice.listNewest()].slice(0, maxRequests);
   }
 
-  /** Runs once a tick: what is too old ends. */
-  tick(): void {
+  /** Runs once a tick: judges what waits for it, and ends what is too old. Returns the requests that it condemned. */
+  tick(): string[] {
     const nowMs = this.now();
-    if (nowMs - this.sweptAtMs < SWEEP_MS) return;
+    const condemned = [...this.pending].filter((content) => this.judge(content, nowMs));
+    if (nowMs - this.sweptAtMs >= SWEEP_MS) this.sweep(nowMs);
+    return condemned;
+  }
+
+  private suspect(content: string, record: SuspectRecord, crashesBefore: number): void {
+    const mayBeEnough = record.crashes >= CONDEMNING_CRASHES;
+    const judgeAtMs = record.changedAtMs + JUDGE_AFTER_MS;
+    this.table.keep(content, mayBeEnough ? { ...record, verdict: { type: 'pending', judgeAtMs } } : record);
+    if (mayBeEnough) this.pending.add(content);
+    if (record.crashes > crashesBefore) this.onChange(content, 'suspected', record);
+  }
+
+  /** Judges a request if it is time; true if it is condemned by that. */
+  private judge(content: string, nowMs: number): boolean {
+    const record = this.table.find(content);
+    if (record?.verdict.type === 'pending' && nowMs < record.verdict.judgeAtMs) return false;
+    this.pending.delete(content);
+    if (record?.verdict.type !== 'pending') return false;
+    const unexplained = record.runs.filter((run) => !this.isExplained(content, record, run));
+    const isGuilty =
+      findCrashChain(unexplained).length >= CONDEMNING_CRASHES || record.crashes >= CONDEMNING_CRASHES_AT_ALL;
+    if (!isGuilty) this.table.keep(content, { ...record, verdict: { type: 'none' } });
+    else this.condemn(content, record.runs, Math.max(...record.runs.map((run) => run.heardEndAtMs)));
+    return isGuilty;
+  }
+
+  /** Whether another request that was under way at that crash is condemned, or has met at least as many. */
+  private isExplained(content: string, { crashes }: SuspectRecord, run: CrashedRun): boolean {
+    return this.table
+      .listBeside(content, run)
+      .filter((other) => other.verdict.type === 'condemned' || other.crashes >= crashes)
+      .some((other) => other.runs.some((one) => isSameCrash(one, run)));
+  }
+
+  private condemn(content: string, runs: readonly CrashedRun[], lastCrashAtMs: number): void {
+    const before = this.table.find(content);
+    const untilMs = lastCrashAtMs + QUARANTINE_MS;
+    const crashes = Math.max(findCrashChain(runs).length, CONDEMNING_CRASHES);
+    const record: SuspectRecord = {
+      runs,
+      crashes,
+      verdict: { type: 'condemned', untilMs },
+      changedAtMs: this.now(),
+    };
+    this.pending.delete(content);
+    this.table.keep(content, record);
+    const isNew = before?.verdict.type !== 'condemned' || crashes > before.crashes;
+    if (isNew) this.onChange(content, 'quarantined', record);
+  }
+
+  private sweep(nowMs: number): void {
     this.sweptAtMs = nowMs;
-    for (const [content, record] of this.quarantined.iterate()) {
-      if (nowMs >= (record.untilMs ?? 0)) this.end(content, nowMs);
-    }
-    for (const book of [this.seenOnce, this.seenTwice]) {
+    const { quarantined, seenOnce, seenTwice } = this.table;
+    for (const [content] of quarantined.iterate())
+      if (this.readWaitMs(content) === 0) this.release(content, nowMs);
+    for (const book of [seenOnce, seenTwice]) {
       for (const [content, { changedAtMs }] of book.iterate()) {
-        if (nowMs - changedAtMs >= QUARANTINE_MS) book.delete(content);
+        if (nowMs - changedAtMs >= QUARANTINE_MS) this.table.drop(content);
       }
     }
   }
 
-  /** One crash more is enough after that: the request is known. */
-  private end(content: string, nowMs: number): void {
-    const released: SuspectRecord = {
+  /** Its time is over. One crash more is enough after that: the request is known. */
+  private release(content: string, nowMs: number): void {
+    const record: SuspectRecord = {
       runs: [],
       crashes: CONDEMNING_CRASHES - 1,
-      verdict: 'released',
-      untilMs: undefined,
+      verdict: { type: 'released' },
       changedAtMs: nowMs,
     };
-    this.keep(content, released);
-    this.onChange(content, 'ended', released);
-  }
-
-  private find(content: string): SuspectRecord | undefined {
-    for (const book of this.listBooks()) {
-      const record = book.get(content);
-      if (record !== undefined) return record;
-    }
-    return undefined;
-  }
-
-  private keep(content: string, record: SuspectRecord): void {
-    this.drop(content);
-    this.pickBook(record).set(content, record);
+    this.table.keep(content, record);
+    this.onChange(content, 'ended', record);
   }
-
-  private pickBook({ crashes, untilMs }: SuspectRecord): BoundedBook<SuspectRecord> {
-    if (untilMs !== undefined) return this.quarantined;
-    return crashes < SPREADING_CRASHES ? this.seenOnce : this.seenTwice;
-  }
-
-  private drop(content: string): void {
-    for (const book of this.listBooks()) book.delete(content);
-  }
-
-  private listBooks(): BoundedBook<SuspectRecord>[] {
-    return [this.quarantined, this.seenTwice, this.seenOnce];
-  }
-}
-
-function judge(runs: readonly CrashedRun[], before: Verdict, nowMs: number): SuspectRecord {
-  const crashes = findCrashChain(runs).length;
-  const isCondemned = before !== 'none' || crashes >= CONDEMNING_CRASHES;
-  if (!isCondemned) return { runs, crashes, verdict: 'none', untilMs: undefined, changedAtMs: nowMs };
-  return {
-    runs,
-    crashes: Math.max(crashes, CONDEMNING_CRASHES),
-    verdict: 'condemned',
-    untilMs: Math.max(...runs.map((run) => run.heardEndAtMs)) + QUARANTINE_MS,
-    changedAtMs: nowMs,
-  };
 }
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -67,9 +67,7 @@
   /** This box saw a run end with its endpoint. */
   noteCrash(content: string, run: Pick<CrashedRun, 'endpointTag' | 'sentAtMs' | 'endedAtMs'>): void {
     const seen = { content, run: { ...run, witness: this.witness, heardEndAtMs: run.endedAtMs } };
-    const { fresh, condemned } = this.take([seen]);
-    this.crashes.push(...fresh);
-    this.condemned.push(...condemned);
+    if (this.options.quarantine.noteCrash(content, seen.run)) this.crashes.push(seen);
   }
 
   /** This box saw a request answered whole. */
@@ -77,8 +75,11 @@
     if (this.options.quarantine.noteAnswered(content)) this.cleared.push(content);
   }
 
-  /** Runs once a tick: what was seen since the last one goes out together. */
+  /** Runs once a tick: judges, and what was seen since the last one goes out together. */
   tick(): void {
+    const condemned = this.options.quarantine.tick();
+    // All boxes judge by the same news. In a large fleet those that pass news on tell what came of it.
+    if (this.options.mesh.isFlat || this.mustPassOn()) this.condemned.push(...condemned);
     if (this.crashes.length + this.condemned.length + this.cleared.length === 0) return;
     const news: News = {
       crashes: this.crashes.splice(0).slice(-MAX_REPORTS_PER_FRAME),
@@ -94,18 +95,16 @@
   handleNews({ hops, crashes, condemned, cleared }: CrashNews): void {
     const { quarantine, now } = this.options;
     const nowMs = now();
-    const { fresh, condemned: found } = this.take(
-      crashes.map(({ content, endedAgoMs, ...run }) => ({
-        content,
-        run: { ...run, heardEndAtMs: nowMs - endedAgoMs },
-      })),
-    );
+    const heard = crashes.map(({ content, endedAgoMs, ...run }) => ({
+      content,
+      run: { ...run, heardEndAtMs: nowMs - endedAgoMs },
+    }));
     const told = condemned.filter(({ content, endedAgoMs }) =>
       quarantine.noteVerdict(content, nowMs - endedAgoMs),
     );
     const news: News = {
-      crashes: fresh,
-      condemned: [...found, ...told.map(({ content }) => content)],
+      crashes: heard.filter(({ content, run }) => quarantine.noteCrash(content, run)),
+      condemned: told.map(({ content }) => content),
       cleared: cleared.filter((content) => quarantine.noteAnswered(content)),
     };
     const isNews = news.crashes.length + news.condemned.length + news.cleared.length > 0;
@@ -130,19 +129,6 @@
     };
   }
 
-  /** Takes crashes over; returns those that are new here, and the requests that they condemn. */
-  private take(seen: readonly SeenCrash[]): { fresh: SeenCrash[]; condemned: string[] } {
-    const { quarantine } = this.options;
-    const condemned = new Set<string>();
-    const fresh = seen.filter(({ content, run }) => {
-      const wasCondemned = quarantine.readWaitMs(content) > 0;
-      const isNew = quarantine.noteCrash(content, run);
-      if (!wasCondemned && quarantine.readWaitMs(content) > 0) condemned.add(content);
-      return isNew;
-    });
-    return { fresh, condemned: [...condemned] };
-  }
-
   /** News go from the hall where they were seen to the others, and there to all. */
   private passOn(hops: number, news: News): void {
     if (hops >= HOPS_WITHIN_OTHER_HALLS) return;
--- /dev/null
+++ b/packages/router/src/quarantine/suspectTable.ts
@@ -0,0 +1,93 @@
+/** The records of requests that met crashes, in bounded books by how much is known, and by the endpoints that crashed. */
+import { BoundedBook } from './boundedBook.js';
+import type { CrashedRun } from './crashedRuns.js';
+
+/** Crashes after which a request is worth more room. */
+const SEEN_TWICE_CRASHES = 2;
+/** Requests seen in one crash: the ones in flight at some hundred crashes. The oldest are dropped first. */
+const MAX_SEEN_ONCE = 4_096;
+/** Requests seen in two crashes; and those not sent any more. With the ones above some four megabytes. */
+const MAX_SEEN_TWICE = 1_024;
+const MAX_QUARANTINED = 1_024;
+
+/** What is settled about a request. */
+export type Verdict =
+  | { readonly type: 'none' }
+  /** Its crashes may be enough: it waits until what other boxes saw of them has come. */
+  | { readonly type: 'pending'; readonly judgeAtMs: number }
+  /** It is not sent to endpoints, by this box's count or by that of another. */
+  | { readonly type: 'condemned'; readonly untilMs: number }
+  /** It was condemned, and the time for which that holds is over. */
+  | { readonly type: 'released' };
+
+/** What a box knows against one request. */
+export interface SuspectRecord {
+  readonly runs: readonly CrashedRun[];
+  /** Crashes one after the other. */
+  readonly crashes: number;
+  readonly verdict: Verdict;
+  readonly changedAtMs: number;
+}
+
+/** All records of one box, by content. */
+export class SuspectTable {
+  readonly seenOnce = new BoundedBook<SuspectRecord>(MAX_SEEN_ONCE);
+  readonly seenTwice = new BoundedBook<SuspectRecord>(MAX_SEEN_TWICE);
+  readonly quarantined = new BoundedBook<SuspectRecord>(MAX_QUARANTINED);
+  /** Contents that were under way at an endpoint when it crashed, by its tag. */
+  private readonly byEndpoint = new Map<number, Set<string>>();
+
+  get isEmpty(): boolean {
+    return this.listBooks().every((book) => book.size === 0);
+  }
+
+  find(content: string): SuspectRecord | undefined {
+    for (const book of this.listBooks()) {
+      const record = book.get(content);
+      if (record !== undefined) return record;
+    }
+    return undefined;
+  }
+
+  /** Writes a record in place of what was known. */
+  keep(content: string, record: SuspectRecord): void {
+    this.drop(content);
+    for (const { endpointTag } of record.runs) this.index(endpointTag, content);
+    const evicted = this.pickBook(record).set(content, record);
+    if (evicted !== undefined) this.drop(evicted);
+  }
+
+  /** Forgets a request. */
+  drop(content: string): void {
+    const record = this.find(content);
+    for (const { endpointTag } of record?.runs ?? []) this.unindex(endpointTag, content);
+    for (const book of this.listBooks()) book.delete(content);
+  }
+
+  /** Other requests that were under way at an endpoint when it crashed. */
+  listBeside(content: string, { endpointTag }: CrashedRun): SuspectRecord[] {
+    const others = [...(this.byEndpoint.get(endpointTag) ?? [])].filter((other) => other !== content);
+    return others.map((other) => this.find(other)).filter((record) => record !== undefined);
+  }
+
+  private pickBook({ crashes, verdict }: SuspectRecord): BoundedBook<SuspectRecord> {
+    if (verdict.type === 'condemned') return this.quarantined;
+    return crashes < SEEN_TWICE_CRASHES ? this.seenOnce : this.seenTwice;
+  }
+
+  private index(endpointTag: number, content: string): void {
+    const contents = this.byEndpoint.get(endpointTag);
+    if (contents === undefined) this.byEndpoint.set(endpointTag, new Set([content]));
+    else contents.add(content);
+  }
+
+  private unindex(endpointTag: number, content: string): void {
+    const contents = this.byEndpoint.get(endpointTag);
+    contents?.delete(content);
+    if (contents?.size === 0) this.byEndpoint.delete(endpointTag);
+  }
+
+  private listBooks(): BoundedBook<SuspectRecord>[] {
+    return [this.quarantined, this.seenTwice, this.seenOnce];
+  }
+}
