News of crashes are encoded once; an idle tick looks at no peers

Cause: on reading, each tick of a large fleet ranked its peers whether there was news or not, and a frame was encoded once for each box that got it.

--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -189,6 +189,12 @@
     if (this.links.isUp(address)) this.links.write(address, encodePeerFrame(frame));
   }
 
+  /** Sends a frame to those of some boxes to which there is a link; it is encoded once. */
+  sendToEach(addresses: readonly string[], frame: PeerFrame): void {
+    const packet = encodePeerFrame(frame);
+    for (const address of addresses) this.links.write(address, packet);
+  }
+
   /** Sends a frame to the peers of a hall. */
   sendToHall(hall: string, frame: PeerFrame): void {
     const packet = encodePeerFrame(frame);
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -26,7 +26,7 @@
 
 /** What the relay works with. */
 export interface QuarantineRelayOptions {
-  readonly mesh: Pick<PeerMesh, 'address' | 'isFlat' | 'listLinked' | 'send'>;
+  readonly mesh: Pick<PeerMesh, 'address' | 'isFlat' | 'listLinked' | 'sendToEach'>;
   readonly quarantine: Quarantine;
   readonly hall: string;
   /** Rank of an address, by which all boxes agree on those that pass news on. */
@@ -79,7 +79,8 @@
   tick(): void {
     const condemned = this.options.quarantine.tick();
     // All boxes judge by the same news. In a large fleet those that pass news on tell what came of it.
-    if (this.options.mesh.isFlat || this.mustPassOn()) this.condemned.push(...condemned);
+    const mustTell = condemned.length > 0 && (this.options.mesh.isFlat || this.mustPassOn());
+    if (mustTell) this.condemned.push(...condemned);
     if (this.crashes.length + this.condemned.length + this.cleared.length === 0) return;
     const news: News = {
       crashes: this.crashes.splice(0).slice(-MAX_REPORTS_PER_FRAME),
@@ -145,7 +146,11 @@
       condemned: this.listVerdicts(news.condemned),
       cleared: [...news.cleared],
     };
-    for (const { hall, address } of mesh.listLinked()) if (isMeant(hall)) mesh.send(address, frame);
+    const meant = mesh.listLinked().filter(({ hall }) => isMeant(hall));
+    mesh.sendToEach(
+      meant.map(({ address }) => address),
+      frame,
+    );
   }
 
   private toReport({ content, run }: SeenCrash): CrashedRunReport {
