A broken request that fails in any case is answered at once

Cause: on reading, a request that met a crash before waited for the check of its endpoint (up to 0.25 s) also where no other attempt is allowed. Change: only what may be sent again waits.

--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -58,6 +58,13 @@
     return hasTime && this.sent < route.maxAttempts;
   }
 
+  /** Whether the request may be sent once more after an attempt that may have run. */
+  mayRepeat(assignment: Assignment | undefined): boolean {
+    return (
+      assignment !== undefined && isRepeatable(assignment.route) && this.mayOpenAnother(assignment.route)
+    );
+  }
+
   /** What the lines of the request say of its attempts. */
   listFacts(): AttemptFacts {
     return { sent: this.sent, unsent: this.unsentCount, ...describePlacement(this.lastChoice) };
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -247,7 +247,8 @@
     const goOn = (): void => this.goOnElsewhere(attempt, 'broken', `${reason}: ${detail}`);
     if (reason !== 'connectionLost') return goOn();
     const { mustWait, checked } = suspicion.noteBroken(attempt);
-    if (mustWait) void checked.then(goOn);
+    // What fails in any case is answered at once.
+    if (mustWait && this.attempts.mayRepeat(this.assignment)) void checked.then(goOn);
     else goOn();
   }
 
