A request that awaits judgement is sent once after it

Cause: on reading, a hedge that waited to be judged and the repeat of an attempt that broke meanwhile would both have been sent. Change: one wait a request.

--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -126,8 +126,7 @@
     if (assignment === undefined || this.isSettled) return;
     const waitMs = suspicion.readWaitMs();
     if (waitMs > 0) return this.giveUp('requestQuarantined', waitMs);
-    const judgedInMs = suspicion.readJudgedInMs();
-    if (judgedInMs > 0) return void setTimeout(() => this.place(resumeAfter), judgedInMs);
+    if (suspicion.awaitJudgement(() => this.place(resumeAfter))) return;
     const isPlaced = this.attempts.open(assignment, resumeAfter, suspicion.mustSpread());
     if (!isPlaced) this.giveUp('noEndpoint');
   }
--- a/packages/router/src/proxy/requestSuspicion.ts
+++ b/packages/router/src/proxy/requestSuspicion.ts
@@ -17,6 +17,7 @@
 /** One request's side of the quarantine. */
 export class RequestSuspicion {
   private fingerprint: string | undefined;
+  private isAwaitingJudgement = false;
 
   constructor(
     private readonly context: RouterContext,
@@ -47,10 +48,21 @@
     return quarantine.isEmpty ? 0 : quarantine.readWaitMs(this.content);
   }
 
-  /** How long it takes until it is known whether the request may be sent; 0 if that is known. */
-  readJudgedInMs(): number {
+  /**
+   * Calls back when it is judged whether the request may be sent; false if nothing speaks against sending it now. While it
+   * waits it is not sent by anybody else.
+   */
+  awaitJudgement(then: () => void): boolean {
+    if (this.isAwaitingJudgement) return true;
     const { quarantine } = this.context;
-    return quarantine.isEmpty ? 0 : quarantine.readJudgedInMs(this.content);
+    const judgedInMs = quarantine.isEmpty ? 0 : quarantine.readJudgedInMs(this.content);
+    if (judgedInMs === 0) return false;
+    this.isAwaitingJudgement = true;
+    setTimeout(() => {
+      this.isAwaitingJudgement = false;
+      then();
+    }, judgedInMs);
+    return true;
   }
 
   /** Whether its endpoint is to be drawn at random. */
