--- a/packages/router/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/router/src/quarantine/__tests__/quarantine.test.ts
@@ -119,6 +119,14 @@
   expect(quarantine.noteVerdict('b', nowMs - QUARANTINE_MS)).toBe(false);
 });
 
+test('news of an earlier crash do not shorten a verdict', () => {
+  condemn('a');
+  const before = quarantine.readWaitMs('a');
+  const earlier = { endpointTag: 99, witness: 2, sentAtMs: 0, endedAtMs: 100 };
+  expect(quarantine.noteCrash('a', { ...earlier, heardEndAtMs: nowMs - 60_000 })).toBe(true);
+  expect(quarantine.readWaitMs('a')).toBe(before);
+});
+
 test('a suspicion that is not renewed is forgotten', () => {
   crashSeveral('a', 1);
   nowMs += QUARANTINE_MS;
--- a/packages/router/src/quarantine/quarantine.ts
+++ b/packages/router/src/quarantine/quarantine.ts
@@ -181,7 +181,8 @@
 
   private condemn(content: string, runs: readonly CrashedRun[], lastCrashAtMs: number): void {
     const before = this.table.find(content);
-    const untilMs = lastCrashAtMs + QUARANTINE_MS;
+    // News of an earlier crash may come after those of a later one.
+    const untilMs = Math.max(lastCrashAtMs + QUARANTINE_MS, this.now() + this.readWaitMs(content));
     const crashes = Math.max(findCrashChain(runs).length, CONDEMNING_CRASHES);
     const record: SuspectRecord = {
       runs,
