--- a/packages/router/src/observability/quarantineLog.ts
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -1,4 +1,5 @@
 /** Tells operators which requests are held against crashes, and by whose word. */
+import { readLastCrashMs } from '../quarantine/crashedRuns.js';
 import type { OnQuarantineChange } from '../quarantine/quarantine.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { RouterMetrics } from './metrics.js';
@@ -22,14 +23,13 @@
     metrics.quarantineChanges.inc({ change });
     metrics.quarantined.set(readCount());
     if (crashes < LEAST_TOLD_CRASHES) return;
-    const lastEndMs = Math.max(-Infinity, ...runs.map((run) => run.heardEndAtMs));
     log.write('notable', 'quarantine', {
       content,
       change,
       crashes,
       endpointTags: runs.map((run) => run.endpointTag).join(),
       witnesses: runs.map((run) => run.witness).join(),
-      lastCrashAgoMs: Math.round(now() - lastEndMs),
+      lastCrashAgoMs: Math.round(now() - readLastCrashMs(runs)),
       waitMs: verdict.type === 'condemned' ? Math.round(verdict.untilMs - now()) : undefined,
     });
   };
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -11,6 +11,7 @@
 import type { PromptDemand } from '../systems/promptDemand.js';
 import { DemandBook } from '../systems/promptDemand.js';
 import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
+import { findHallPlace } from '../membership/hallPlace.js';
 import { planSpread } from '../membership/spreadPlan.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { BoxLoads, FleetLoads, HallLoads, Heartbeat, LoadCoverage } from './peerFrames.js';
@@ -281,8 +282,8 @@
 
   /** How many live boxes of the hall rank before this one. */
   private findPlace(): number {
-    const own = this.rank(this.options.mesh.address);
-    return this.listHallPeers().filter((peer) => this.rank(peer.address) < own).length;
+    const { mesh, hall } = this.options;
+    return findHallPlace(mesh, hall, (address) => this.rank(address));
   }
 
   private listHallPeers(): Heartbeat[] {
--- a/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
+++ b/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
@@ -55,40 +55,24 @@
 
 /** A fleet with requests that crash their endpoints. */
 export class VirtualCrashes {
-  readonly fleet: VirtualFleet;
+  fleet!: VirtualFleet;
   private readonly programs = new WeakMap<VirtualBox, CrashProgram>();
   private readonly tallies = new Map<string, Tally>();
   private nextEndpointTag = 1;
 
   private constructor(
-    createFleet: (createProgram: (box: VirtualBox, mesh: PeerMesh) => VirtualProgram) => VirtualFleet,
     private readonly rank: (address: string) => number,
     private readonly random: () => number,
-  ) {
-    this.fleet = createFleet((box, mesh) => this.createProgram(box, mesh));
-  }
+  ) {}
 
   /** Creates a fleet whose boxes have met. */
   static async create(boxes: number, halls: number, seed: number): Promise<VirtualCrashes> {
     const hasher = await createHasher();
-    let program: (box: VirtualBox, mesh: PeerMesh) => VirtualProgram = () => {
-      throw new Error('no box starts before the fleet is there');
-    };
-    const fleet = await VirtualFleet.create({
-      boxes,
-      halls,
-      seed,
-      createProgram: (box, mesh) => program(box, mesh),
-    });
-    const crashes = new VirtualCrashes(
-      (createProgram) => {
-        program = createProgram;
-        return fleet;
-      },
-      (address) => hasher.h32(address),
-      createRandom(seed + 1),
-    );
-    await fleet.run(8);
+    const crashes = new VirtualCrashes((address) => hasher.h32(address), createRandom(seed + 1));
+    const createProgram = (box: VirtualBox, mesh: PeerMesh): VirtualProgram =>
+      crashes.createProgram(box, mesh);
+    crashes.fleet = await VirtualFleet.create({ boxes, halls, seed, createProgram });
+    await crashes.fleet.run(8);
     return crashes;
   }
 
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -57,6 +57,11 @@
   return kept.includes(run) ? kept : undefined;
 }
 
+/** When the last of these crashes was; minus infinity if there is none. */
+export function readLastCrashMs(runs: readonly CrashedRun[]): number {
+  return Math.max(...runs.map((run) => run.heardEndAtMs));
+}
+
 function isSameRun(a: CrashedRun, b: CrashedRun): boolean {
   return a.endpointTag === b.endpointTag && a.witness === b.witness && a.sentAtMs === b.sentAtMs;
 }
--- a/packages/router/src/quarantine/quarantine.ts
+++ b/packages/router/src/quarantine/quarantine.ts
@@ -9,7 +9,7 @@
  * answer clears a request at once.
  */
 import type { CrashedRun } from './crashedRuns.js';
-import { addCrashedRun, findCrashChain, isSameCrash } from './crashedRuns.js';
+import { addCrashedRun, findCrashChain, isSameCrash, readLastCrashMs } from './crashedRuns.js';
 import type { SuspectRecord } from './suspectTable.js';
 import { SuspectTable } from './suspectTable.js';
 
@@ -167,7 +167,7 @@
     const isGuilty =
       findCrashChain(unexplained).length >= CONDEMNING_CRASHES || record.crashes >= CONDEMNING_CRASHES_AT_ALL;
     if (!isGuilty) this.table.keep(content, { ...record, verdict: { type: 'none' } });
-    else this.condemn(content, record.runs, Math.max(...record.runs.map((run) => run.heardEndAtMs)));
+    else this.condemn(content, record.runs, readLastCrashMs(record.runs));
     return isGuilty;
   }
 
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -6,6 +6,7 @@
  * is new to them, from their hall to the others and from the others to their hall. What a box missed while it was down or
  * cut off it hears on the link that comes up after.
  */
+import { findHallPlace } from '../membership/hallPlace.js';
 import type { CondemnedRequest, CrashedRunReport, CrashNews, Heartbeat } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { CrashedRun } from './crashedRuns.js';
@@ -169,11 +170,6 @@
   /** Whether this box passes news on between halls: it is one of the first of its hall. In a small fleet none does. */
   private mustPassOn(): boolean {
     const { mesh, hall, rank } = this.options;
-    if (mesh.isFlat) return false;
-    const own = rank(mesh.address);
-    const before = mesh
-      .listLinked()
-      .filter((peer) => peer.hall === hall && !peer.isStopping && rank(peer.address) < own);
-    return before.length < RELAYS_PER_HALL;
+    return !mesh.isFlat && findHallPlace(mesh, hall, rank) < RELAYS_PER_HALL;
   }
 }
--- a/packages/router/src/quarantine/suspectTable.ts
+++ b/packages/router/src/quarantine/suspectTable.ts
@@ -38,9 +38,10 @@
   readonly seenOnce = this.createBook(MAX_SEEN_ONCE);
   readonly seenTwice = this.createBook(MAX_SEEN_TWICE);
   readonly quarantined = this.createBook(MAX_QUARANTINED);
+  private readonly books = [this.quarantined, this.seenTwice, this.seenOnce];
 
   get isEmpty(): boolean {
-    return this.listBooks().every((book) => book.size === 0);
+    return this.books.every((book) => book.size === 0);
   }
 
   /** Endpoints that crashed under a request which is known here. */
@@ -49,7 +50,7 @@
   }
 
   find(content: string): SuspectRecord | undefined {
-    for (const book of this.listBooks()) {
+    for (const book of this.books) {
       const record = book.peek(content);
       if (record !== undefined) return record;
     }
@@ -65,7 +66,7 @@
 
   /** Forgets a request. */
   drop(content: string): void {
-    for (const book of this.listBooks()) book.delete(content);
+    for (const book of this.books) book.delete(content);
   }
 
   /** Other requests that were under way at an endpoint when it crashed. */
@@ -97,8 +98,4 @@
       if (contents?.size === 0) this.byEndpoint.delete(endpointTag);
     }
   }
-
-  private listBooks(): SuspectBook[] {
-    return [this.quarantined, this.seenTwice, this.seenOnce];
-  }
 }
