--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,8 +8,9 @@
 npx tsc -p tsconfig.test.json
 npm run --silent lint
 scripts/check-models.sh
-# Test files of KNOWN-RED.txt (up to the first colon) may fail; what they show is printed.
-known_red=$(cut -d: -f1 KNOWN-RED.txt 2>/dev/null || true)
+# Test files of KNOWN-RED.txt (up to the first colon) may fail; what they show is printed. Its other lines name runs
+# that are too long for here.
+known_red=$(cut -d: -f1 KNOWN-RED.txt 2>/dev/null | while read -r name; do [ ! -f "$name" ] || echo "$name"; done)
 npm test -- ${known_red:+--testPathIgnorePatterns $known_red}
 [ -z "$known_red" ] || npx jest $known_red || echo "Red as listed in KNOWN-RED.txt"
 npm run --silent build:box
