Keys in doubt: counted by reason, logged with the state behind it

A caller whose key is refused with 2017 learns that its owner cannot be sure, and no log or counter told why: of five states that lead there none could be told from the others. No logic changed: the verdict is the same, and carries its reason.

--- a/packages/core/src/__tests__/keys.test.ts
+++ b/packages/core/src/__tests__/keys.test.ts
@@ -93,6 +93,19 @@
   expect(readRefusal(ask(world, createUuid(1_000), 1_101))).toBe('keyUnsure unknown');
 });
 
+test('a key in doubt is counted by reason, and the first of a second is logged with the state behind it', async () => {
+  const world = await createTestWorld('box-1', { settings });
+  confirm(world, 1_000);
+  const effects = [1_101, 1_102, 2_101].flatMap((nowMs) => ask(world, createUuid(1_000), nowMs));
+  const counted = effects.filter((effect) => effect.type === 'count').map(({ counter }) => counter);
+  expect(counted.filter((counter) => counter === 'keyDoubt.listUnconfirmed')).toHaveLength(3);
+  const logged = effects.filter((effect) => effect.type === 'log').map(({ message }) => message);
+  expect(logged).toEqual([
+    expect.stringContaining('declared was confirmed 101 ms ago'),
+    expect.stringContaining('declared was confirmed 1101 ms ago'),
+  ]);
+});
+
 test('an older list from the platform confirms nothing', async () => {
   const world = await createTestWorld('box-1', { settings });
   const older = world.values.boxes.text;
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -4,6 +4,7 @@
 import type { AttemptRef, ControlFrame, RequestHead, RequestId } from './frames.js';
 import type { BoxId, BoxRecord, EndpointId, ValueName } from './records.js';
 import type { Ran, ResultCode } from './resultCodes.js';
+import type { KeyDoubt } from './systems/keyDoubt.js';
 import type { KeyAsker } from './tables/keys.js';
 
 /** A request's final refusal or failure, for the caller. */
@@ -22,6 +23,7 @@
   | `refusal.${ResultCode}`
   | `retry.${RetryReason}`
   | `value.${'accepted' | 'rejected' | 'older' | 'conflict'}`
+  | `keyDoubt.${KeyDoubt['type']}`
   | 'frame.foreign'
   | 'placement.forwarded'
   | 'placement.spilled'
--- a/packages/core/src/systems/entry.ts
+++ b/packages/core/src/systems/entry.ts
@@ -19,6 +19,7 @@
 import { parseCallKey } from '../callKey.js';
 import { directoryKey, findHome } from './chatDirectory.js';
 import { isReady } from './configuration.js';
+import { noteDoubt } from './keyDoubt.js';
 import { findJudge, settleAnswered, settleRefused } from './keys.js';
 import { isReachable } from './membership.js';
 import { buildAssignment } from './placement.js';
@@ -128,7 +129,10 @@
     return refuseRequest(world, row.id, 'keyMalformed', 'no', retryAfterMs);
   const judge = findJudge(world, key);
   const isTicketOfStranger = judge !== undefined && judge !== world.self.boxId && !world.boxes.has(judge);
-  if (judge === undefined) return refuseRequest(world, row.id, 'keyUnsure', 'unknown', retryAfterMs);
+  if (judge === undefined) {
+    noteDoubt(world, key, { type: 'otherOwner', owner: undefined });
+    return refuseRequest(world, row.id, 'keyUnsure', 'unknown', retryAfterMs);
+  }
   if (isTicketOfStranger) return refuseRequest(world, row.id, 'keyUnknown', 'unknown', retryAfterMs);
   row.askedBox = judge;
   const entry = world.self.boxId;
--- a/packages/core/src/systems/keys.ts
+++ b/packages/core/src/systems/keys.ts
@@ -12,12 +12,17 @@
 import { emit } from '../world.js';
 import { refuseAttempt, sendToBox } from './admission.js';
 import { startOwnedRequest } from './entry.js';
-import { findOwner, isOwnershipConfirmed, readOwnedSinceMs, readOwnershipMarginMs } from './ownership.js';
+import type { KeyDoubt } from './keyDoubt.js';
+import { findListDoubt, noteDoubt } from './keyDoubt.js';
+import { findOwner, readOwnedSinceMs, readOwnershipMarginMs } from './ownership.js';
 import { listOwnLoads } from './stewardship.js';
 
 /** What an owner does with a key that it has no row for. */
 export type KeyVerdict =
-  { readonly type: 'run' } | { readonly type: 'refuse'; readonly code: ResultCode; readonly ran: Ran };
+  | { readonly type: 'run' }
+  | { readonly type: 'refuse'; readonly code: ResultCode; readonly ran: Ran }
+  /** This box cannot tell: another may have run it, or may yet. */
+  | { readonly type: 'doubt'; readonly doubt: KeyDoubt };
 
 const RUN: KeyVerdict = { type: 'run' };
 
@@ -38,17 +43,22 @@
   const aheadMs = key.timeMs - world.nowMs;
   // No box can have run it yet, even one whose clock is ahead of this one's.
   if (aheadMs > keySkewMs + 2 * clockErrorMs) return refuse('keyAhead', 'no');
-  if (aheadMs > keySkewMs) return refuse('keyUnsure', 'unknown');
-  // Once the keys are ceded a successor may run them.
-  if (world.stop.type === 'stopped') return refuse('keyUnsure', 'unknown');
-  if (findOwner(world, text) !== world.self.boxId || !isOwnershipConfirmed(world))
-    return refuse('keyUnsure', 'unknown');
+  const doubt = findDoubt(world, text, aheadMs);
+  if (doubt !== undefined) return { type: 'doubt', doubt };
   const isForgotten = key.timeMs <= Math.max(world.forgottenTimeMs, world.nowMs - keyRetentionMs);
   const isOlder = key.timeMs <= readOwnedSinceMs(world, text) + readOwnershipMarginMs(world);
   if (isForgotten || isOlder) return refuse('keyUnknown', 'unknown');
   return world.stop.type === 'running' ? RUN : refuse('stopping', 'no');
 }
 
+function findDoubt(world: World, text: string, aheadMs: number): KeyDoubt | undefined {
+  if (aheadMs > world.settings.keySkewMs) return { type: 'keyAhead', aheadMs };
+  // Once the keys are ceded a successor may run them.
+  if (world.stop.type === 'stopped') return { type: 'ceded' };
+  const owner = findOwner(world, text);
+  return owner === world.self.boxId ? findListDoubt(world) : { type: 'otherOwner', owner };
+}
+
 /**
  * Judges a key that this box has no row for.
  *
@@ -80,8 +90,15 @@
   const key = parseCallKey(text);
   if (key === undefined) return refuseAttempt(world, asker, 'keyMalformed', 'no');
   const verdict = judgeKey(world, text, key);
-  if (verdict.type === 'refuse') return refuseAttempt(world, asker, verdict.code, verdict.ran);
-  runKeyedCall(world, frame, asker, text);
+  switch (verdict.type) {
+    case 'run':
+      return runKeyedCall(world, frame, asker, text);
+    case 'refuse':
+      return refuseAttempt(world, asker, verdict.code, verdict.ran);
+    case 'doubt':
+      noteDoubt(world, text, verdict.doubt);
+      return refuseAttempt(world, asker, 'keyUnsure', 'unknown');
+  }
 }
 
 function runKeyedCall(world: World, frame: KeyedFrame, asker: KeyAsker, key: string): void {
--- a/packages/core/src/systems/ownership.ts
+++ b/packages/core/src/systems/ownership.ts
@@ -7,7 +7,6 @@
  */
 import { pickByRendezvous } from '../hasher.js';
 import type { BoxId, HallName } from '../records.js';
-import { isNewer } from '../tables/values.js';
 import type { World } from '../world.js';
 
 /** Topologies remembered; an ownership older than these counts from the oldest. */
@@ -144,13 +143,3 @@
   }
   return sinceMs;
 }
-
-/** Whether this box's lists were confirmed lately, and no peer is known to hold newer ones. */
-export function isOwnershipConfirmed(world: World): boolean {
-  const { keyLeaseMs } = world.settings;
-  const names = ['declared', 'boxes'] as const;
-  return names.every((name) => {
-    const isBehind = isNewer(world.newestSeen[name], world.values[name].stamp);
-    return !isBehind && world.nowMs - world.confirmedAtMs[name] <= keyLeaseMs;
-  });
-}
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -99,6 +99,8 @@
   forgottenSerial: number;
   /** Timed keys up to this time are no longer in the table. */
   forgottenTimeMs: number;
+  /** When a doubt about a key was last logged. */
+  doubtLoggedAtMs: number;
   /** Calls this box has carried as an owner. */
   ownedRequests: number;
   /** Retries each service may still spend. */
@@ -178,6 +180,7 @@
     hasMissedVersion: false,
     forgottenSerial: -1,
     forgottenTimeMs: -Infinity,
+    doubtLoggedAtMs: -Infinity,
     ownedRequests: 0,
     retryBudgets: new Map(),
     live: { all: [], byHall: new Map() },
