Platform watch: the call and its pace are two modules

The watch that keeps lists confirmed could be tried only over HTTP and in real time. The call is a function that the watch is given.

--- a/packages/daemon/src/adapters/platformWatch.ts
+++ b/packages/daemon/src/adapters/platformWatch.ts
@@ -1,22 +1,17 @@
 /**
- * The platform's configuration service: published values, read by long poll. Nothing is ever written to it.
- *
- * Published interface: `GET /v1/values/NAME?after=ETAG&waitMs=N` answers 200 with the value and its `etag`, or 304
- * once the wait is over without a change.
+ * Watches values of the platform's configuration service: one call after the other for each, at a pace that keeps what
+ * this box knows confirmed.
  */
 import type { ValueName } from '@hazelwalk/core';
-import type { Dispatcher } from 'undici';
-import { request } from 'undici';
 import type { EmitEvent } from '../coreLoop.js';
 import type { Metrics } from './metrics.js';
+import type { ReadValue } from './platformReader.js';
 
-/** A call without an answer for this long after its wait is given up. */
-const GRACE_MS = 2_000;
 const RETRY_MS = 1_000;
 /** Least time between two calls for one value, whatever the service answers. */
 const LEAST_INTERVAL_MS = 50;
-const HTTP_OK = 200;
-const HTTP_NOT_MODIFIED = 304;
+/** Calls that fit into a lease. */
+const CALLS_PER_LEASE = 2;
 
 interface Watch {
   readonly name: ValueName;
@@ -24,18 +19,24 @@
   etag: string;
 }
 
+/** What the watch needs from the daemon. */
+export interface PlatformWatchOptions {
+  readonly readValue: ReadValue;
+  /** An owner of keys acts on lists that were confirmed within this time. */
+  readonly leaseMs: number;
+  readonly emit: EmitEvent;
+  readonly metrics: Pick<Metrics, 'count'>;
+}
+
 /** Watches some of the published values. */
 export class PlatformWatch {
   private readonly watches = new Map<ValueName, Watch>();
+  /** How long a call waits for a change; each answer confirms the value as it was when the call began. */
+  private readonly waitMs: number;
 
-  constructor(
-    private readonly platformUrl: string,
-    /** How long a call waits for a change; each answer confirms the value as it was when the call began. */
-    private readonly waitMs: number,
-    private readonly dispatcher: Dispatcher,
-    private readonly emit: EmitEvent,
-    private readonly metrics: Metrics,
-  ) {}
+  constructor(private readonly options: PlatformWatchOptions) {
+    this.waitMs = options.leaseMs / CALLS_PER_LEASE;
+  }
 
   /** Watches exactly these values. */
   watch(names: readonly ValueName[]): void {
@@ -59,34 +60,30 @@
   }
 
   private async poll(watch: Watch): Promise<void> {
-    while (!watch.abort.signal.aborted) {
+    const { signal } = watch.abort;
+    while (!signal.aborted) {
       const askedAtMs = Date.now();
       const ok = await this.readOnce(watch);
-      if (watch.abort.signal.aborted) return;
-      this.emit({ type: 'platformContact', name: watch.name, ok, askedAtMs });
-      await pause(ok ? LEAST_INTERVAL_MS : RETRY_MS * (0.5 + Math.random()), watch.abort.signal);
+      if (signal.aborted) return;
+      this.options.emit({ type: 'platformContact', name: watch.name, ok, askedAtMs });
+      await pause(ok ? LEAST_INTERVAL_MS : RETRY_MS * (0.5 + Math.random()), signal);
     }
   }
 
   private async readOnce(watch: Watch): Promise<boolean> {
-    const query = new URLSearchParams({ after: watch.etag, waitMs: String(this.waitMs) });
-    const timeoutMs = this.waitMs + GRACE_MS;
-    this.metrics.count('platform.call');
-    try {
-      const { statusCode, headers, body } = await request(
-        `${this.platformUrl}/v1/values/${watch.name}?${query}`,
-        {
-          dispatcher: this.dispatcher,
-          signal: AbortSignal.any([watch.abort.signal, AbortSignal.timeout(timeoutMs)]),
-        },
-      );
-      const text = await body.text();
-      if (statusCode !== HTTP_OK) return statusCode === HTTP_NOT_MODIFIED;
-      watch.etag = String(headers.etag ?? '');
-      if (!watch.abort.signal.aborted) this.emit({ type: 'valueRead', name: watch.name, text });
-      return true;
-    } catch {
-      return false;
+    const { readValue, emit, metrics } = this.options;
+    const { name, etag, abort } = watch;
+    metrics.count('platform.call');
+    const reading = await readValue({ name, etag, waitMs: this.waitMs, signal: abort.signal });
+    switch (reading.type) {
+      case 'changed':
+        watch.etag = reading.etag;
+        if (!abort.signal.aborted) emit({ type: 'valueRead', name, text: reading.text });
+        return true;
+      case 'unchanged':
+        return true;
+      case 'failed':
+        return false;
     }
   }
 }
--- a/packages/daemon/src/box.ts
+++ b/packages/daemon/src/box.ts
@@ -15,6 +15,7 @@
 import { KeyedAnswers } from './adapters/keyedAnswers.js';
 import { Metrics } from './adapters/metrics.js';
 import { PeerLinks } from './adapters/peerLinks.js';
+import { createPlatformReader } from './adapters/platformReader.js';
 import { PlatformWatch } from './adapters/platformWatch.js';
 import type { BoxStatus } from './boxStatus.js';
 import { explainChat, readBoxStatus } from './boxStatus.js';
@@ -69,13 +70,8 @@
       onStreamFrame: (from, frame) => this.routeStreamFrame(from, frame),
       onProblem: (problem) => logger.warn(problem.code, problem.detail),
     });
-    this.platform = new PlatformWatch(
-      settings.platformUrl,
-      settings.keyLeaseMs / 2,
-      this.control.agent,
-      emit,
-      metrics,
-    );
+    const readValue = createPlatformReader(settings.platformUrl, this.control.agent);
+    this.platform = new PlatformWatch({ readValue, leaseMs: settings.keyLeaseMs, emit, metrics });
     this.reports = new EndpointReports(this.control.agent, emit);
     this.calls = new EndpointCalls({
       emit,
