A list is confirmed anew well within the lease of keys

Cause: a call to the platform waits for half a lease and confirms the list as it was when the call began. The confirmation is replaced after two waits, the pause between calls and two trips: later than the lease. Boxes that do not read the list themselves learn of it a heartbeat later still. All boxes' calls begin together when a list is published, so no reader covers for another. Ruled out by the log (all refusals listUnconfirmed, 1501 to 1535 ms of 1500): a newer list, another owner, ceded keys, keys ahead. Ruled out by the shape (one key at three boxes): the entry box.

Change: a quarter of a lease for a call's wait. The rule of the proof stays: an answer still confirms the beginning of its call only. The other half of the lease holds a heartbeat and a lost one; settings that leave no room for that are refused. Costs twice as many calls: with the defaults 0.5 a second for each value and reader, two readers a hall.

--- a/packages/config/src/__tests__/config.test.ts
+++ b/packages/config/src/__tests__/config.test.ts
@@ -68,6 +68,11 @@
   ['an impossible port', { callerAddress: '127.0.0.1:70000' }, 'settingsInvalid callerAddress'],
   ['two listeners on one address', { adminAddress: '127.0.0.1:8000' }, 'addressClash adminAddress'],
   ['a lease shorter than two heartbeats', { heartbeatMs: 1_000, leaseMs: 1_500 }, 'settingsInvalid leaseMs'],
+  [
+    'a lease of keys shorter than four heartbeats',
+    { heartbeatMs: 1_000, keyLeaseMs: 3_900 },
+    'settingsInvalid keyLeaseMs',
+  ],
   ['a URL that is none', { platformUrl: 'platform' }, 'settingsInvalid platformUrl'],
 ])('%s is refused', (_name, change, expected) => {
   const result = validateBoxSettings({ ...settings, ...change });
--- a/packages/config/src/boxSettings.ts
+++ b/packages/config/src/boxSettings.ts
@@ -55,11 +55,24 @@
   });
 }
 
-/** A lease shorter than two heartbeats would take live peers for dead. */
+/** Least heartbeats in a lease: a shorter one would take live peers for dead. */
+const HEARTBEATS_PER_LEASE = 2;
+/** Least heartbeats in a lease of keys: half of it is for waiting at the platform, and one heartbeat may be lost. */
+const HEARTBEATS_PER_KEY_LEASE = 4;
+
 function checkTimes(settings: BoxSettings): Problem[] {
-  if (settings.leaseMs >= 2 * settings.heartbeatMs) return [];
-  const detail = `must be at least twice heartbeatMs (${settings.heartbeatMs})`;
-  return [{ code: 'settingsInvalid', at: 'leaseMs', detail }];
+  const { heartbeatMs, leaseMs, keyLeaseMs } = settings;
+  return [
+    ...checkHeartbeats('leaseMs', leaseMs, heartbeatMs, HEARTBEATS_PER_LEASE),
+    ...checkHeartbeats('keyLeaseMs', keyLeaseMs, heartbeatMs, HEARTBEATS_PER_KEY_LEASE),
+  ];
+}
+
+function checkHeartbeats(at: string, timeMs: number, heartbeatMs: number, least: number): Problem[] {
+  if (timeMs >= least * heartbeatMs) return [];
+  return [
+    { code: 'settingsInvalid', at, detail: `must be at least ${least} times heartbeatMs (${heartbeatMs})` },
+  ];
 }
 
 /**
--- a/packages/daemon/src/adapters/platformWatch.ts
+++ b/packages/daemon/src/adapters/platformWatch.ts
@@ -10,8 +10,11 @@
 const RETRY_MS = 1_000;
 /** Least time between two calls for one value, whatever the service answers. */
 const LEAST_INTERVAL_MS = 50;
-/** Calls that fit into a lease. */
-const CALLS_PER_LEASE = 2;
+/**
+ * Calls that fit into a lease. An answer confirms a value as it was when its call began, so that it is replaced only after
+ * two waits, and reaches other boxes a heartbeat later: the other half of the lease is for that and for a call that fails.
+ */
+const CALLS_PER_LEASE = 4;
 
 interface Watch {
   readonly name: ValueName;
