--- a/packages/daemon/src/__fixtures__/virtualKeyFleet.ts
+++ b/packages/daemon/src/__fixtures__/virtualKeyFleet.ts
@@ -22,6 +22,8 @@
   linkMs: (from: BoxId, to: BoxId) => number | undefined;
   /** What a call to the platform takes beside its wait. */
   platformMs: () => number;
+  /** A platform that is down fails each call at once, also those that wait. */
+  isPlatformUp: boolean;
 }
 
 /** A refusal that a caller got. */
@@ -141,7 +143,7 @@
   /** Starts the boxes; their lists are published a little later. */
   static async create(boxCount: number, overrides: Partial<CoreSettings> = {}): Promise<VirtualKeyFleet> {
     const settings = { ...DEFAULT_CORE_SETTINGS, ...overrides };
-    const fleet = new VirtualKeyFleet(settings, { linkMs: () => 1, platformMs: () => 2 });
+    const fleet = new VirtualKeyFleet(settings, { linkMs: () => 1, platformMs: () => 2, isPlatformUp: true });
     const ids = Array.from({ length: boxCount }, (_, index) => `box-${index + 1}`);
     const hasher = await createHasher();
     for (const id of ids) {
@@ -173,7 +175,8 @@
   async readValue({ name, etag, waitMs }: ValueQuery): Promise<ValueReading> {
     const text = this.published.get(name) ?? '';
     const isKnown = etag === name;
-    await wait(this.timing.platformMs() + (isKnown ? waitMs : 0));
+    if (this.timing.isPlatformUp) await wait(this.timing.platformMs() + (isKnown ? waitMs : 0));
+    if (!this.timing.isPlatformUp) return { type: 'failed' };
     return isKnown ? { type: 'unchanged' } : { type: 'changed', text, etag: name };
   }
 
@@ -204,6 +207,11 @@
   return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-${serial.toString(16).padStart(12, '0')}`;
 }
 
+/** When a caller made a key. */
+export function readTimeMs(key: string): number {
+  return parseInt(key.slice(0, 8) + key.slice(9, 13), 16);
+}
+
 function createHead(key: string): RequestHead {
   const call = { kind: 'plain', service: 'booking', team: 'hospital', method: 'POST', path: '/' } as const;
   return { ...call, chat: '', priority: 0, remainingMs: 0, headers: [], streamsBody: false, key };
