An owner of keys whose lists are unconfirmed asks the platform before it refuses

Callers saw: keys refused with 2017, `ran: unknown`, by a box that had stood still for as little as 0.7 s with the listed test's leases, though the platform was there. Cause: the only way to a confirmation was the next regular call, up to a quarter of a lease and a heartbeat away; until then each ask was refused, also those that had merely waited in the sockets of a process that stood still.

Change: such an ask waits while the owner asks the platform at once, half a second at the most; it is refused as soon as that call fails, and without waiting where the platform was asked in vain within the last second. Judged later it is the same as asked later, which the model of keys allows at any time: spec/keys.pml stands as it is, and so does the property over random histories.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -37,6 +37,8 @@
   | { readonly type: 'connectPeers'; readonly boxes: readonly BoxRecord[] }
   /** Watch exactly these values on the platform. */
   | { readonly type: 'watchValues'; readonly names: readonly ValueName[] }
+  /** Ask the platform at once whether these values are as this box holds them. */
+  | { readonly type: 'confirmValues'; readonly names: readonly ValueName[] }
   /** Read reports of exactly these endpoints. */
   | { readonly type: 'watchEndpoints'; readonly endpoints: readonly WatchedEndpoint[] }
   | DispatchEffect
--- a/packages/core/src/systems/configuration.ts
+++ b/packages/core/src/systems/configuration.ts
@@ -128,6 +128,7 @@
   const contact = ok ? 'ok' : 'failed';
   if (contact !== world.platformContact) world.watchersChanged = true;
   world.platformContact = contact;
+  if (!ok) world.confirmation.hasFailed = true;
   if (!ok || world.platformIsOlder[name]) return;
   world.confirmedAtMs[name] = Math.max(world.confirmedAtMs[name], askedAtMs);
 }
--- a/packages/core/src/systems/drain.ts
+++ b/packages/core/src/systems/drain.ts
@@ -22,7 +22,7 @@
 /** Ends the stop once nothing is in flight, or when it has taken too long. */
 export function runDrain(world: World): void {
   if (world.stop.type !== 'draining') return;
-  const isIdle = world.requests.size === 0 && world.calls.size === 0;
+  const isIdle = world.requests.size === 0 && world.calls.size === 0 && world.heldKeys.length === 0;
   const isOverdue = world.nowMs - world.stop.sinceMs > world.settings.drainTimeoutMs;
   const graceMs = world.settings.heartbeatMs;
   const peersKnow = world.nowMs - world.stop.sinceMs >= graceMs;
--- a/packages/core/src/systems/keyDoubt.ts
+++ b/packages/core/src/systems/keyDoubt.ts
@@ -8,7 +8,7 @@
 import { count, emit } from '../world.js';
 
 /** The published values by which keys have owners. */
-const OWNERSHIP_VALUES = ['declared', 'boxes'] as const satisfies readonly ValueName[];
+export const OWNERSHIP_VALUES = ['declared', 'boxes'] as const satisfies readonly ValueName[];
 
 /** While doubt lasts, one line for each of these spans is enough: the counter has them all. */
 const LOG_INTERVAL_MS = 1_000;
--- a/packages/core/src/systems/keys.ts
+++ b/packages/core/src/systems/keys.ts
@@ -12,6 +12,7 @@
 import { emit } from '../world.js';
 import { refuseAttempt, sendToBox } from './admission.js';
 import { startOwnedRequest } from './entry.js';
+import { holdKey, takeReleasedKeys } from './heldKeys.js';
 import type { KeyDoubt } from './keyDoubt.js';
 import { findListDoubt, noteDoubt } from './keyDoubt.js';
 import { findOwner, readOwnedSinceMs, readOwnershipMarginMs } from './ownership.js';
@@ -82,6 +83,10 @@
 
 /** Acts as a key's owner on an ask for it. */
 export function handleKeyed(world: World, frame: KeyedFrame): void {
+  judgeAsk(world, frame, true);
+}
+
+function judgeAsk(world: World, frame: KeyedFrame, mayWait: boolean): void {
   const { requestId, attempt, entry, head } = frame;
   const asker: KeyAsker = { requestId, attempt, entry };
   const text = head.key ?? '';
@@ -96,6 +101,7 @@
     case 'refuse':
       return refuseAttempt(world, asker, verdict.code, verdict.ran);
     case 'doubt':
+      if (mayWait && holdKey(world, frame, verdict.doubt)) return;
       noteDoubt(world, text, verdict.doubt);
       return refuseAttempt(world, asker, 'keyUnsure', 'unknown');
   }
@@ -172,8 +178,14 @@
   for (const asker of askers) refuseAttempt(world, asker, code, ran);
 }
 
-/** Forgets rows past their retention, and remembers up to where it forgot. */
+/** Judges what waited for the platform, and forgets rows past their retention. */
 export function sweepKeys(world: World): void {
+  for (const frame of takeReleasedKeys(world)) judgeAsk(world, frame, false);
+  forgetOldRows(world);
+}
+
+/** Forgets rows past their retention, and remembers up to where it forgot. */
+function forgetOldRows(world: World): void {
   const { keyRetentionMs } = world.settings;
   for (const row of world.keys.values()) {
     // Rows stand in the order in which they were made.
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -20,6 +20,7 @@
 import type { Result } from './result.js';
 import type { Problem } from './resultCodes.js';
 import type { BoxRow } from './tables/boxes.js';
+import type { Confirmation, HeldKey } from './systems/heldKeys.js';
 import type { Cession, OwnershipEpoch } from './systems/ownership.js';
 import type { CallRow } from './tables/calls.js';
 import { Directory } from './tables/directory.js';
@@ -99,6 +100,10 @@
   forgottenSerial: number;
   /** Timed keys up to this time are no longer in the table. */
   forgottenTimeMs: number;
+  /** Keys that wait for the platform to confirm the lists, oldest first. */
+  heldKeys: HeldKey[];
+  /** How asking the platform for that goes. */
+  confirmation: Confirmation;
   /** When a doubt about a key was last logged. */
   doubtLoggedAtMs: number;
   /** Calls this box has carried as an owner. */
@@ -180,6 +185,8 @@
     hasMissedVersion: false,
     forgottenSerial: -1,
     forgottenTimeMs: -Infinity,
+    heldKeys: [],
+    confirmation: { askedAtMs: -Infinity, hasFailed: false },
     doubtLoggedAtMs: -Infinity,
     ownedRequests: 0,
     retryBudgets: new Map(),
--- a/packages/daemon/src/__fixtures__/virtualKeyFleet.ts
+++ b/packages/daemon/src/__fixtures__/virtualKeyFleet.ts
@@ -99,6 +99,8 @@
         return;
       case 'watchValues':
         return this.watch.watch(effect.names);
+      case 'confirmValues':
+        return this.watch.confirm(effect.names);
       case 'dispatch':
         return this.runCall(effect.requestId, effect.attempt, effect.entry);
       case 'deliverKeyed':
--- a/packages/daemon/src/adapters/platformWatch.ts
+++ b/packages/daemon/src/adapters/platformWatch.ts
@@ -19,7 +19,6 @@
 interface Watch {
   readonly name: ValueName;
   readonly abort: AbortController;
-  etag: string;
 }
 
 /** What the watch needs from the daemon. */
@@ -34,6 +33,9 @@
 /** Watches some of the published values. */
 export class PlatformWatch {
   private readonly watches = new Map<ValueName, Watch>();
+  /** Of what was read last, watched still or not. */
+  private readonly etags = new Map<ValueName, string>();
+  private readonly closed = new AbortController();
   /** How long a call waits for a change; each answer confirms the value as it was when the call began. */
   private readonly waitMs: number;
 
@@ -51,13 +53,19 @@
     for (const name of names) if (!this.watches.has(name)) this.start(name);
   }
 
-  /** Ends all watches. */
+  /** Asks at once, beside the calls that wait for a change, whether these values are still as they were read. */
+  confirm(names: readonly ValueName[]): void {
+    for (const name of names) void this.readOnce(name, 0, this.closed.signal);
+  }
+
+  /** Ends all watches and calls. */
   close(): void {
     this.watch([]);
+    this.closed.abort();
   }
 
   private start(name: ValueName): void {
-    const watch: Watch = { name, abort: new AbortController(), etag: '' };
+    const watch: Watch = { name, abort: new AbortController() };
     this.watches.set(name, watch);
     void this.poll(watch);
   }
@@ -65,29 +73,26 @@
   private async poll(watch: Watch): Promise<void> {
     const { signal } = watch.abort;
     while (!signal.aborted) {
-      const askedAtMs = Date.now();
-      const ok = await this.readOnce(watch);
-      if (signal.aborted) return;
-      this.options.emit({ type: 'platformContact', name: watch.name, ok, askedAtMs });
+      const ok = await this.readOnce(watch.name, this.waitMs, signal);
       await pause(ok ? LEAST_INTERVAL_MS : RETRY_MS * (0.5 + Math.random()), signal);
     }
   }
 
-  private async readOnce(watch: Watch): Promise<boolean> {
+  /** Makes one call and tells what came of it. Returns whether the platform answered. */
+  private async readOnce(name: ValueName, waitMs: number, signal: AbortSignal): Promise<boolean> {
     const { readValue, emit, metrics } = this.options;
-    const { name, etag, abort } = watch;
     metrics.count('platform.call');
-    const reading = await readValue({ name, etag, waitMs: this.waitMs, signal: abort.signal });
-    switch (reading.type) {
-      case 'changed':
-        watch.etag = reading.etag;
-        if (!abort.signal.aborted) emit({ type: 'valueRead', name, text: reading.text });
-        return true;
-      case 'unchanged':
-        return true;
-      case 'failed':
-        return false;
+    const askedAtMs = Date.now();
+    const etag = this.etags.get(name) ?? '';
+    const reading = await readValue({ name, etag, waitMs, signal });
+    const ok = reading.type !== 'failed';
+    if (signal.aborted) return ok;
+    if (reading.type === 'changed') {
+      this.etags.set(name, reading.etag);
+      emit({ type: 'valueRead', name, text: reading.text });
     }
+    emit({ type: 'platformContact', name, ok, askedAtMs });
+    return ok;
   }
 }
 
--- a/packages/daemon/src/box.ts
+++ b/packages/daemon/src/box.ts
@@ -202,6 +202,8 @@
         return this.peers.connectTo(effect.boxes);
       case 'watchValues':
         return this.platform.watch(effect.names);
+      case 'confirmValues':
+        return this.platform.confirm(effect.names);
       case 'watchEndpoints':
         return this.reports.watch(effect.endpoints);
       case 'dispatch':
--- a/packages/measure/src/coreDriver.ts
+++ b/packages/measure/src/coreDriver.ts
@@ -195,6 +195,7 @@
       case 'forgetKeyed':
       case 'connectPeers':
       case 'watchValues':
+      case 'confirmValues':
       case 'cancelCall':
       case 'bindRequest':
       case 'count':
