--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -203,12 +203,30 @@
       .sort((a, b) => b.over / b.all - a.over / a.all)[0];
     if (worst === undefined) return [];
     const { all, over, window } = worst;
-    return [{ check: 'load bound', detail: `${service}: ${over} of ${all} from ${window[0]?.atMs}` }];
+    const detail = `${service}: ${over} of ${all} from ${window[0]?.atMs}; ${describeFullest(window)}`;
+    return [{ check: 'load bound', detail }];
   });
 }
 
+/** A run and what its endpoint and its service held as it came. */
+interface JudgedRun {
+  readonly atMs: number;
+  readonly endpoint: string;
+  readonly held: number;
+  readonly heldByService: number;
+  readonly isOver: boolean;
+}
+
+function describeFullest(window: readonly JudgedRun[]): string {
+  const over = window.filter((run) => run.isOver);
+  const endpoints = [...new Set(over.map(({ endpoint }) => endpoint))].join();
+  const fullest = over.reduce((most, run) => (run.held > most.held ? run : most));
+  const spanMs = (over.at(-1)?.atMs ?? 0) - (over[0]?.atMs ?? 0);
+  return `at ${endpoints} within ${spanMs} ms, ${fullest.held} of ${fullest.heldByService} at the most`;
+}
+
 /** Which runs of a service met an endpoint over the bound, by what endpoints said of beginnings and ends. */
-function judgeLoads(runs: readonly RunRecord[]): { readonly atMs: number; readonly isOver: boolean }[] {
+function judgeLoads(runs: readonly RunRecord[]): JudgedRun[] {
   const ends = runs.filter((run) => run.endedAtMs < Infinity).sort((a, b) => a.endedAtMs - b.endedAtMs);
   const held = new Map<string, number>();
   let total = 0;
@@ -222,9 +240,10 @@
       }
       const here = held.get(run.endpoint) ?? 0;
       const bound = LOAD_FACTOR * (total / Math.max(1, run.listed)) + LOAD_ALLOWANCE;
+      const judged = { atMs: run.atMs, endpoint: run.endpoint, held: here, heldByService: total };
       held.set(run.endpoint, here + 1);
       total += 1;
-      return { atMs: run.atMs, isOver: here > bound };
+      return { ...judged, isOver: here > bound };
     });
 }
 
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -41,6 +41,13 @@
   endedAtMs: number;
 }
 
+/** A span in which an endpoint's process stood still, for want of a processor or by a signal. */
+export interface StallRecord {
+  readonly endpoint: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** A question which configuration a box has in force. */
 export interface ProbeRecord {
   readonly box: string;
@@ -70,6 +77,7 @@
 export class Ledger {
   readonly requests: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
+  readonly stalls: StallRecord[] = [];
   readonly probes: ProbeRecord[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly events: PlannedEvent[] = [];
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -30,11 +30,17 @@
   for (const { check, detail } of violations) process.stdout.write(`  ${check}: ${detail}\n`);
 }
 
+function writeRecords(path: string, records: readonly object[]): void {
+  writeFileSync(path, records.map((record) => `${JSON.stringify(record)}\n`).join(''));
+}
+
 function keepLogs(result: SoakResult): void {
   const folder = join(argv.keep, `seed-${result.seed}`);
   mkdirSync(folder, { recursive: true });
   writeFileSync(join(folder, 'faults.txt'), `${result.faults.join('\n')}\n`);
   writeFileSync(join(folder, 'violations.json'), JSON.stringify(result.violations, undefined, 2));
+  writeRecords(join(folder, 'runs.jsonl'), result.runRecords);
+  writeRecords(join(folder, 'stalls.jsonl'), result.stalls);
   for (const [box, lines] of result.logs) writeFileSync(join(folder, `${box}.log`), `${lines.join('\n')}\n`);
 }
 
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -6,6 +6,7 @@
 import { checkPromises } from './checks.js';
 import type { FaultKind } from './faults.js';
 import { FAULT_KINDS, FaultInjector } from './faults.js';
+import type { RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
 import { markOf, SoakSite } from './site.js';
 
@@ -27,6 +28,10 @@
   readonly runs: number;
   readonly faults: readonly string[];
   readonly violations: readonly Violation[];
+  /** Every run at an endpoint, to trace loads by. */
+  readonly runRecords: readonly RunRecord[];
+  /** When endpoints stood still. */
+  readonly stalls: readonly StallRecord[];
   /** Log of each box. */
   readonly logs: ReadonlyMap<string, readonly string[]>;
 }
@@ -70,6 +75,8 @@
     runs: ledger.runs.length,
     faults,
     violations: checkPromises(ledger),
+    runRecords: ledger.runs,
+    stalls: ledger.stalls,
     logs: new Map(site.boxes.map((box) => [box.name, box.log])),
   };
 }
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -198,10 +198,13 @@
   }
 
   private noteEndpointLine(id: string, line: string): void {
-    const told = JSON.parse(line) as { run?: string; ended?: string; atMs?: number };
-    const { run, ended, atMs } = told;
+    const told = JSON.parse(line) as { run?: string; ended?: string; stalledMs?: number; atMs?: number };
+    const { run, ended, stalledMs, atMs } = told;
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined || atMs === undefined) return;
+    if (stalledMs !== undefined) {
+      this.ledger.stalls.push({ endpoint: id, fromMs: atMs - stalledMs, toMs: atMs });
+    }
     if (ended !== undefined) this.endRun(`${id} ${ended}`, atMs);
     if (run === undefined) return;
     const { service } = endpoint;
