In a small fleet heartbeats tell what each box was asked for

Cause: a hot prompt is spread only where it is known to be hot, and in small fleets nobody added up what all boxes are asked for; loads there are half a second to a second old, and in that time the home gets all of its requests.

Change: what a box was asked for since its last heartbeat goes with the heartbeat, and each box adds it up by the code with which speakers of large fleets do. A field that older boxes pass over.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -8,7 +8,7 @@
 import type { FleetPlan, VirtualBox, VirtualProgram } from '../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../membership/__fixtures__/virtualFleet.js';
 import { LoadRelay } from '../peers/loadRelay.js';
-import type { RouterFrame } from '../peers/peerFrames.js';
+import type { Heartbeat, RouterFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint, PromptPart } from '../records.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
@@ -111,7 +111,8 @@
   }
 
   handleFrame(frame: RouterFrame): void {
-    if (frame.type === 'boxLoads') this.relay.handleBoxLoads(frame);
+    if (frame.type === 'heartbeat') this.relay.handleHeartbeat(frame);
+    else if (frame.type === 'boxLoads') this.relay.handleBoxLoads(frame);
     else if (frame.type === 'hallLoads') this.relay.handleHallLoads(frame);
     else if (frame.type === 'fleetLoads') this.relay.handleFleetLoads(frame);
   }
@@ -120,6 +121,10 @@
     this.relay.tick();
   }
 
+  createDemandNews(): Pick<Heartbeat, 'prompts'> {
+    return { prompts: this.relay.takeDemandForHeartbeat() };
+  }
+
   listLoads(): number[] {
     return listOwnLoads(this.table);
   }
--- a/packages/router/src/__tests__/loadRelay.test.ts
+++ b/packages/router/src/__tests__/loadRelay.test.ts
@@ -274,11 +274,28 @@
   expect(box.demand.readWidth(6, box.nowMs, 0)).toBe(1);
 });
 
-test('a box of a small fleet, where nobody adds up demand, keeps no counts of it', () => {
+test('in a small fleet heartbeats tell what each box was asked for, once, and every box adds it up', () => {
+  const [box, other] = [new TestBox('5', true), new TestBox('6', true)];
+  for (let count = 0; count < 5; count += 1) box.demand.note(7);
+  expect(box.relay.takeDemandForHeartbeat()).toEqual([7, 5]);
+  expect(box.relay.takeDemandForHeartbeat()).toBeUndefined();
+  other.demand.note(7);
+  other.relay.handleHeartbeat({ ...heartbeatOf('5', 'mixco', 0), prompts: [7, 5] });
+  other.tick();
+  expect(other.demand.readWidth(7, other.nowMs, 0)).toBe(3);
+  expect(other.demand.readWidth(8, other.nowMs, 0)).toBe(1);
+});
+
+test('a box of a small fleet keeps no counts of demand, and of those for a heartbeat the last few', () => {
   const box = new TestBox('5', true);
   for (let prompt = 0; prompt < 1_000; prompt += 1) box.demand.note(prompt);
   box.tick();
   expect(box.demand.takeCounts()).toEqual([]);
+  for (let tick = 0; tick < 100; tick += 1) {
+    box.demand.note(10_000 + tick);
+    box.tick();
+  }
+  expect(box.relay.takeDemandForHeartbeat()?.length).toBeLessThanOrEqual(2 * 64);
 });
 
 /** A hall of boxes that reach each other, the first of them its speaker. */
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -313,7 +313,8 @@
   private sendHeartbeat(): void {
     this.heartbeatAtMs = this.now();
     const homes = this.mesh.isFlat ? this.homes.takeUntold(MAX_TOLD_HOMES) : [];
-    this.mesh.broadcast(this.createHeartbeat(homes));
+    const prompts = this.loads.takeDemandForHeartbeat();
+    this.mesh.broadcast({ ...this.createHeartbeat(homes), ...(prompts && { prompts }) });
   }
 
   /** What a box on a link that just came up may have missed goes with the first heartbeat. */
@@ -344,6 +345,7 @@
     switch (frame.type) {
       case 'heartbeat':
         this.homes.learn(frame.homes);
+        this.loads.handleHeartbeat(frame);
         this.crashNews.handleGreeting(frame);
         return this.peerValues.noteHeartbeat(frame);
       case 'feedNotice':
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -20,6 +20,8 @@
   listLoads(): number[];
   /** What is told on a new link of requests that crash their endpoints. */
   createCrashGreeting?(): CrashGreeting;
+  /** What a heartbeat tells besides, each time. */
+  createDemandNews?(): Pick<Heartbeat, 'prompts'>;
 }
 
 /** One box. */
@@ -184,7 +186,7 @@
         box.program?.tick();
         if (this.timeline.nowMs - heartbeatAtMs >= mesh.paceMs) {
           heartbeatAtMs = this.timeline.nowMs;
-          mesh.broadcast(createHeartbeat());
+          mesh.broadcast({ ...createHeartbeat(), ...box.program?.createDemandNews?.() });
         }
       }
       this.timeline.after(TICK_MS, tick);
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,12 +1,13 @@
 /**
- * Spreads loads, and with them what boxes learned of the homes of prompts. In a small fleet heartbeats carry both to
- * every box. In a larger one each box tells its loads, and what it was asked for, to two speakers of its hall; these tell
+ * Spreads loads, and with them what boxes learned of the homes of prompts and were asked for. In a small fleet heartbeats
+ * carry all of it to every box. In a larger one each box tells its loads, and what it was asked for, to two speakers of its hall; these tell
  * the hall's sum to the speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so
  * that a box sends and reads a few frames a second whatever the size of the fleet.
  */
 import { FreshBook, TOLD_LIFE_MS } from '../systems/freshBook.js';
 import type { LoadList, LoadSum } from '../systems/loadExchange.js';
 import { applyPeerLoads, listOwnLoads, subtractLoads, sumTold } from '../systems/loadExchange.js';
+import type { PairList } from '../systems/pairList.js';
 import { addPairs } from '../systems/pairList.js';
 import type { PromptDemand } from '../systems/promptDemand.js';
 import { DemandBook } from '../systems/promptDemand.js';
@@ -29,6 +30,9 @@
 /** Homes of prompts told on a new link: some ten kilobytes, once. */
 const MAX_HOMES_ON_NEW_LINK = 1_024;
 
+/** Lists of what this box was asked for that wait for a heartbeat; more would mean that none is sent any longer. */
+const MAX_UNTOLD_LISTS = 4;
+
 /** Boxes may be missing from a sum for a moment, as they come and go; below this share it is partial. */
 const WHOLE_SHARE = 0.9;
 
@@ -65,6 +69,8 @@
   private readonly boxes = new FreshBook<LoadSum>();
   private readonly halls = new FreshBook<LoadSum>();
   private readonly demands = new DemandBook();
+  private untoldDemand: PairList[] = [];
+  private demandAtMs = -Infinity;
   private tickedAtMs = -Infinity;
   /** When a speaker last told the fleet's sum. */
   private heardFleetAtMs = -Infinity;
@@ -83,6 +89,7 @@
   tick(): void {
     const { mesh, now } = this.options;
     const nowMs = now();
+    if (mesh.isFlat) this.updateDemand(nowMs);
     if (nowMs - this.tickedAtMs < (mesh.isFlat ? mesh.paceMs : LOADS_MS)) return;
     this.tickedAtMs = nowMs;
     if (mesh.isFlat) this.takeFromHeartbeats(nowMs);
@@ -104,6 +111,20 @@
     return this.taken.ageMs + this.options.now() - this.takenAtMs;
   }
 
+  /** In a small fleet, what this box was asked for since its last heartbeat: each box adds up what all tell. */
+  takeDemandForHeartbeat(): number[] | undefined {
+    if (!this.options.mesh.isFlat) return undefined;
+    this.collectOwnDemand();
+    const prompts = [...addPairs(this.untoldDemand)];
+    this.untoldDemand = [];
+    return prompts.length > 0 ? prompts : undefined;
+  }
+
+  /** A peer's heartbeat tells what it was asked for. */
+  handleHeartbeat({ prompts = [] }: Heartbeat): void {
+    this.demands.noteBox(prompts);
+  }
+
   /** A box of the hall tells its loads to this speaker. */
   handleBoxLoads(frame: BoxLoads): void {
     this.options.homes.learn(frame.homes);
@@ -157,10 +178,25 @@
     else if (nowMs - this.heardFleetAtMs > TOLD_LIFE_MS) applyPeerLoads(this.options.table, []);
   }
 
+  /** Keeps what this box was asked for, for its next heartbeat; old lists go if none is sent. */
+  private collectOwnDemand(): void {
+    const counts = this.options.demand.takeCounts();
+    if (counts.length === 0) return;
+    this.demands.noteBox(counts);
+    this.untoldDemand = [...this.untoldDemand, counts].slice(-MAX_UNTOLD_LISTS);
+  }
+
+  /** In a small fleet each box finds out itself which prompts are hot. */
+  private updateDemand(nowMs: number): void {
+    if (nowMs - this.demandAtMs < LOADS_MS) return;
+    this.demandAtMs = nowMs;
+    this.demands.advance(nowMs);
+    this.options.demand.learn(this.demands.listHot(), nowMs);
+  }
+
   private takeFromHeartbeats(nowMs: number): void {
-    const { mesh, demand } = this.options;
-    // Loads are fresh enough here for hot prompts to need nothing else: nobody adds up demand, and none is kept.
-    demand.takeCounts();
+    const { mesh } = this.options;
+    this.collectOwnDemand();
     const peers = mesh.listFresh();
     const ageMs = Math.max(0, ...peers.map((peer) => nowMs - peer.heardAtMs));
     this.take(
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -77,6 +77,8 @@
   loads: z.array(z.number()),
   /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
   homes: z.array(z.number()),
+  /** In a small fleet: what the sender was asked for since its last heartbeat. Absent if nothing, or on a new link. */
+  prompts: z.array(z.number()).optional(),
   /** Number of the sender's life: grows whenever the box starts, or objects to being held for down. */
   incarnation: z.number(),
   /** The sender is stopping. */
