--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -190,13 +190,13 @@
   private updateDemand(nowMs: number): void {
     if (nowMs - this.demandAtMs < LOADS_MS) return;
     this.demandAtMs = nowMs;
+    this.collectOwnDemand();
     this.demands.advance(nowMs);
     this.options.demand.learn(this.demands.listHot(), nowMs);
   }
 
   private takeFromHeartbeats(nowMs: number): void {
     const { mesh } = this.options;
-    this.collectOwnDemand();
     const peers = mesh.listFresh();
     const ageMs = Math.max(0, ...peers.map((peer) => nowMs - peer.heardAtMs));
     this.take(
