A hot prompt is spread by how much loads differ, not by which is lower

Cause: for a hot prompt each box drew the emptier of two by loads that all boxes know alike and that are up to a second old: the emptiest got 7 of 16 requests however little emptier it was, and requests that come at many boxes in one moment met there.

Change: as for calls without prompts, one is drawn at random and left by that part of the requests of which it holds too much.

--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -236,6 +236,28 @@
   expect(homes.takeUntold(100).length).toBeLessThanOrEqual(2 * 3);
 });
 
+/**
+ * Seen with 24 real boxes, four endpoints and one prompt: many boxes asked at the same moment, and one endpoint got two
+ * thirds of the requests, 12 to 22 of 17 to 30, while loads had hardly differed. Each box drew the emptier of two by
+ * loads that all boxes knew alike, so that the emptiest got 7 of 16 requests however little emptier it was.
+ */
+test('loads that differ little spread a hot prompt nearly evenly, loads that differ much empty the fullest', () => {
+  const { table, rows } = createTable(4);
+  const demand = new PromptDemand();
+  const placement = createPlacement(table, new PromptHomes(), { demand, random: createRandom(5) });
+  placement.choose(ask('p'), NOW_MS);
+  const [key = 0] = demand.takeCounts();
+  demand.learn([key, 40], NOW_MS);
+  const shareOf = (row: EndpointRow | undefined): number => {
+    const chosen = Array.from({ length: 4_000 }, () => placement.choose(ask('p'), NOW_MS)?.row);
+    return chosen.filter((one) => one === row).length / chosen.length;
+  };
+  rows.forEach((row, at) => (row.peersInFlight = at === 0 ? 9 : 10));
+  expect(shareOf(rows[0])).toBeLessThan(0.3);
+  rows.forEach((row, at) => (row.peersInFlight = at === 0 ? 10 : 4));
+  expect(shareOf(rows[0])).toBeLessThan(0.15);
+});
+
 test('of what comes to a loaded endpoint of the own hall a part leaves, more if it holds more, and is spread', () => {
   const { table } = createTable(0);
   const near = table.upsert(createListing('near'), 0);
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -10,7 +10,7 @@
 import type { PromptPart } from '../records.js';
 import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
-import { drawLower } from './drawEndpoint.js';
+import { drawLower, drawOne, leaveIfFull } from './drawEndpoint.js';
 import { isUsable } from './endpointHealth.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
@@ -149,15 +149,18 @@
     meanLoad: number,
     width: number,
   ): Pick<PlacementChoice, 'row' | 'way'> | undefined {
+    const { random } = this.options;
     const withRoom = this.listWithRoom(rows, meanLoad) ?? this.listWithRoom(rows, readMeanLoad(rows));
     if (withRoom === undefined) {
-      const least = drawLower(rows, readFleetLoad, this.options.random);
+      const least = drawLower(rows, readFleetLoad, random);
       return least === undefined ? undefined : { row: least, way: 'noRoom' };
     }
     if (width > 1) {
       const first = this.listBestRanked(withRoom, prompt, width);
-      const row = drawLower(first, readFleetLoad, this.options.random);
-      return row === undefined ? undefined : { row, way: 'hot' };
+      const drawn = drawOne(first, random);
+      if (drawn === undefined) return undefined;
+      const readNext = (row: EndpointRow): number => readFleetLoad(row) + 1;
+      return { row: leaveIfFull(drawn, first, readNext, 0, random), way: 'hot' };
     }
     // Ranking hashes each endpoint: most homes have room, and then once is enough.
     const home = this.findBestRanked(rows, prompt);
