--- a/packages/router/src/quarantine/suspectTable.ts
+++ b/packages/router/src/quarantine/suspectTable.ts
@@ -6,7 +6,7 @@
 const SEEN_TWICE_CRASHES = 2;
 /** Requests seen in one crash: the ones in flight at some hundred crashes. The oldest are dropped first. */
 const MAX_SEEN_ONCE = 4_096;
-/** Requests seen in two crashes; and those not sent any more. The ones above take 2.7 MB of heap, all 6.5 MB, measured. */
+/** Requests seen in two crashes; and those not sent any more. All three books full fit into a tenth of a box's heap. */
 const MAX_SEEN_TWICE = 1_024;
 const MAX_QUARANTINED = 1_024;
 
--- a/packages/router/src/systems/feedDuty.ts
+++ b/packages/router/src/systems/feedDuty.ts
@@ -19,8 +19,8 @@
 const COVERED_MS = 10_000;
 /**
  * Changes come in bursts, and each answers a waiting call. The first follower of a hall lets them gather for a moment,
- * as shares of the time in which they have to hold; the second one for as long as it may without being late itself.
- * That halves the calls of a hall: in a burst the second one made as many as the first.
+ * as shares of the time in which they have to hold; the second one for as long as it may without being late itself,
+ * and then most often finds that the first one has told all.
  */
 const GATHER_SHARES = [0.08, 0.4] as const;
 /** Pause after a call that failed, for a box that reads for itself or for its hall. */
--- a/packages/router/src/systems/platformContact.ts
+++ b/packages/router/src/systems/platformContact.ts
@@ -3,9 +3,8 @@
  *
  * Entries of live endpoints vanish while the platform is away, so an entry that vanishes then does not prove that its
  * endpoint leaves. Calls of this box that fail do not show that the platform is away: only its own way may be cut, while
- * peers go on reading and tell what changes. Taking the one for the other keeps endpoints that have left in use until three
- * seconds after the cut. With three of seven boxes cut off for 12 s while five endpoints leave, played with three seeds,
- * each of the three kept all five, up to 11.5 s; with the word of peers none is kept.
+ * peers go on reading and tell what changes. Taking the one for the other would keep endpoints that have left in use for as
+ * long as the cut lasts.
  */
 
 /** Entries of live endpoints are listed again within about two seconds of the platform's return. */
--- a/packages/router/src/systems/promptDemand.ts
+++ b/packages/router/src/systems/promptDemand.ts
@@ -1,25 +1,20 @@
 /**
- * How often the fleet is asked for each prompt. A box sees next to nothing of that itself: of 25 requests a second for
- * one prompt, one of 87 boxes gets one each three seconds. So boxes tell their speakers what they were asked for, and the
- * speakers tell all which prompts are hot. A hot prompt is spread over several endpoints at once: loads are up to a
+ * How often the fleet is asked for each prompt. A box sees next to nothing of that itself: in a large fleet it may get
+ * one request each three seconds of a prompt that all boxes are asked for all the time. So boxes tell what they were asked
+ * for, and whoever hears it adds it up: in a small fleet every box, in a large one the speakers, who tell all which prompts
+ * are hot. A hot prompt is spread over several endpoints at once: loads are up to a
  * second old, and in that time a single endpoint would get all of its requests.
  */
 import { FreshBook, TOLD_LIFE_MS } from './freshBook.js';
 import type { PairList } from './pairList.js';
 import { addPairs, readPairs } from './pairList.js';
 
-/**
- * Requests a second from which a prompt is hot. The most used prompt of a fleet of 87 boxes gets 1.1 when none is hot, so
- * that chance brings it here in one second of a thousand.
- */
+/** Requests a second from which a prompt is hot: several times what the most used of many prompts gets when none is. */
 const HOT_PER_S = 6;
 /** How old loads are when the next ones come where no box is late; on busy machines they say themselves that they are older. */
 const LEAST_LOAD_AGE_MS = 1_000;
 const MS_PER_S = 1_000;
-/**
- * Requests for one prompt that an endpoint may get before its load is heard of: about what the load cap leaves to the
- * bound where an engine holds three requests in the mean.
- */
+/** Requests for one prompt that an endpoint may get before its load is heard of: what the load cap leaves to the bound. */
 const REQUESTS_UNHEARD = 2;
 /** Periods over which a speaker counts; with two a second, as loads are told, a second. */
 const COUNTED_PERIODS = 2;
@@ -55,9 +50,8 @@
   }
 
   /**
-   * Over how many endpoints a prompt is to be spread; 1 unless it is hot. The older loads are, the more: in fleets whose
-   * boxes stand still three quarters of the time, for a second, a prompt for 0.3 of the long generations had 5.4 in 100
-   * requests over the load bound with the least age and has 4.5; for 0.3 s, 2.8 and 2.1.
+   * Over how many endpoints a prompt is to be spread; 1 unless it is hot. The older loads are, as on busy machines, the
+   * more come to an endpoint before anybody hears of it.
    *
    * @param loadAgeMs how old the oldest loads are that this box knows
    */
