--- a/packages/core/src/__tests__/keys.test.ts
+++ b/packages/core/src/__tests__/keys.test.ts
@@ -122,6 +122,19 @@
   expect([countRuns(effects), readRefusal(effects)]).toEqual([0, 'keyUnsure unknown']);
 });
 
+test('a key that waited until its caller had no time left does not run', async () => {
+  const world = await createTestWorld('box-1', { settings });
+  confirm(world, 1_000);
+  const head = { ...createHead(createUuid(1_000)), remainingMs: 100 };
+  runTurn(world, [{ type: 'callerRequest', requestId: 'short', head }], 1_101);
+  const names = ['declared', 'boxes'] as const;
+  const contacts = names.map(
+    (name) => ({ type: 'platformContact', name, ok: true, askedAtMs: 1_200 }) as const,
+  );
+  const effects = [...runTurn(world, contacts, 1_205), ...runTurn(world, [{ type: 'tick' }], 1_230)];
+  expect([countRuns(effects), world.heldKeys, world.keys.size]).toEqual([0, [], 0]);
+});
+
 test('a key in doubt is counted by reason, and the first of a second is logged with the state behind it', async () => {
   const world = await createTestWorld('box-1', { settings });
   confirm(world, 1_000);
--- a/packages/core/src/systems/heldKeys.ts
+++ b/packages/core/src/systems/heldKeys.ts
@@ -55,6 +55,6 @@
 
 /** The time that an ask waited is gone for its call. */
 function shortenTime({ frame, sinceMs }: HeldKey, nowMs: number): KeyedFrame {
-  const remainingMs = Math.max(1, frame.head.remainingMs - (nowMs - sinceMs));
+  const remainingMs = frame.head.remainingMs - (nowMs - sinceMs);
   return { ...frame, head: { ...frame.head, remainingMs } };
 }
--- a/packages/core/src/systems/keys.ts
+++ b/packages/core/src/systems/keys.ts
@@ -180,10 +180,16 @@
 
 /** Judges what waited for the platform, and forgets rows past their retention. */
 export function sweepKeys(world: World): void {
-  for (const frame of takeReleasedKeys(world)) judgeAsk(world, frame, false);
+  for (const frame of takeReleasedKeys(world)) judgeReleased(world, frame);
   forgetOldRows(world);
 }
 
+/** A caller whose time passed meanwhile has its answer: the call must not run after it. */
+function judgeReleased(world: World, frame: KeyedFrame): void {
+  if (frame.head.remainingMs <= 0) return refuseAttempt(world, frame, 'deadlineTooShort', 'no');
+  judgeAsk(world, frame, false);
+}
+
 /** Forgets rows past their retention, and remembers up to where it forgot. */
 function forgetOldRows(world: World): void {
   const { keyRetentionMs } = world.settings;
