--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -1,8 +1,8 @@
 /**
  * Spreads loads, and with them what boxes learned of the homes of prompts and were asked for. In a small fleet heartbeats
- * carry all of it to every box. In a larger one each box tells its loads, and what it was asked for, to two speakers of its hall; these tell
- * the hall's sum to the speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so
- * that a box sends and reads a few frames a second whatever the size of the fleet.
+ * carry all of it to every box. In a larger one each box tells it to two speakers of its hall; these tell the hall's sum to
+ * the speakers of the other halls and the fleet's sum to a few boxes of their own, which pass it on, so that a box sends
+ * and reads a few frames a second whatever the size of the fleet.
  */
 import { FreshBook, TOLD_LIFE_MS } from '../systems/freshBook.js';
 import type { LoadList, LoadSum } from '../systems/loadExchange.js';
