Soak: what a box does with a probe is excused as with any request

The trace: its box had stood still for 3.6 s until 1.7 s before, so that it was not in touch, and a caller's request that it sent there a moment later was passed over for that reason. The check looked up the box of callers' requests only. Probes are kept as they are sent now; the bound and the spans stay.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -118,6 +118,20 @@
   expect(listBroken()).toEqual(['no new work for a leaving endpoint']);
 });
 
+/**
+ * Seen with seed 840: a probe reached an endpoint that had left by way of a box that had stood still until 1.7 s before. The
+ * box of a probe was not looked up, so that nothing excused what it did.
+ */
+test('a probe by a box that is not in touch yet, and by one that is, at an endpoint that leaves', () => {
+  ledger.events.push({ type: 'endpointLeaves', endpoint: 'e-1', atMs: NOW_MS });
+  ledger.disturbances.push({ entity: 'box-1', fromMs: NOW_MS - 500, toMs: NOW_MS + 6_000 });
+  ledger.probeRequests.push({ requestId: 'p', box: 'box-1', sentAtMs: NOW_MS + 8_900 });
+  run('p', 'e-1', NOW_MS + 8_950);
+  expect(listBroken()).toEqual([]);
+  run('p', 'e-1', NOW_MS + 9_600);
+  expect(listBroken()).toEqual(['no new work for a leaving endpoint']);
+});
+
 test('a configuration that is late, and one that goes back', () => {
   ledger.events.push({ type: 'configurationPublished', version: 4, atMs: NOW_MS });
   const probe = { box: 'box-1', life: 1, version: 4 };
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -134,7 +134,8 @@
 }
 
 function checkDrains(ledger: Ledger): Violation[] {
-  const boxOf = new Map(ledger.requests.map((request) => [request.requestId, request.box]));
+  const sent = [...ledger.requests, ...ledger.probeRequests];
+  const boxOf = new Map(sent.map((request) => [request.requestId, request.box]));
   return listEvents(ledger, 'endpointLeaves').flatMap(({ endpoint, atMs }) => {
     const boundMs = atMs + DRAIN_BOUND_MS + SLACK_MS;
     if (!ledger.wasCalm('store', atMs, atMs, SETTLE_MS)) return [];
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -58,6 +58,13 @@
   readonly isInForce: boolean;
 }
 
+/** A probe as it was sent: a request like any other to boxes and endpoints. */
+export interface ProbeRequest {
+  readonly requestId: string;
+  readonly box: string;
+  readonly sentAtMs: number;
+}
+
 /** A fault at a box, an endpoint or the store, from its beginning until it is over. */
 export interface Disturbance {
   readonly entity: string;
@@ -78,6 +85,7 @@
   readonly requests: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly stalls: StallRecord[] = [];
+  readonly probeRequests: ProbeRequest[] = [];
   readonly probes: ProbeRecord[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly events: PlannedEvent[] = [];
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -106,6 +106,7 @@
       const { life } = box;
       const sentAtMs = Date.now();
       const requestId = `probe-${box.name}-${sentAtMs}`;
+      ledger.probeRequests.push({ requestId, box: box.name, sentAtMs });
       const outcome = await ask(box, `/${markOf(version)}/x`, requestId, PROBE_DEADLINE_MS, false);
       // A newer version drops the route; an answer from another life tells nothing of this one.
       if (version !== site.version || life !== box.life || outcome.type !== 'answer') return;
