Soak: probes count as requests where their repeats count

The trace: 98 of the repeats are of probes, and the 464 probes sent in that window did not count as requests, though callers send them on routes like any other. With them 205 repeats are allowed.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -200,7 +200,8 @@
 }
 
 function countAsked(ledger: Ledger, fromMs: number): number {
-  return ledger.requests.filter(({ sentAtMs }) => isWithin(sentAtMs, fromMs, BUDGET_WINDOW_MS)).length;
+  const sent = [...ledger.requests, ...ledger.probeRequests];
+  return sent.filter(({ sentAtMs }) => isWithin(sentAtMs, fromMs, BUDGET_WINDOW_MS)).length;
 }
 
 function checkLoadBound(ledger: Ledger): Violation[] {
