Platform watch: a watch that ended leaves no pause behind

A signal given before the pause tells nobody any more, so that the pause ran its whole time after its watch had ended. Found on reading the change; the check stood there before the call and its pace were split.

--- a/packages/daemon/src/adapters/platformWatch.ts
+++ b/packages/daemon/src/adapters/platformWatch.ts
@@ -74,6 +74,8 @@
     const { signal } = watch.abort;
     while (!signal.aborted) {
       const ok = await this.readOnce(watch.name, this.waitMs, signal);
+      // A signal that was given before tells nobody any more: the pause would last its whole time.
+      if (signal.aborted) return;
       await pause(ok ? LEAST_INTERVAL_MS : RETRY_MS * (0.5 + Math.random()), signal);
     }
   }
