--- a/packages/router/src/systems/promptDemand.ts
+++ b/packages/router/src/systems/promptDemand.ts
@@ -62,7 +62,7 @@
   }
 }
 
-/** What a speaker adds up. */
+/** What a speaker adds up, and in a small fleet every box. */
 export class DemandBook {
   private readonly current = new Map<number, number>();
   private periods: PairList[] = [];
@@ -98,7 +98,7 @@
 
   /** Ends a period. */
   advance(nowMs: number): void {
-    this.periods = [...this.periods, [...this.current].flat()].slice(-COUNTED_PERIODS);
+    this.periods = this.addCurrent();
     this.current.clear();
     this.refresh(nowMs);
   }
@@ -117,9 +117,11 @@
 
   /** What the own boxes were asked for in the last periods, the one under way being one of them. */
   private listRecent(): PairList[] {
-    return this.current.size === 0
-      ? this.periods
-      : [...this.periods.slice(1 - COUNTED_PERIODS), [...this.current].flat()];
+    return this.current.size === 0 ? this.periods : this.addCurrent();
+  }
+
+  private addCurrent(): PairList[] {
+    return [...this.periods, [...this.current].flat()].slice(-COUNTED_PERIODS);
   }
 
   /** A prompt counts as hot at once, and cools down slowly: a lull between bursts does not move it back. */
