--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,7 +2,7 @@
  * The promises of the pages, judged by what callers and endpoints saw. Those about content hold always; those about
  * time only where nothing was done to the parts concerned for a while.
  */
-import type { CallerRecord, Ledger, PlannedEvent, RunRecord, SoakRoute } from './ledger.js';
+import type { CallerRecord, Ledger, PlannedEvent, ProbeRequest, RunRecord, SoakRoute } from './ledger.js';
 
 /** A broken promise. */
 export interface Violation {
@@ -134,8 +134,7 @@
 }
 
 function checkDrains(ledger: Ledger): Violation[] {
-  const sent = [...ledger.requests, ...ledger.probeRequests];
-  const boxOf = new Map(sent.map((request) => [request.requestId, request.box]));
+  const boxOf = new Map(listSent(ledger).map((request) => [request.requestId, request.box]));
   return listEvents(ledger, 'endpointLeaves').flatMap(({ endpoint, atMs }) => {
     const boundMs = atMs + DRAIN_BOUND_MS + SLACK_MS;
     if (!ledger.wasCalm('store', atMs, atMs, SETTLE_MS)) return [];
@@ -185,10 +184,11 @@
     if (!firstSeen.has(requestId)) return void firstSeen.add(requestId);
     return true;
   });
+  const sent = listSent(ledger);
   return repeats.flatMap(({ atMs }) => {
     const again = repeats.filter((run) => isWithin(run.atMs, atMs, BUDGET_WINDOW_MS)).length;
     const asked = Math.max(
-      ...BUDGET_SHIFTS.map((shift) => countAsked(ledger, atMs + shift * BUDGET_WINDOW_MS)),
+      ...BUDGET_SHIFTS.map((shift) => countAsked(sent, atMs + shift * BUDGET_WINDOW_MS)),
     );
     if (again <= BUDGET_RATIO * asked + BUDGET_EXTRA) return [];
     return [{ check: 'retry budget', detail: `${again} sent again for ${asked} from ${atMs}` }];
@@ -199,8 +199,12 @@
   return atMs >= fromMs && atMs < fromMs + spanMs;
 }
 
-function countAsked(ledger: Ledger, fromMs: number): number {
-  const sent = [...ledger.requests, ...ledger.probeRequests];
+/** All that was sent to boxes. */
+function listSent(ledger: Ledger): ProbeRequest[] {
+  return [...ledger.requests, ...ledger.probeRequests];
+}
+
+function countAsked(sent: readonly ProbeRequest[], fromMs: number): number {
   return sent.filter(({ sentAtMs }) => isWithin(sentAtMs, fromMs, BUDGET_WINDOW_MS)).length;
 }
 
