Evacuated halls get nothing new

Cause: the order was passed over as an unknown key of the platform; nothing carried it to where endpoints are chosen.

Change: orders travel with the list of endpoints, as new as its revision: in the platform's answers, in notices of followers and in whole lists between boxes, so that boxes which rest, are turned away, or start while the platform is away have them. Placement leaves out the halls; repeats and waiting requests pass there too. Connection checks of idle endpoints stop. With all halls emptied a request is refused at once (2025), to come back in one to two seconds. What runs goes on. The mean for the load bound goes on counting the emptied endpoints, so that the others take no more than before while they have room. A peer of an earlier version says nothing of orders and so ends none.

Weighed: a value of its own with a revision of its own (a second thing that may be older than the list), and treating the hall's endpoints as leaving (their rows would lose their standing and come back as new).

--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -104,6 +104,12 @@
     'The same request crashed its endpoints and is not sent for now',
     'Mend the request, or come back after Retry-After.',
   ),
+  hallsEvacuated: info(
+    2025,
+    503,
+    'All halls that have endpoints of the service are being emptied',
+    'Come back after Retry-After, or take an evacuation back.',
+  ),
 
   deadlineExceeded: info(3001, 504, 'The deadline passed', 'Ask again with more time.'),
   stewardLost: info(
--- a/packages/router/src/__fixtures__/restingBox.ts
+++ b/packages/router/src/__fixtures__/restingBox.ts
@@ -7,6 +7,8 @@
 import type { PeerMesh } from '../peers/peerMesh.js';
 import { PeerValues } from '../peers/peerValues.js';
 import type { FleetConfiguration, ListedEndpoint } from '../records.js';
+import type { EndpointChange } from '../systems/endpointDirectory.js';
+import type { ValueSource } from '../systems/publishedState.js';
 import { PublishedState } from '../systems/publishedState.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 import { createListing } from './createEndpoints.js';
@@ -47,6 +49,7 @@
   configurationChars: 100,
   isConfigurationChangeSmall: false,
   changes: [],
+  evacuations: [],
   ...changes,
 });
 
@@ -101,7 +104,13 @@
 
   publish(from: number | undefined, revision: number, configurationText?: string): void {
     const change = { type: 'listed', endpoint: listed(`e-${revision}`) } as const;
-    const publication = { from, revision, endpointChanges: [change], configurationText };
+    const publication = {
+      from,
+      revision,
+      endpointChanges: [change],
+      evacuationChanges: [],
+      configurationText,
+    };
     this.state.applyPublication(publication);
     this.relay.announce(publication);
   }
@@ -111,6 +120,16 @@
   }
 }
 
+/** Takes over changes of the list of endpoints alone. */
+export function applyEndpoints(
+  state: PublishedState,
+  endpointChanges: readonly EndpointChange[],
+  revision: number,
+  source: ValueSource,
+): void {
+  state.applyLists({ endpointChanges, evacuationChanges: [] }, revision, source);
+}
+
 /** Each version adds a team; every hundredth adds more of them than a notice holds. */
 export function createConfiguration(version: number): FleetConfiguration {
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -14,6 +14,7 @@
 import { listOwnLoads } from '../systems/loadExchange.js';
 import type { LoadPath } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
+import { Evacuations } from '../systems/evacuations.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
 import { EndpointTable } from '../tables/endpointTable.js';
@@ -105,6 +106,7 @@
       random,
       homes,
       demand,
+      evacuations: new Evacuations(),
       readLoadPath,
       readLoadAgeMs,
     });
--- a/packages/router/src/__tests__/cutOffBox.test.ts
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -1,5 +1,13 @@
 /** A box that cannot read the platform itself: what it takes from peers, and what it tells them. */
-import { BOUND_MS, FOLLOWER, heartbeatOf, listed, notice, TestBox } from '../__fixtures__/restingBox.js';
+import {
+  applyEndpoints,
+  BOUND_MS,
+  FOLLOWER,
+  heartbeatOf,
+  listed,
+  notice,
+  TestBox,
+} from '../__fixtures__/restingBox.js';
 
 let box: TestBox;
 
@@ -111,7 +119,7 @@
 test('a list told to a peer says which of its endpoints are no longer listed', () => {
   box.state.noteReadFailed('connect timed out');
   box.nowMs += 5_000;
-  box.state.applyEndpoints([{ type: 'removed', id: 'e-10' }], 11, 'peer');
+  applyEndpoints(box.state, [{ type: 'removed', id: 'e-10' }], 11, 'peer');
   box.values.send({ type: 'valueRequest', value: 'endpoints', address: FOLLOWER, configurationVersion: 1 });
   expect(box.sent).toMatchObject([
     { frame: { endpoints: [], lapsed: [{ id: 'e-10' }], platformWord: undefined } },
@@ -124,12 +132,12 @@
   expect(await readGauge()).toBe('0');
   box.state.noteReadFailed('connect time-out');
   const change = { type: 'removed', id: 'e-10' } as const;
-  box.state.applyEndpoints([change], 11, 'peer');
+  applyEndpoints(box.state, [change], 11, 'peer');
   expect(await readGauge()).toBe('1');
   box.publish(11, 12);
-  box.state.applyEndpoints([{ type: 'listed', endpoint: listed('e-10') }], 13, 'platform');
+  applyEndpoints(box.state, [{ type: 'listed', endpoint: listed('e-10') }], 13, 'platform');
   expect(await readGauge()).toBe('0');
-  box.state.applyEndpoints([change], 14, 'platform');
+  applyEndpoints(box.state, [change], 14, 'platform');
   expect(await readGauge()).toBe('1');
   box.nowMs += BOUND_MS;
   box.state.tick(box.nowMs);
--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/__tests__/feedRelay.test.ts
@@ -1,4 +1,4 @@
-import { BOUND_MS, FOLLOWER, TestBox, listed, notice } from '../__fixtures__/restingBox.js';
+import { applyEndpoints, BOUND_MS, FOLLOWER, TestBox, listed, notice } from '../__fixtures__/restingBox.js';
 import type { ConfigurationDifference, FeedNotice, ValueRequest } from '../peers/peerFrames.js';
 import type { ConfigurationChange } from '../systems/configurationChange.js';
 
@@ -17,7 +17,7 @@
 });
 
 test('changes that are older than what a box knows change nothing', () => {
-  box.state.applyEndpoints([{ type: 'removed', id: 'e-10' }], 14, 'platform');
+  applyEndpoints(box.state, [{ type: 'removed', id: 'e-10' }], 14, 'platform');
   const changes = [{ type: 'listed', endpoint: listed('e-10') }] as const;
   box.relay.handleNotice(notice({ revision: 12, changes: [...changes] }));
   expect(box.listIds()).toEqual([]);
@@ -151,6 +151,7 @@
     from: undefined,
     revision: 20,
     endpointChanges: [{ type: 'snapshot', endpoints }],
+    evacuationChanges: [],
     configurationText: undefined,
   });
   follower.relay.announce(read);
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -1,6 +1,7 @@
 import { createHasher } from '@hazelwalk/core';
 import { createTable } from '../__fixtures__/createEndpoints.js';
 import type { LoadPath } from '../systems/placement.js';
+import { Evacuations } from '../systems/evacuations.js';
 import { Placement } from '../systems/placement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
@@ -36,6 +37,7 @@
   const { table, rows } = createTable(ENDPOINTS);
   const random = createSequence();
   const placement = new Placement({
+    evacuations: new Evacuations(),
     table,
     hasher,
     hall: 'a',
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -8,7 +8,9 @@
 import { RouterMetrics } from './observability/metrics.js';
 import { createQuarantineLog } from './observability/quarantineLog.js';
 import { StandingLog } from './observability/standingLog.js';
-import type { Heartbeat, RouterFrame } from './peers/peerFrames.js';
+import type { PeerListeners } from './peers/dispatchPeerFrame.js';
+import { dispatchPeerFrame } from './peers/dispatchPeerFrame.js';
+import type { Heartbeat } from './peers/peerFrames.js';
 import { FeedRelay } from './peers/feedRelay.js';
 import { LoadRelay } from './peers/loadRelay.js';
 import { PeerMesh } from './peers/peerMesh.js';
@@ -67,6 +69,7 @@
   private readonly loads: LoadRelay;
   private readonly quarantine: Quarantine;
   private readonly crashNews: QuarantineRelay;
+  private readonly peerListeners: PeerListeners;
   private readonly plannedStop: PlannedStop;
   private ticker: NodeJS.Timeout | undefined;
   private resolveStopped: () => void = () => {};
@@ -100,9 +103,13 @@
       now,
       onOpened: () => this.metrics.connections.inc(),
     });
-    this.reachability = new Reachability(this.table, this.connections, now, (row, change, because) =>
-      this.standingLog.noteEndpoint(row, change, because),
-    );
+    this.reachability = new Reachability({
+      table: this.table,
+      connections: this.connections,
+      now,
+      isEvacuated: (hall) => this.state.evacuations.covers(hall),
+      onChange: (row, change, because) => this.standingLog.noteEndpoint(row, change, because),
+    });
     this.mesh = new PeerMesh(
       {
         hall: options.hall,
@@ -153,6 +160,8 @@
       now,
       applyBoundMs,
     });
+    const { homes, loads, crashNews, peerValues, relay } = this;
+    this.peerListeners = { homes, loads, crashNews, peerValues, relay, state };
     this.callers = new CallerServer(this.createContext(countBoxes));
     this.plannedStop = new PlannedStop({
       now,
@@ -248,6 +257,7 @@
         random: Math.random,
         homes: this.homes,
         demand: this.demand,
+        evacuations: this.state.evacuations,
         readLoadPath: () => (this.mesh.isFlat ? 'direct' : 'relayed'),
         readLoadAgeMs: () => this.loads.readAgeMs(),
       }),
@@ -279,7 +289,7 @@
       case 'feedLost':
         return this.handleFeedLost(input.reason);
       case 'peerFrame':
-        return this.handlePeerFrame(input.frame);
+        return dispatchPeerFrame(input.frame, this.peerListeners);
       case 'stopRequested':
         return this.plannedStop.request();
     }
@@ -341,34 +351,6 @@
     };
   }
 
-  private handlePeerFrame(frame: RouterFrame): void {
-    switch (frame.type) {
-      case 'heartbeat':
-        this.homes.learn(frame.homes);
-        this.loads.handleHeartbeat(frame);
-        this.crashNews.handleGreeting(frame);
-        return this.peerValues.noteHeartbeat(frame);
-      case 'feedNotice':
-        return this.relay.handleNotice(frame);
-      case 'boxLoads':
-        return this.loads.handleBoxLoads(frame);
-      case 'hallLoads':
-        return this.loads.handleHallLoads(frame);
-      case 'fleetLoads':
-        return this.loads.handleFleetLoads(frame);
-      case 'valueRequest':
-        return this.peerValues.send(frame);
-      case 'configurationValue':
-        return this.state.adoptConfiguration(frame.configuration, 'peer');
-      case 'configurationDifference':
-        return this.peerValues.takeChange(frame.change);
-      case 'endpointsValue':
-        return this.peerValues.takeEndpoints(frame);
-      case 'crashNews':
-        return this.crashNews.handleNews(frame);
-    }
-  }
-
   /** Requests that came before the box knew what to serve go on at once. */
   private releaseWaiting(): void {
     const nowMs = this.now();
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,6 +5,7 @@
 export * from './routerOptions.js';
 export { Client } from './proxy/httpClient.js';
 export type { EndpointChange } from './systems/endpointDirectory.js';
+export type { EvacuationChange } from './systems/evacuations.js';
 export type { FeedDuty } from './systems/feedDuty.js';
 export type { Publication } from './systems/publishedState.js';
 export type { RetryBound } from './systems/retryBudget.js';
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -53,6 +53,8 @@
   );
   /** Endpoints whose entry vanished and that are kept, since it may only have lapsed. */
   readonly lapsedEndpoints = this.gauge('lapsed_endpoints', 'Endpoints kept although their entry vanished');
+  /** Halls whose endpoints get nothing new, as operators ordered. */
+  readonly evacuatedHalls = this.gauge('evacuated_halls', 'Halls whose endpoints get nothing new');
   /** Boxes whose loads this one knows, itself included. */
   readonly loadBoxes = this.gauge('load_boxes', 'Boxes whose loads are known here');
   /** How old the oldest of these loads are. */
--- /dev/null
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -0,0 +1,48 @@
+/** Hands what peers tell to the parts of a box that it concerns. */
+import type { QuarantineRelay } from '../quarantine/quarantineRelay.js';
+import type { PromptHomes } from '../systems/promptHomes.js';
+import type { PublishedState } from '../systems/publishedState.js';
+import type { FeedRelay } from './feedRelay.js';
+import type { LoadRelay } from './loadRelay.js';
+import type { RouterFrame } from './peerFrames.js';
+import type { PeerValues } from './peerValues.js';
+
+/** Who listens to peers. */
+export interface PeerListeners {
+  readonly homes: PromptHomes;
+  readonly loads: LoadRelay;
+  readonly crashNews: QuarantineRelay;
+  readonly peerValues: PeerValues;
+  readonly relay: FeedRelay;
+  readonly state: PublishedState;
+}
+
+/** Hands one frame on. */
+export function dispatchPeerFrame(frame: RouterFrame, listeners: PeerListeners): void {
+  const { homes, loads, crashNews, peerValues, relay, state } = listeners;
+  switch (frame.type) {
+    case 'heartbeat':
+      homes.learn(frame.homes);
+      loads.handleHeartbeat(frame);
+      crashNews.handleGreeting(frame);
+      return peerValues.noteHeartbeat(frame);
+    case 'feedNotice':
+      return relay.handleNotice(frame);
+    case 'boxLoads':
+      return loads.handleBoxLoads(frame);
+    case 'hallLoads':
+      return loads.handleHallLoads(frame);
+    case 'fleetLoads':
+      return loads.handleFleetLoads(frame);
+    case 'valueRequest':
+      return peerValues.send(frame);
+    case 'configurationValue':
+      return state.adoptConfiguration(frame.configuration, 'peer');
+    case 'configurationDifference':
+      return peerValues.takeChange(frame.change);
+    case 'endpointsValue':
+      return peerValues.takeEndpoints(frame);
+    case 'crashNews':
+      return crashNews.handleNews(frame);
+  }
+}
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -8,6 +8,7 @@
 import { decideFeedDuty, findFollowerPlace, isCovered, rankFollower } from '../systems/feedDuty.js';
 import type { ConfigurationChange } from '../systems/configurationChange.js';
 import type { EndpointChange } from '../systems/endpointDirectory.js';
+import type { EvacuationChange } from '../systems/evacuations.js';
 import type { FeedNotice, Heartbeat } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 import { MAX_PASSED_ON_CHARS } from './peerValues.js';
@@ -67,7 +68,7 @@
     const { mesh, state, hall } = this.options;
     this.lostAtMs = -Infinity;
     if (findFollowerPlace(this.describeOwn(), this.listHallPeers()) === undefined) return;
-    const { from, revision, endpointChanges } = publication;
+    const { from, revision, endpointChanges, evacuationChanges } = publication;
     const news = this.describeNews();
     mesh.sendToHall(hall, {
       type: 'feedNotice',
@@ -81,6 +82,7 @@
       isConfigurationChangeSmall: this.isNewsSmall,
       configurationChange: news,
       changes: from === undefined ? [] : endpointChanges.flatMap(toNoticeChange),
+      evacuations: evacuationChanges.flatMap(toNoticeEvacuation),
     });
     this.announcedVersion = state.configurationVersion;
   }
@@ -97,7 +99,8 @@
       this.confirmedAtMs = now();
       state.noteTold(notice.address, notice.unsettledMs);
       if (notice.revision > state.endpointsRevision) {
-        state.applyEndpoints(notice.changes, notice.revision, 'peer');
+        const { changes: endpointChanges, evacuations: evacuationChanges } = notice;
+        state.applyLists({ endpointChanges, evacuationChanges }, notice.revision, 'peer');
       }
     }
     if (notice.configurationChange !== undefined) values.takeChange(notice.configurationChange);
@@ -143,6 +146,10 @@
   }
 }
 
+function toNoticeEvacuation(change: EvacuationChange): FeedNotice['evacuations'] {
+  return change.type === 'snapshot' ? [] : [{ ...change }];
+}
+
 function toNoticeChange(change: EndpointChange): FeedNotice['changes'] {
   return change.type === 'snapshot' ? [] : [change];
 }
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -180,6 +180,8 @@
   endpoints: z.array(listedEndpoint),
   /** Endpoints that the sender keeps although the platform no longer lists them. */
   lapsed: z.array(listedEndpoint).default([]),
+  /** Halls whose endpoints are to get nothing new; absent where the sender's version knows of none. */
+  evacuatedHalls: z.array(z.string()).optional(),
   /** Address of the sender. */
   address: z.string().default(''),
   platformWord,
@@ -207,6 +209,8 @@
       z.object({ type: z.literal('removed'), id: z.string() }),
     ]),
   ),
+  /** Halls that were ordered to be emptied, and those for which that was taken back, as it came. */
+  evacuations: z.array(z.object({ type: z.enum(['ordered', 'takenBack']), hall: z.string() })).default([]),
 });
 /** A prompt and an endpoint that holds it, in turn; in sums of loads, what their sender learned since the last. */
 const homeList = z.array(z.number());
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -109,6 +109,7 @@
           revision: state.endpointsRevision,
           endpoints: state.listEndpoints('listed'),
           lapsed: state.listEndpoints('lapsed'),
+          evacuatedHalls: state.evacuations.list(),
           address: mesh.address,
           platformWord: state.platformWord,
         });
@@ -119,11 +120,15 @@
   /** Takes over the whole list of endpoints that a peer told, unless this box has a newer one. */
   takeEndpoints(value: EndpointsValue): void {
     const { state } = this.options;
-    const { revision, endpoints, lapsed, address, platformWord } = value;
+    const { revision, endpoints, lapsed, evacuatedHalls, address, platformWord } = value;
     if (revision < state.endpointsRevision) return;
     if (platformWord !== undefined) state.noteVouched(address, platformWord);
     if (revision === state.endpointsRevision) return;
-    state.applyEndpoints([{ type: 'snapshot', endpoints, lapsed }], revision, 'peer');
+    const endpointChanges = [{ type: 'snapshot', endpoints, lapsed }] as const;
+    // A box that does not know of such orders says nothing about them.
+    const evacuationChanges =
+      evacuatedHalls === undefined ? [] : [{ type: 'snapshot', halls: evacuatedHalls } as const];
+    state.applyLists({ endpointChanges, evacuationChanges }, revision, 'peer');
   }
 
   private sendConfiguration(request: ValueRequest): void {
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -18,6 +18,8 @@
 /** Connections that an endpoint of an undeclared service is assumed to take. */
 const DEFAULT_MAX_CONNECTIONS = 64;
 
+/** Endpoints that may be tried in vain before a request is refused; nothing is sent to them. */
+const MAX_UNSENT = 4;
 /** Less time than this is not worth another attempt. */
 const LEAST_ATTEMPT_MS = 50;
 
@@ -52,6 +54,11 @@
     return this.sent > this.notRunCount;
   }
 
+  /** Whether so many endpoints were out of reach that no other one is tried. */
+  get hasTriedEnough(): boolean {
+    return this.unsentCount > MAX_UNSENT;
+  }
+
   /** Whether time and the route's attempts allow another attempt. */
   mayOpenAnother(route: Route): boolean {
     const hasTime = this.options.readExpiry() - this.context.now() >= LEAST_ATTEMPT_MS;
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -18,7 +18,7 @@
 import type { ExchangeFacts, RetryReason } from './exchangeLog.js';
 import { logBreak, logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
 import type { RouterRefusal } from './refusal.js';
-import { pickRetryAfterMs, sendRefusal } from './refusal.js';
+import { pickLaterMs, pickRetryAfterMs, sendRefusal } from './refusal.js';
 import { readRequestBody } from './requestBody.js';
 import { RequestSuspicion } from './requestSuspicion.js';
 import { isRepeatable } from './silence.js';
@@ -26,8 +26,6 @@
 
 /** A request that names no deadline is held at most this long beyond its route's time-out. */
 const DEFAULT_DEADLINE_MS = 30_000;
-/** Endpoints that may be tried in vain before a request is refused; nothing is sent to them. */
-const MAX_UNSENT = 4;
 /** A box that just started takes requests before it has read what to serve; they wait for it this long. */
 const START_WAIT_MS = 1_000;
 const LEAST_SERVER_ERROR = 500;
@@ -128,7 +126,9 @@
     if (waitMs > 0) return this.giveUp('requestQuarantined', waitMs);
     if (suspicion.awaitJudgement(() => this.place(resumeAfter))) return;
     const isPlaced = this.attempts.open(assignment, resumeAfter, suspicion.mustSpread());
-    if (!isPlaced) this.giveUp('noEndpoint');
+    if (isPlaced) return;
+    if (this.context.placement.isEmptied(assignment.service)) this.giveUp('hallsEvacuated', pickLaterMs());
+    else this.giveUp('noEndpoint');
   }
 
   private handleEvent(attempt: Attempt, event: AttemptEvent): void {
@@ -165,7 +165,7 @@
     this.attempts.unsentCount += 1;
     logRetry(this.context, this.listFacts(), attempt.row, 'unsent', reason);
     if (this.attempts.live.length > 0) return;
-    if (this.attempts.unsentCount > MAX_UNSENT) return this.giveUp('connectFailed');
+    if (this.attempts.hasTriedEnough) return this.giveUp('connectFailed');
     this.place(this.delivery?.lastEventId);
   }
 
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -21,6 +21,15 @@
   return RETRY_AFTER_MS + Math.random() * RETRY_AFTER_SPREAD_MS;
 }
 
+/** Where nothing will change soon a caller that returns at once is refused once more; it may well have time to wait. */
+const LATER_MS = 1_000;
+const LATER_SPREAD_MS = 1_000;
+
+/** When a caller should come back whom nobody can serve until operators change something. */
+export function pickLaterMs(): number {
+  return LATER_MS + Math.random() * LATER_SPREAD_MS;
+}
+
 /** Writes a refusal. The connection is closed after it if the body of the request was not read to its end. */
 export function sendRefusal(
   res: ServerResponse,
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -14,6 +14,7 @@
 import { isUsable } from './endpointHealth.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
+import type { Evacuations } from './evacuations.js';
 import type { PromptHomes } from './promptHomes.js';
 import { MAX_HOLDERS } from './promptHomes.js';
 
@@ -102,6 +103,8 @@
   readonly random: () => number;
   readonly homes: PromptHomes;
   readonly demand: PromptDemand;
+  /** Halls that are to be emptied: their endpoints get nothing. */
+  readonly evacuations: Evacuations;
   readonly readLoadPath: () => LoadPath;
   /** How old the oldest loads of other boxes are that this one knows. */
   readonly readLoadAgeMs: () => number;
@@ -116,7 +119,7 @@
     const { hasher, hall, random, homes, demand } = this.options;
     const listed = this.options.table.listService(request.service);
     const live = listed.filter((row) => row.listing.state === 'live');
-    const rows = listCandidates(live, request, nowMs);
+    const rows = listCandidates(this.listOpen(live), request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
     const meanLoad = readMeanLoad(live);
@@ -133,12 +136,24 @@
     const { row, way } = home;
     const cacheSource = holders.has(row.tag)
       ? undefined
-      : (this.findHolder(row, request, prompt, holders) ?? this.guessHolder(row, request, prompt, nowMs));
+      : (this.findHolder(row, request, prompt, holders, nowMs) ??
+        this.guessHolder(row, request, prompt, nowMs));
     // Of a hot prompt a few holders are enough to take it from: naming all of them each time would be news without end.
     if (way !== 'hot' || holders.size < MAX_HOLDERS) homes.note(key, row.tag);
     return describeChoice(row, way, meanLoad, cacheSource);
   }
 
+  /** Whether a service has endpoints, and all of them stand in halls that are to be emptied. */
+  isEmptied(service: string): boolean {
+    const live = this.options.table.listService(service).filter((row) => row.listing.state === 'live');
+    return live.length > 0 && this.listOpen(live).length === 0;
+  }
+
+  /** Endpoints outside the halls that are to be emptied. */
+  private listOpen(rows: readonly EndpointRow[]): readonly EndpointRow[] {
+    return rows.filter((row) => !this.options.evacuations.covers(row.listing.hall));
+  }
+
   /**
    * The home, or what stands in for it. The cap goes by the mean of the whole service, so that endpoints which this box
    * has tried, or believes to be gone, do not raise it for the others; only if all of these are over it, by their own.
@@ -183,8 +198,9 @@
     request: PlacementRequest,
     prompt: string,
     holders: ReadonlySet<number>,
+    nowMs: number,
   ): EndpointRow | undefined {
-    const reachable = this.listReachable(request.service);
+    const reachable = this.listReachable(request.service, nowMs);
     return this.findBestRanked(
       reachable.filter((row) => row !== chosen && holders.has(row.tag)),
       prompt,
@@ -201,7 +217,7 @@
     prompt: string,
     nowMs: number,
   ): EndpointRow | undefined {
-    const reachable = this.listReachable(request.service);
+    const reachable = this.listReachable(request.service, nowMs);
     const home = this.findBestRanked(reachable, prompt);
     if (home !== undefined && home !== chosen) return home;
     if (nowMs - chosen.listedAtMs > NEWCOMER_MS) return undefined;
@@ -209,10 +225,12 @@
     return this.findBestRanked(older, prompt);
   }
 
-  private listReachable(service: string): EndpointRow[] {
-    return this.options.table
+  private listReachable(service: string, nowMs: number): EndpointRow[] {
+    const { table, evacuations } = this.options;
+    return table
       .listService(service)
-      .filter((row) => row.standing.type !== 'unreachable' && !row.isLapsed);
+      .filter((row) => row.standing.type !== 'unreachable' && !row.isLapsed)
+      .filter((row) => evacuations.mayHandOver(row.listing.hall, nowMs));
   }
 
   /** The first few in the order of endpoints that all boxes share for a prompt. */
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -17,6 +17,8 @@
 } from './configurationChange.js';
 import type { EndpointChange } from './endpointDirectory.js';
 import { EndpointDirectory } from './endpointDirectory.js';
+import type { EvacuationChange } from './evacuations.js';
+import { Evacuations } from './evacuations.js';
 import type { ContactKind, PlatformWord } from './platformContact.js';
 import { PlatformContact } from './platformContact.js';
 import { RouteIndex } from './routeIndex.js';
@@ -27,6 +29,9 @@
 /** Where a published value came from. */
 export type ValueSource = 'platform' | 'peer';
 
+/** What is published of endpoints and halls; both are as new as one revision. */
+export type ListChanges = Pick<Publication, 'endpointChanges' | 'evacuationChanges'>;
+
 /** One answer of the platform to the question what is new. */
 export interface Publication {
   /** The changes are all those after this revision; undefined if they hold the whole list of endpoints. */
@@ -34,6 +39,8 @@
   /** Revision of the platform that the answer shows. */
   readonly revision: number;
   readonly endpointChanges: readonly EndpointChange[];
+  /** Orders to empty halls, and their ends; all of them where the changes hold the whole list. */
+  readonly evacuationChanges: readonly EvacuationChange[];
   /** The configuration, if it is among the changes. */
   readonly configurationText: string | undefined;
 }
@@ -62,6 +69,8 @@
   private readonly contact = new PlatformContact();
   private contactKind: ContactKind = 'none';
   private readonly directory: EndpointDirectory;
+  /** Halls that get nothing new. */
+  readonly evacuations = new Evacuations();
 
   constructor(private readonly options: PublishedStateOptions) {
     this.digest = new ConfigurationDigest(options.hash);
@@ -126,7 +135,7 @@
     const difference = this.toDifference(publication);
     // An answer that peers have overtaken would bring back endpoints that they said are gone.
     if (publication.revision >= this.revision) {
-      this.applyEndpoints(publication.endpointChanges, publication.revision, 'platform');
+      this.applyLists(publication, publication.revision, 'platform');
     }
     return difference;
   }
@@ -182,11 +191,13 @@
     );
   }
 
-  /** Takes over changes of the list of endpoints, which then is as new as `revision`. */
-  applyEndpoints(changes: readonly EndpointChange[], revision: number, source: ValueSource): void {
+  /** Takes over changes of the list of endpoints and of the halls to be emptied, which then are as new as `revision`. */
+  applyLists(changes: ListChanges, revision: number, source: ValueSource): void {
     const wasInformed = this.isInformed;
     this.revision = Math.max(this.revision, revision);
-    for (const change of changes) this.applyEndpointChange(change, revision, source);
+    // First: an endpoint that comes with an order for its hall must not get a request in between.
+    for (const change of changes.evacuationChanges) this.applyEvacuationChange(change, source);
+    for (const change of changes.endpointChanges) this.applyEndpointChange(change, revision, source);
     this.measureLapsed();
     this.tellIfInformed(wasInformed);
   }
@@ -275,9 +286,17 @@
     const written = whole.endpoints.filter(
       (endpoint) => !isSameListing(byId.get(endpoint.id)?.listing, endpoint),
     );
+    const ordered = publication.evacuationChanges.flatMap((change) =>
+      change.type === 'snapshot' ? change.halls : [],
+    );
+    const ended = this.evacuations.list().filter((hall) => !ordered.includes(hall));
     return {
       ...publication,
       from: this.revision,
+      evacuationChanges: [
+        ...ordered.map((hall) => ({ type: 'ordered', hall }) as const),
+        ...ended.map((hall) => ({ type: 'takenBack', hall }) as const),
+      ],
       endpointChanges: [
         ...written.map((endpoint) => ({ type: 'listed', endpoint }) as const),
         ...gone.map((id) => ({ type: 'removed', id }) as const),
@@ -298,6 +317,19 @@
     });
   }
 
+  private applyEvacuationChange(change: EvacuationChange, source: ValueSource): void {
+    const { log, metrics, now, table } = this.options;
+    const { began, ended } = this.evacuations.apply(change, now());
+    for (const hall of began) {
+      const endpoints = [...table.byId.values()].filter((row) => row.listing.hall === hall).length;
+      log.write('lifecycle', 'evacuationOrdered', { hall, endpoints, revision: this.revision, source });
+    }
+    for (const hall of ended) {
+      log.write('lifecycle', 'evacuationTakenBack', { hall, revision: this.revision, source });
+    }
+    metrics.evacuatedHalls.set(this.evacuations.list().length);
+  }
+
   private tellIfInformed(wasInformed: boolean): void {
     if (!wasInformed && this.isInformed) this.options.onInformed();
   }
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -15,38 +15,47 @@
 /** Called when the belief about an endpoint changes. */
 export type OnStandingChange = (row: EndpointRow, change: StandingChange, because: string) => void;
 
+/** What the checks work with. */
+export interface ReachabilityOptions {
+  readonly table: EndpointTable;
+  readonly connections: Pick<EndpointConnections, 'check'>;
+  readonly now: () => number;
+  /** Whether a hall is to be emptied: nothing is asked of an endpoint there that holds no requests. */
+  readonly isEvacuated: (hall: string) => boolean;
+  readonly onChange: OnStandingChange;
+}
+
 /** Checks connections once a tick. */
 export class Reachability {
-  constructor(
-    private readonly table: EndpointTable,
-    private readonly connections: EndpointConnections,
-    private readonly now: () => number,
-    private readonly onChange: OnStandingChange,
-  ) {}
+  constructor(private readonly options: ReachabilityOptions) {}
 
   /** Starts the checks that are due. */
   tick(): void {
-    const nowMs = this.now();
-    for (const row of this.table.byId.values()) {
-      if (!row.isBeingChecked && isDue(row, nowMs)) void this.check(row);
+    const nowMs = this.options.now();
+    for (const row of this.options.table.byId.values()) {
+      if (!row.isBeingChecked && this.mayCheck(row) && isDue(row, nowMs)) void this.check(row);
     }
   }
 
+  private mayCheck(row: EndpointRow): boolean {
+    return row.inFlight > 0 || !this.options.isEvacuated(row.listing.hall);
+  }
+
   private async check(row: EndpointRow): Promise<void> {
     row.isBeingChecked = true;
     const wasUnreachable = row.standing.type === 'unreachable';
-    const reached = await this.connections.check(row);
+    const reached = await this.options.connections.check(row);
     row.isBeingChecked = false;
-    const nowMs = this.now();
+    const nowMs = this.options.now();
     if (reached.ok) {
       // A connection proves only that the host is there: the requests it holds may still be mute.
       const change = noteReachable(row, nowMs);
-      if (change !== undefined) this.onChange(row, change, 'connection check');
+      if (change !== undefined) this.options.onChange(row, change, 'connection check');
       return;
     }
     const change = markUnreachable(row, nowMs);
     if (reached.val === 'connectTimedOut' && !wasUnreachable) this.suspectHall(row.listing.hall);
-    if (change !== undefined) this.onChange(row, change, reached.val);
+    if (change !== undefined) this.options.onChange(row, change, reached.val);
     else if (wasUnreachable && row.standing.type === 'unreachable') {
       row.standing = { type: 'unreachable', nextCheckMs: nowMs + REACH_CHECK_MS };
     }
@@ -54,9 +63,13 @@
 
   /** A connection that times out often means that the link to a whole hall is cut: its other endpoints are checked. */
   suspectHall(hall: string): void {
-    const nowMs = this.now();
-    for (const row of this.table.byId.values()) {
-      const isSuspect = row.listing.hall === hall && row.standing.type === 'good' && !row.isBeingChecked;
+    const nowMs = this.options.now();
+    for (const row of this.options.table.byId.values()) {
+      const isSuspect =
+        row.listing.hall === hall &&
+        row.standing.type === 'good' &&
+        !row.isBeingChecked &&
+        this.mayCheck(row);
       if (isSuspect && nowMs - row.heardAtMs >= HEARD_LATELY_MS) void this.check(row);
     }
   }
