Cold endpoints: tests of what reaches them, in whole virtual fleets

What an entry says of it, and what a service's declaration says that one bears, are decoded now and used nowhere yet.

News of an endpoint come 20 to 1,300 ms after its start, or up to 2,500 ms if it turns cold later.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -10,7 +10,7 @@
 import { LoadRelay } from '../peers/loadRelay.js';
 import type { Heartbeat, RouterFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
-import type { ListedEndpoint, PromptPart } from '../records.js';
+import type { ColdStart, ListedEndpoint, PromptPart } from '../records.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
 import type { LoadPath } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
@@ -52,8 +52,21 @@
   readonly name: string;
   readonly endpoints: number;
   readonly slots: number;
+  /** What one bears until it has warmed up. */
+  readonly coldStart?: ColdStart;
 }
 
+/** News of an endpoint reach each box at a moment of its own: its sign of life comes late, and so do those who pass it on. */
+interface NewsLag {
+  readonly leastMs: number;
+  readonly mostMs: number;
+}
+
+/** An endpoint's first entry is written as it starts, and passes a follower at the most. */
+const FIRST_NEWS: NewsLag = { leastMs: 20, mostMs: 1_300 };
+/** A change waits for the endpoint's next sign of life before that. */
+const CHANGE_NEWS: NewsLag = { leastMs: 20, mostMs: 2_500 };
+
 /** What a fleet serves. */
 export interface TrafficPlan {
   readonly fleet: Omit<FleetPlan, 'createProgram'>;
@@ -67,6 +80,10 @@
   /** Its work takes so many times as long as that of others. */
   slowness: number;
   taken: number;
+  /** Until then it bears little. */
+  coldUntilMs: number;
+  /** When requests came while it was cold. */
+  readonly coldArrivalsMs: number[];
   readonly waiting: (() => void)[];
 }
 
@@ -188,6 +205,51 @@
     return this.findEndpoint(id).taken;
   }
 
+  /** More endpoints start, all at once, and are cold. Returns their ids. */
+  startCold(service: string, count: number): string[] {
+    const plan = this.findService(service);
+    const ids = Array.from({ length: count }, (_, at) => `${service}-new-${at}`);
+    ids.forEach((id, at) => {
+      this.addEndpoint(plan, id, at);
+      this.makeCold(id, FIRST_NEWS);
+    });
+    return ids;
+  }
+
+  /** Endpoints that were warm turn cold, all at once. */
+  turnCold(ids: readonly string[]): void {
+    for (const id of ids) this.makeCold(id, CHANGE_NEWS);
+  }
+
+  /** The most requests that came to any cold endpoint within a second. */
+  readMostColdInASecond(): number {
+    return Math.max(...[...this.endpoints.values()].map(({ coldArrivalsMs }) => countMost(coldArrivalsMs)));
+  }
+
+  /** Requests that came to cold endpoints. */
+  countCold(): number {
+    return [...this.endpoints.values()].reduce((sum, { coldArrivalsMs }) => sum + coldArrivalsMs.length, 0);
+  }
+
+  private makeCold(id: string, { leastMs, mostMs }: NewsLag): void {
+    const endpoint = this.findEndpoint(id);
+    const { startMs = 0 } = this.findService(endpoint.listing.service).coldStart ?? {};
+    const { timeline } = this.fleet;
+    endpoint.coldUntilMs = timeline.nowMs + startMs;
+    for (const box of this.fleet.boxes) {
+      const listing = { ...endpoint.listing, coldMs: startMs };
+      timeline.after(leastMs + this.random() * (mostMs - leastMs), () =>
+        this.routers.get(box)?.table.upsert(listing, timeline.nowMs),
+      );
+    }
+  }
+
+  private findService(name: string): VirtualService {
+    const service = this.plan.services.find((one) => one.name === name);
+    if (service === undefined) throw new Error(`no service ${name}`);
+    return service;
+  }
+
   private findEndpoint(id: string): VirtualEndpoint {
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined) throw new Error(`no endpoint ${id}`);
@@ -218,14 +280,24 @@
     return router;
   }
 
-  private addEndpoints({ name, endpoints, slots }: VirtualService): void {
+  private addEndpoints(service: VirtualService): void {
+    const { name, endpoints } = service;
     this.tallies.set(name, { endpoints, held: 0, arrivals: [] });
-    for (let at = 0; at < endpoints; at += 1) {
-      const id = `${name}-${at}`;
-      const hall = `hall-${at % this.plan.fleet.halls}`;
-      const listing = createListing(id, { service: name, hall, slots });
-      this.endpoints.set(id, { listing, held: 0, slowness: 1, taken: 0, waiting: [] });
-    }
+    for (let at = 0; at < endpoints; at += 1) this.addEndpoint(service, `${name}-${at}`, at);
+  }
+
+  private addEndpoint({ name, slots }: VirtualService, id: string, at: number): void {
+    const hall = `hall-${at % this.plan.fleet.halls}`;
+    const listing = createListing(id, { service: name, hall, slots });
+    this.endpoints.set(id, {
+      listing,
+      held: 0,
+      slowness: 1,
+      taken: 0,
+      coldUntilMs: 0,
+      coldArrivalsMs: [],
+      waiting: [],
+    });
   }
 
   private findTally(service: string): ServiceTally {
@@ -300,6 +372,8 @@
     tally.held += 1;
     endpoint.held += 1;
     endpoint.taken += 1;
+    const { nowMs } = this.fleet.timeline;
+    if (nowMs < endpoint.coldUntilMs) endpoint.coldArrivalsMs.push(nowMs);
     const begin = (): void => {
       const workMs = endpoint.slowness * drawLogNormal(this.random, load.workMs, load.spread);
       this.fleet.timeline.after(workMs, () => {
@@ -313,3 +387,14 @@
     else endpoint.waiting.push(begin);
   }
 }
+
+/** The most of some moments, in their order, that lie within a second. */
+function countMost(momentsMs: readonly number[]): number {
+  let most = 0;
+  let begin = 0;
+  momentsMs.forEach((atMs, end) => {
+    while (atMs - (momentsMs[begin] ?? atMs) >= MS_PER_S) begin += 1;
+    most = Math.max(most, end - begin + 1);
+  });
+  return most;
+}
--- a/packages/router/src/peers/configurationSchema.ts
+++ b/packages/router/src/peers/configurationSchema.ts
@@ -20,6 +20,7 @@
   name: z.string(),
   maxConnections: z.number(),
   canMoveCache: z.boolean(),
+  coldStart: z.object({ perS: z.number(), startMs: z.number() }).optional(),
 }) satisfies z.ZodType<Service>;
 
 const team = z.object({ name: z.string(), apiKeys: z.array(z.string()) }) satisfies z.ZodType<Team>;
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -22,6 +22,7 @@
   hall: z.string(),
   slots: z.number(),
   state: z.enum(['live', 'leaving']),
+  coldMs: z.number().nonnegative().optional(),
 }) satisfies z.ZodType<ListedEndpoint>;
 
 /** What the sender knows of the platform; absent if it neither reads it nor is told all by a box that does. */
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -39,6 +39,14 @@
   readonly isResumable: boolean;
 }
 
+/** What endpoints of a service bear until they have warmed up. */
+export interface ColdStart {
+  /** Requests a second that one bears while it is cold, from all boxes together. */
+  readonly perS: number;
+  /** How long one is cold after its start. */
+  readonly startMs: number;
+}
+
 /** A set of endpoints that answer the same requests. */
 export interface Service {
   readonly name: string;
@@ -46,6 +54,8 @@
   readonly maxConnections: number;
   /** Whether its endpoints take cached prompts from each other. */
   readonly canMoveCache: boolean;
+  /** Absent where an endpoint bears its full load from its start on. */
+  readonly coldStart?: ColdStart | undefined;
 }
 
 /** A customer with the keys it may use. */
@@ -84,6 +94,8 @@
   /** Requests it works on at once. */
   readonly slots: number;
   readonly state: 'live' | 'leaving';
+  /** How much longer it is cold, as of when it was told; undefined where it does not say. */
+  readonly coldMs?: number | undefined;
 }
 
 /** One part of a prompt; the same id means the same text. */
