Endpoints' connections: no look-up of a name for TLS on plain connections

Cause: profile of a box under faults and callers (24 boxes on loopback): 9.4% of its processor time in one regular expression. The HTTP library looks for each request whether the Host header is an address, to find a name for TLS that plain connections never use. Change: a name is given. Ruled out: the caller's side and the connections themselves.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -18,7 +18,7 @@
 import { Evacuations } from '../systems/evacuations.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHomes } from '../systems/promptHomes.js';
-import { EndpointTable } from '../tables/endpointTable.js';
+import { EndpointTable, supposeCold } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import { createListing } from './createEndpoints.js';
 
@@ -104,6 +104,7 @@
 class VirtualRouter implements VirtualProgram {
   readonly table: EndpointTable;
   readonly placement: Placement;
+  readonly evacuations = new Evacuations();
   readonly relay: LoadRelay;
 
   constructor(box: VirtualBox, mesh: PeerMesh, hasher: Hasher, now: () => number, random: () => number) {
@@ -124,7 +125,7 @@
       random,
       homes,
       demand,
-      evacuations: new Evacuations(),
+      evacuations: this.evacuations,
       cold: new ColdEndpoints({
         hall,
         hasher,
@@ -217,6 +218,31 @@
     return this.findEndpoint(id).taken;
   }
 
+  /** Operators order a hall to be emptied; each box hears of it at a moment of its own. */
+  evacuate(hall: string): void {
+    this.tellEach((router, nowMs) => router.evacuations.apply({ type: 'ordered', hall }, nowMs));
+  }
+
+  /** That is taken back, and the hall's endpoints are cold. */
+  takeBack(hall: string): void {
+    for (const [id, { listing }] of this.endpoints) if (listing.hall === hall) this.makeCold(id, CHANGE_NEWS);
+    this.tellEach((router, nowMs) => {
+      router.evacuations.apply({ type: 'takenBack', hall }, nowMs);
+      for (const row of router.table.byId.values()) if (row.listing.hall === hall) supposeCold(row, nowMs);
+    });
+  }
+
+  private tellEach(tell: (router: VirtualRouter, nowMs: number) => void): void {
+    const { timeline, boxes } = this.fleet;
+    const { leastMs, mostMs } = FIRST_NEWS;
+    for (const box of boxes) {
+      timeline.after(leastMs + this.random() * (mostMs - leastMs), () => {
+        const router = this.routers.get(box);
+        if (router !== undefined) tell(router, timeline.nowMs);
+      });
+    }
+  }
+
   /** More endpoints start, all at once, and are cold. Returns their ids. */
   startCold(service: string, count: number, name = 'new'): string[] {
     const plan = this.findService(service);
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -58,6 +58,17 @@
   readonly onEvent: (attempt: Attempt, event: AttemptEvent) => void;
 }
 
+/** The library takes a name for TLS; its types do not say so. */
+interface PlainDispatchOptions extends Dispatcher.DispatchOptions {
+  readonly servername: string;
+}
+
+/**
+ * Without a name the library looks whether the caller's `Host` is an address, for each request, by an expression that takes a
+ * tenth of what a request costs. The name is never sent: connections to endpoints are plain.
+ */
+const UNUSED_SERVER_NAME = 'endpoint';
+
 type AttemptPhase =
   | { readonly type: 'connecting' }
   | { readonly type: 'open'; readonly connection: EndpointConnection }
@@ -140,24 +151,23 @@
   private send(connection: EndpointConnection): void {
     const request = this.options.createRequest();
     this.emit({ type: 'sent' });
-    connection.client.dispatch(
-      {
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.path,
-        headers: request.headers,
-        body: request.body ?? null,
-      },
-      {
-        onRequestStart: (controller) => {
-          this.controller = controller;
-          if (this.phase.type === 'over') connection.socket.destroy();
-        },
-        onResponseStart: (_controller, status, headers) => this.handleHead(request, status, headers),
-        onResponseData: (_controller, chunk) => this.handleData(chunk),
-        onResponseEnd: () => this.handleEnd(connection),
-        onResponseError: (_controller, error) => this.breakOff('connectionLost', error.message),
+    const options: PlainDispatchOptions = {
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers,
+      body: request.body ?? null,
+      servername: UNUSED_SERVER_NAME,
+    };
+    connection.client.dispatch(options, {
+      onRequestStart: (controller) => {
+        this.controller = controller;
+        if (this.phase.type === 'over') connection.socket.destroy();
       },
-    );
+      onResponseStart: (_controller, status, headers) => this.handleHead(request, status, headers),
+      onResponseData: (_controller, chunk) => this.handleData(chunk),
+      onResponseEnd: () => this.handleEnd(connection),
+      onResponseError: (_controller, error) => this.breakOff('connectionLost', error.message),
+    });
   }
 
   private handleHead(request: ForwardedRequest, status: number, headers: AnswerHeaders): void {
