A denied second endpoint is asked for at a pace

Cause: profile of 65 boxes whose endpoints are late: 5 to 7% of the processor time in asking the budget at every tick, for every request, for a second endpoint that was denied just before, and in lines about it. Change: 200 ms between two such questions of one attempt; the first one comes when it is due, as before. Also: fixture of virtual traffic in two files; tests of the load bound while halls are emptied, red, with what was tried.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -5,12 +5,12 @@
 import { createHasher } from '@hazelwalk/core';
 import type { Hasher } from '@hazelwalk/core';
 import { createRandom, drawExponential, drawLogNormal } from '@hazelwalk/standins';
-import type { FleetPlan, VirtualBox, VirtualProgram } from '../membership/__fixtures__/virtualFleet.js';
+import type { VirtualBox, VirtualProgram } from '../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../membership/__fixtures__/virtualFleet.js';
 import { LoadRelay } from '../peers/loadRelay.js';
 import type { Heartbeat, RouterFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
-import type { ColdStart, ListedEndpoint, PromptPart } from '../records.js';
+import type { ListedEndpoint, PromptPart } from '../records.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
 import type { LoadPath } from '../systems/placement.js';
 import { Placement } from '../systems/placement.js';
@@ -21,6 +21,8 @@
 import { EndpointTable, supposeCold } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import { createListing } from './createEndpoints.js';
+import type { TrafficPlan, VirtualLoad, VirtualService } from './trafficPlan.js';
+import { countMost } from './trafficPlan.js';
 
 /** From a box to an endpoint. */
 const SEND_MS = 2;
@@ -33,30 +35,6 @@
 /** Fewer requests than this over the bound in one window are not judged. */
 const LEAST_OVER = 20;
 
-/** One kind of request. */
-export interface VirtualLoad {
-  readonly service: string;
-  readonly perS: number;
-  /** Median time at an endpoint that has a free slot, and the deviation of its logarithm. */
-  readonly workMs: number;
-  readonly spread: number;
-  /** Different prompts that requests share; 0 for requests without prompts. */
-  readonly prompts: number;
-  /** Share of the requests that are for one prompt. */
-  readonly hotShare?: number;
-  /** Share of the first attempts that fail and are sent again. */
-  readonly failShare?: number;
-}
-
-/** Endpoints of a service, spread evenly over the halls. */
-export interface VirtualService {
-  readonly name: string;
-  readonly endpoints: number;
-  readonly slots: number;
-  /** What one bears until it has warmed up. */
-  readonly coldStart?: ColdStart;
-}
-
 /** News of an endpoint reach each box at a moment of its own: its sign of life comes late, and so do those who pass it on. */
 interface NewsLag {
   readonly leastMs: number;
@@ -68,13 +46,6 @@
 /** A change waits for the endpoint's next sign of life before that. */
 const CHANGE_NEWS: NewsLag = { leastMs: 20, mostMs: 2_500 };
 
-/** What a fleet serves. */
-export interface TrafficPlan {
-  readonly fleet: Omit<FleetPlan, 'createProgram'>;
-  readonly services: readonly VirtualService[];
-  readonly loads: readonly VirtualLoad[];
-}
-
 interface VirtualEndpoint {
   readonly listing: ListedEndpoint;
   held: number;
@@ -433,14 +404,3 @@
     else endpoint.waiting.push(begin);
   }
 }
-
-/** The most of some moments, in their order, that lie within a second. */
-function countMost(momentsMs: readonly number[]): number {
-  let most = 0;
-  let begin = 0;
-  momentsMs.forEach((atMs, end) => {
-    while (atMs - (momentsMs[begin] ?? atMs) >= MS_PER_S) begin += 1;
-    most = Math.max(most, end - begin + 1);
-  });
-  return most;
-}
--- a/packages/router/src/__tests__/coldEndpoints.test.ts
+++ b/packages/router/src/__tests__/coldEndpoints.test.ts
@@ -6,7 +6,7 @@
  * its own, so that a new endpoint gets its full share of all boxes as soon as it is listed, and a hot prompt whose home it is
  * brings several times as much. Whole fleets in virtual time: endpoints count what really reaches them.
  */
-import type { TrafficPlan, VirtualLoad } from '../__fixtures__/virtualTraffic.js';
+import type { TrafficPlan, VirtualLoad } from '../__fixtures__/trafficPlan.js';
 import { VirtualTraffic } from '../__fixtures__/virtualTraffic.js';
 
 const LEAD_S = 6;
--- a/packages/router/src/__tests__/emptiedHalls.test.ts
+++ b/packages/router/src/__tests__/emptiedHalls.test.ts
@@ -1,8 +1,14 @@
 /**
  * Halls are emptied while nothing else is wrong: what they carried comes to the others, whose endpoints keep to the load bound.
+ *
+ * Seen: on a day of our own with two halls emptied at once 283 of 2,639 requests met an endpoint over the bound. What comes to
+ * the others at random moments holds as long as loads are old, so that no box knows who is full just then; with one hall of
+ * four emptied the endpoints' own mean is a third higher and three to five in a hundred are over the bound, with two it is
+ * twice as high and one in seven is. A lower cap makes it worse (boxes leave together), none at all hardly better.
+ *
  * Whole fleets in virtual time; endpoints count what they really hold, and the mean goes by all endpoints, emptied ones too.
  */
-import type { TrafficPlan, VirtualLoad } from '../__fixtures__/virtualTraffic.js';
+import type { TrafficPlan, VirtualLoad } from '../__fixtures__/trafficPlan.js';
 import { VirtualTraffic } from '../__fixtures__/virtualTraffic.js';
 
 const BOUND_SHARE = 0.03;
@@ -40,7 +46,8 @@
   await traffic.fleet.run(2);
   traffic.evacuate('hall-1');
   await traffic.fleet.run(7);
-  process.stderr.write(`SHARE ${process.env.CAPT} ${seed} ${traffic.readWorstShare("llm")}\n`); expect(traffic.readWorstShare("llm")).toBeLessThanOrEqual(BOUND_SHARE);
+  process.stderr.write(`SHARE ${process.env.CAPT} ${seed} ${traffic.readWorstShare('llm')}\n`);
+  expect(traffic.readWorstShare('llm')).toBeLessThanOrEqual(BOUND_SHARE);
   expect(traffic.readMostColdInASecond()).toBeLessThanOrEqual(COLD_MOST_PER_S);
   expect(traffic.refused).toBe(0);
 });
@@ -56,6 +63,7 @@
   await traffic.fleet.run(2);
   traffic.takeBack('hall-0');
   await traffic.fleet.run(6);
-  process.stderr.write(`SHARE ${process.env.CAPT} ${seed} ${traffic.readWorstShare("llm")}\n`); expect(traffic.readWorstShare("llm")).toBeLessThanOrEqual(BOUND_SHARE);
+  process.stderr.write(`SHARE ${process.env.CAPT} ${seed} ${traffic.readWorstShare('llm')}\n`);
+  expect(traffic.readWorstShare('llm')).toBeLessThanOrEqual(BOUND_SHARE);
   expect(traffic.readMostColdInASecond()).toBeLessThanOrEqual(COLD_MOST_PER_S);
 });
--- a/packages/router/src/__tests__/loadBound.test.ts
+++ b/packages/router/src/__tests__/loadBound.test.ts
@@ -9,7 +9,7 @@
  * Cause: a best choice made by all boxes from the same old sums. Shown by whole fleets without a fault of any kind, in
  * virtual time: endpoints count what they really hold. Before calls were spread 6 to 15 in 100 requests were over the bound.
  */
-import type { TrafficPlan, VirtualLoad } from '../__fixtures__/virtualTraffic.js';
+import type { TrafficPlan, VirtualLoad } from '../__fixtures__/trafficPlan.js';
 import { VirtualTraffic } from '../__fixtures__/virtualTraffic.js';
 
 /** Boxes have met by then. */
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -92,6 +92,8 @@
   sentAtMs = 0;
   /** When the request was handed to the connection. */
   handedOverAtMs = 0;
+  /** When a second endpoint was wanted beside it last. */
+  hedgeWantedAtMs = -Infinity;
   /** Its connection said nothing for so long that others like it were closed. */
   isDoubted = false;
   private phase: AttemptPhase = { type: 'connecting' };
--- a/packages/router/src/proxy/silenceWatch.ts
+++ b/packages/router/src/proxy/silenceWatch.ts
@@ -8,6 +8,12 @@
 /** A kept connection that says nothing for so long may be dead: several times what endpoints take for an answer. */
 const SILENT_CONNECTION_MS = 1_000;
 
+/**
+ * A second endpoint that was not allowed is asked for again after this. Where all endpoints are late many requests wait so, and
+ * each asks the budget and writes a line: at every tick that would be the work of an overloaded box.
+ */
+const HEDGE_PAUSE_MS = 200;
+
 /** What the request knows. */
 export interface WatchedRequest {
   readonly route: Route;
@@ -28,7 +34,14 @@
   const silentMs = nowMs - (answeredAtMs ?? attempt.sentAtMs);
   if (!isAnswering) doubtConnection(context, attempt, silentMs);
   const isUnreachable = attempt.row.standing.type === 'unreachable';
-  return { verdict: judgeSilence({ route, silentMs, isUnreachable, hasOthers, isAnswering }), silentMs };
+  const verdict = judgeSilence({ route, silentMs, isUnreachable, hasOthers, isAnswering });
+  return { verdict: verdict === 'hedge' ? paceHedge(attempt, nowMs) : verdict, silentMs };
+}
+
+function paceHedge(attempt: Attempt, nowMs: number): SilenceVerdict {
+  if (nowMs - attempt.hedgeWantedAtMs < HEDGE_PAUSE_MS) return 'wait';
+  attempt.hedgeWantedAtMs = nowMs;
+  return 'hedge';
 }
 
 /** Open connections may go silent without a reset while new ones work: what comes next goes on a new one. */
