Routes and teams that name regions: their requests reach endpoints there alone

Change: decoded with the configuration, and with the regions of halls from the settings; placement leaves out all other endpoints, also as sources of a cache. A hall whose region is not known is none of those named. Bodies never went to other boxes.

--- a/packages/router/src/__fixtures__/createPlacement.ts
+++ b/packages/router/src/__fixtures__/createPlacement.ts
@@ -22,6 +22,7 @@
     demand: new PromptDemand(),
     evacuations: new Evacuations(),
     cold: createColdEndpoints(hasher),
+    findRegion: () => undefined,
     readLoadPath: () => 'direct',
     readLoadAgeMs: () => 300,
     ...changes,
--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -97,6 +97,7 @@
       homes,
       demand,
       evacuations: this.evacuations,
+      findRegion: () => undefined,
       cold: new ColdEndpoints({
         hall,
         hasher,
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -39,6 +39,7 @@
   const placement = new Placement({
     evacuations: new Evacuations(),
     cold: createColdEndpoints(hasher),
+    findRegion: () => undefined,
     table,
     hasher,
     hall: 'a',
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -260,6 +260,7 @@
         demand: this.demand,
         evacuations: this.state.evacuations,
         cold: this.createColdEndpoints(),
+        findRegion: (other) => options.regions[other],
         readLoadPath: () => (this.mesh.isFlat ? 'direct' : 'relayed'),
         readLoadAgeMs: () => this.loads.readAgeMs(),
       }),
--- a/packages/router/src/peers/configurationSchema.ts
+++ b/packages/router/src/peers/configurationSchema.ts
@@ -14,6 +14,7 @@
   targets: z.array(z.object({ service: z.string(), weight: z.number() })),
   isPublic: z.boolean(),
   isResumable: z.boolean(),
+  allowedRegions: z.array(z.string()).optional(),
 }) satisfies z.ZodType<Route>;
 
 const service = z.object({
@@ -23,7 +24,11 @@
   coldStart: z.object({ perS: z.number(), startMs: z.number() }).optional(),
 }) satisfies z.ZodType<Service>;
 
-const team = z.object({ name: z.string(), apiKeys: z.array(z.string()) }) satisfies z.ZodType<Team>;
+const team = z.object({
+  name: z.string(),
+  apiKeys: z.array(z.string()),
+  allowedRegions: z.array(z.string()).optional(),
+}) satisfies z.ZodType<Team>;
 
 const limits = z.object({
   maxHeaderBytes: z.number(),
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -25,6 +25,11 @@
 /** Less time than this is not worth another attempt. */
 const LEAST_ATTEMPT_MS = 50;
 
+/** Route and team may each name regions: both bind. */
+function listRegionBounds({ route, team }: Assignment): (readonly string[])[] {
+  return [route.allowedRegions, team?.allowedRegions].filter((regions) => regions !== undefined);
+}
+
 /** What the attempts need of their request. */
 export interface AttemptSetOptions {
   readonly req: IncomingMessage;
@@ -99,6 +104,7 @@
     const wanted: PlacementRequest = {
       service: assignment.service,
       coldStart: assignment.declared?.coldStart,
+      allowedRegions: listRegionBounds(assignment),
       promptParts,
       excluded: this.triedIds,
     };
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -37,6 +37,8 @@
   readonly isPublic: boolean;
   /** A broken stream may go on at another endpoint after the last event seen. */
   readonly isResumable: boolean;
+  /** Its requests may reach endpoints of these regions alone; absent where all may serve them. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** What endpoints of a service bear until they have warmed up. */
@@ -62,6 +64,8 @@
 export interface Team {
   readonly name: string;
   readonly apiKeys: readonly string[];
+  /** Its requests may reach endpoints of these regions alone; absent where all may serve them. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Bounds on what callers may send. */
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -22,6 +22,8 @@
 export interface FleetRouterOptions {
   readonly boxId: string;
   readonly hall: string;
+  /** Region of each hall. */
+  readonly regions: Readonly<Record<string, string>>;
   /** Bandwidth of the box's link. */
   readonly linkMbps: number;
   readonly callerAddress: { readonly host: string; readonly port: number };
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -43,6 +43,8 @@
   readonly promptParts: readonly PromptPart[];
   /** What endpoints of the service bear until they have warmed up; absent where they bear all at once. */
   readonly coldStart?: ColdStart | undefined;
+  /** Lists of regions, each of which has to name that of the endpoint; a request may be bound by several. */
+  readonly allowedRegions?: readonly (readonly string[])[];
   /** Endpoints that were tried already. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -113,6 +115,8 @@
   readonly evacuations: Evacuations;
   /** Decides which cold endpoints this box may send to. */
   readonly cold: ColdEndpoints;
+  /** Region of a hall; undefined if it is not known. */
+  readonly findRegion: (hall: string) => string | undefined;
   readonly readLoadPath: () => LoadPath;
   /** How old the oldest loads of other boxes are that this one knows. */
   readonly readLoadAgeMs: () => number;
@@ -142,7 +146,8 @@
     const { hasher, hall, random, homes, demand } = this.options;
     const listed = this.options.table.listService(request.service);
     const live = listed.filter((row) => row.listing.state === 'live');
-    const admitted = this.listAdmitted(this.listOpen(live), request.coldStart, nowMs);
+    const open = this.listAllowed(this.listOpen(live), request);
+    const admitted = this.listAdmitted(open, request.coldStart, nowMs);
     const rows = listCandidates(admitted, request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
@@ -172,6 +177,18 @@
     return rows.filter((row) => !this.options.evacuations.covers(row.listing.hall));
   }
 
+  /** Endpoints of the regions that the request may reach. */
+  private listAllowed(
+    rows: readonly EndpointRow[],
+    { allowedRegions = [] }: PlacementRequest,
+  ): readonly EndpointRow[] {
+    if (allowedRegions.length === 0) return rows;
+    return rows.filter(({ listing }) => {
+      const region = this.options.findRegion(listing.hall);
+      return region !== undefined && allowedRegions.every((regions) => regions.includes(region));
+    });
+  }
+
   /** Endpoints that bear a request of this box more: cold ones only in its turn. */
   private listAdmitted(
     rows: readonly EndpointRow[],
@@ -228,7 +245,7 @@
     holders: ReadonlySet<number>,
     nowMs: number,
   ): EndpointRow | undefined {
-    const reachable = this.listReachable(request.service, nowMs);
+    const reachable = this.listReachable(request, nowMs);
     return this.findBestRanked(
       reachable.filter((row) => row !== chosen && holders.has(row.tag)),
       prompt,
@@ -245,7 +262,7 @@
     prompt: string,
     nowMs: number,
   ): EndpointRow | undefined {
-    const reachable = this.listReachable(request.service, nowMs);
+    const reachable = this.listReachable(request, nowMs);
     const home = this.findBestRanked(reachable, prompt);
     if (home !== undefined && home !== chosen) return home;
     if (nowMs - chosen.listedAtMs > NEWCOMER_MS) return undefined;
@@ -253,10 +270,9 @@
     return this.findBestRanked(older, prompt);
   }
 
-  private listReachable(service: string, nowMs: number): EndpointRow[] {
+  private listReachable(request: PlacementRequest, nowMs: number): EndpointRow[] {
     const { table, evacuations } = this.options;
-    return table
-      .listService(service)
+    return this.listAllowed(table.listService(request.service), request)
       .filter((row) => row.standing.type !== 'unreachable' && !row.isLapsed)
       .filter((row) => evacuations.mayHandOver(row.listing.hall, nowMs));
   }
