--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -17,7 +17,11 @@
   readonly state: PublishedState;
 }
 
-/** Hands one frame on. */
+/**
+ * Hands one frame on.
+ *
+ * @example dispatchPeerFrame({ type: 'valueRequest', ...question }, listeners) // the values answer it
+ */
 export function dispatchPeerFrame(frame: RouterFrame, listeners: PeerListeners): void {
   const { homes, loads, crashNews, peerValues, relay, state } = listeners;
   switch (frame.type) {
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -64,8 +64,8 @@
 }
 
 /**
- * Without a name the library looks whether the caller's `Host` is an address, for each request, by an expression that takes a
- * tenth of what a request costs. The name is never sent: connections to endpoints are plain.
+ * Without a name the library looks, for each request, whether the caller's `Host` is an address, which costs more than any other
+ * step of sending it. The name is never sent: connections to endpoints are plain.
  */
 const UNUSED_SERVER_NAME = 'endpoint';
 
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -26,7 +26,11 @@
 const LATER_MS = 1_000;
 const LATER_SPREAD_MS = 1_000;
 
-/** When a caller should come back whose request found no endpoint. */
+/**
+ * When a caller should come back whose request found no endpoint.
+ *
+ * @example pickReturnMs('hallsEvacuated') // 1_000 to 2_000
+ */
 export function pickReturnMs(reason: NoPlaceReason): number {
   switch (reason) {
     case 'hallsEvacuated':
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -133,7 +133,11 @@
     return choice;
   }
 
-  /** Why a service that has endpoints can give none. */
+  /**
+   * Why no endpoint could be chosen.
+   *
+   * @example placement.explainNone(request, nowMs) // 'hallsEvacuated'
+   */
   explainNone({ service, coldStart }: PlacementRequest, nowMs: number): NoPlaceReason {
     const live = this.options.table.listService(service).filter((row) => row.listing.state === 'live');
     if (live.length === 0) return 'noEndpoint';
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -51,7 +51,11 @@
 /** By then an endpoint that is cold has said so, and its entry has passed from box to box. */
 const COLD_DOUBT_MS = 3_000;
 
-/** Takes an endpoint for cold until its entry must have told. */
+/**
+ * Takes an endpoint for cold until its entry must have told.
+ *
+ * @example supposeCold(row, performance.now()) // its process was gone a moment ago
+ */
 export function supposeCold(row: EndpointRow, nowMs: number): void {
   row.coldUntilMs = Math.max(row.coldUntilMs, nowMs + COLD_DOUBT_MS);
 }
