Placement: live endpoints are listed in one place, and nothing is filtered while no hall is emptied

Found on reading the whole change: the same filter stood twice, and each request copied the list of endpoints to leave out halls, though nearly always none is. Behaviour as before; 48 tests of placement, halls, cold endpoints and regions.

--- a/packages/router/src/systems/evacuations.ts
+++ b/packages/router/src/systems/evacuations.ts
@@ -44,6 +44,11 @@
     return nowMs - (this.orderedAtMs.get(hall) ?? nowMs) <= HAND_OVER_MS;
   }
 
+  /** Whether no hall is under an order, as nearly always. */
+  get isEmpty(): boolean {
+    return this.orderedAtMs.size === 0;
+  }
+
   /** The halls under an order. */
   list(): string[] {
     return [...this.orderedAtMs.keys()];
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -139,7 +139,7 @@
    * @example placement.explainNone(request, nowMs) // 'hallsEvacuated'
    */
   explainNone({ service, coldStart }: PlacementRequest, nowMs: number): NoPlaceReason {
-    const live = this.options.table.listService(service).filter((row) => row.listing.state === 'live');
+    const live = this.listLive(service);
     if (live.length === 0) return 'noEndpoint';
     const open = this.listOpen(live);
     if (open.length === 0) return 'hallsEvacuated';
@@ -148,8 +148,7 @@
 
   private find(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
     const { hasher, hall, random, homes, demand } = this.options;
-    const listed = this.options.table.listService(request.service);
-    const live = listed.filter((row) => row.listing.state === 'live');
+    const live = this.listLive(request.service);
     const open = this.listAllowed(this.listOpen(live), request);
     const admitted = this.listAdmitted(open, request.coldStart, nowMs);
     const rows = listCandidates(admitted, request, nowMs);
@@ -176,9 +175,15 @@
     return describeChoice(row, way, meanLoad, cacheSource);
   }
 
+  /** Endpoints of a service that are not about to leave. */
+  private listLive(service: string): readonly EndpointRow[] {
+    return this.options.table.listService(service).filter((row) => row.listing.state === 'live');
+  }
+
   /** Endpoints outside the halls that are to be emptied. */
   private listOpen(rows: readonly EndpointRow[]): readonly EndpointRow[] {
-    return rows.filter((row) => !this.options.evacuations.covers(row.listing.hall));
+    const { evacuations } = this.options;
+    return evacuations.isEmpty ? rows : rows.filter((row) => !evacuations.covers(row.listing.hall));
   }
 
   /** Endpoints of the regions that the request may reach. */
