--- a/packages/router/src/systems/coldEndpoints.ts
+++ b/packages/router/src/systems/coldEndpoints.ts
@@ -58,8 +58,9 @@
   admits(row: EndpointRow, coldStart: ColdStart | undefined, nowMs: number): boolean {
     if (coldStart === undefined || nowMs >= row.coldUntilMs) return true;
     if (row.listing.hall !== this.options.hall || !this.isSettled(nowMs)) return false;
+    const peers = this.options.listHallPeers();
     const sent = this.listSent(row.listing.id, nowMs).length;
-    return sent < this.readShare(coldStart) && this.isSharer(row);
+    return sent < this.readShare(coldStart, peers) && this.isSharer(row, peers);
   }
 
   /** Notes that this box sends a request to an endpoint. */
@@ -77,18 +78,18 @@
   }
 
   /** Requests that one sharer may send in a window. */
-  private readShare({ perS }: ColdStart): number {
-    const { bound, listHallPeers } = this.options;
-    const sharers = Math.min(SHARERS, listHallPeers().length + 1);
+  private readShare({ perS }: ColdStart, peers: readonly string[]): number {
+    const { bound } = this.options;
+    const sharers = Math.min(SHARERS, peers.length + 1);
     return Math.floor(((perS * bound.factor + bound.allowance) * SHARED_PART) / sharers);
   }
 
   /** Whether this box is among the first of its hall in the order that all its boxes share for an endpoint. */
-  private isSharer(row: EndpointRow): boolean {
-    const { hasher, readAddress, listHallPeers } = this.options;
+  private isSharer(row: EndpointRow, peers: readonly string[]): boolean {
+    const { hasher, readAddress } = this.options;
     const rank = (address: string): number => hasher.h32(address, row.tag);
     const own = rank(readAddress());
-    return listHallPeers().filter((address) => rank(address) > own).length < SHARERS;
+    return peers.filter((address) => rank(address) > own).length < SHARERS;
   }
 
   private listSent(id: string, nowMs: number): number[] {
