Log and count announcements that an endpoint is leaving

Nothing showed whether a response of an endpoint carried the announcement that the endpoint is about to leave, so an announcement that was never sent, one that was not read and one that was undone could not be told apart. The head of each response is now read for the announcement, including responses that their request cannot use. The first announcement is logged (`endpointNotice`) and counted.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -25,8 +25,8 @@
 import type { RouterContext } from './routerContext.js';
 import type { FleetRouterOptions, RouterInput } from './routerOptions.js';
 import { ColdEndpoints } from './systems/coldEndpoints.js';
-import type { HealthSign } from './systems/endpointHealth.js';
-import { isUsable, noteSign } from './systems/endpointHealth.js';
+import { isUsable } from './systems/endpointHealth.js';
+import { EndpointObserver } from './systems/endpointObserver.js';
 import type { FeedDuty } from './systems/feedDuty.js';
 import { listOwnLoads } from './systems/loadExchange.js';
 import { PlannedStop } from './systems/plannedStop.js';
@@ -38,7 +38,6 @@
 import { Placement } from './systems/placement.js';
 import { Reachability } from './systems/reachability.js';
 import { RetryBudget } from './systems/retryBudget.js';
-import type { EndpointRow } from './tables/endpointTable.js';
 import { EndpointTable } from './tables/endpointTable.js';
 
 /** Pace of the systems: fine enough for time-outs of half a second, coarse enough to cost little. */
@@ -58,6 +57,7 @@
   private readonly state: PublishedState;
   private readonly connections: EndpointConnections;
   private readonly reachability: Reachability;
+  private readonly observer: EndpointObserver;
   private readonly mesh: PeerMesh;
   private readonly callers: CallerServer;
   private readonly exchanges = new Set<Exchange>();
@@ -111,6 +111,9 @@
       isEvacuated: (hall) => this.state.evacuations.covers(hall),
       onChange: (row, change, because) => this.standingLog.noteEndpoint(row, change, because),
     });
+    const { table, standingLog } = this;
+    const suspectHall = (suspected: string): void => this.reachability.suspectHall(suspected);
+    this.observer = new EndpointObserver({ table, standingLog, now, suspectHall });
     this.mesh = new PeerMesh(
       {
         hall: options.hall,
@@ -266,7 +269,7 @@
       }),
       budget: new RetryBudget(options.retryBound, now(), countBoxes),
       connections: this.connections,
-      crashCheck: new CrashCheck(this.connections, (row) => this.noteSign(row, 'connectRefused')),
+      crashCheck: new CrashCheck(this.connections, (row) => this.observer.noteSign(row, 'connectRefused')),
       quarantine: this.quarantine,
       crashNews: this.crashNews,
       metrics: this.metrics,
@@ -277,7 +280,8 @@
       readIndex: () => this.state.index,
       isInformed: () => this.state.isInformed,
       isStopping: () => this.plannedStop.isUnderWay,
-      noteSign: (row, sign) => this.noteSign(row, sign),
+      noteSign: (row, sign) => this.observer.noteSign(row, sign),
+      noteAnswerFacts: (row, facts) => this.observer.noteAnswerFacts(row, facts),
     };
   }
 
@@ -385,13 +389,6 @@
     if (wasAble) this.mesh.sendToHall(this.options.hall, this.createHeartbeat([]));
   }
 
-  private noteSign(row: EndpointRow, sign: HealthSign): void {
-    const change = noteSign(this.table, row, sign, this.now());
-    if (change === 'unreachable' && sign === 'connectTimedOut')
-      this.reachability.suspectHall(row.listing.hall);
-    if (change !== undefined) this.standingLog.noteEndpoint(row, change, sign);
-  }
-
   /** A failure of the loop leaves the tables in doubt: better no box than a wrong one. */
   private failHard(error: unknown): void {
     this.log.write('lifecycle', 'loopFailed', { detail: String((error as Error).stack ?? error) });
--- a/packages/router/src/observability/standingLog.ts
+++ b/packages/router/src/observability/standingLog.ts
@@ -1,5 +1,6 @@
 /** Writes down what a box comes to believe of endpoints and of other boxes. */
 import type { StandingChange } from '../systems/endpointHealth.js';
+import type { EndpointNoticeChange } from '../systems/endpointNotices.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { RouterMetrics } from './metrics.js';
@@ -27,6 +28,19 @@
     });
   }
 
+  /** Logs and counts the first response in which an endpoint makes an announcement. */
+  noteEndpointNotice(row: EndpointRow, change: EndpointNoticeChange): void {
+    this.metrics.notices.inc({ notice: change });
+    this.log.write('lifecycle', 'endpointNotice', {
+      endpoint: row.listing.id,
+      service: row.listing.service,
+      hall: row.listing.hall,
+      notice: change,
+      listedAs: row.listing.state,
+      inFlight: row.inFlight,
+    });
+  }
+
   /** A box of the own hall was found to be down, or is back. */
   noteBox(address: string, standing: 'down' | 'up', because: string, boxes: number): void {
     this.metrics.peerStandings.inc({ standing });
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -56,6 +56,8 @@
   readonly maxIdleMs: number;
   readonly maxConnections: number;
   readonly onEvent: (attempt: Attempt, event: AttemptEvent) => void;
+  /** Called for the head of every final response, including responses that the attempt then discards. */
+  readonly onAnswerFacts: (row: EndpointRow, facts: AnswerFacts) => void;
 }
 
 /** The library takes a name for TLS; its types do not say so. */
@@ -173,8 +175,10 @@
   }
 
   private handleHead(request: ForwardedRequest, status: number, headers: AnswerHeaders): void {
-    if (this.phase.type === 'over' || status < LEAST_SUCCESS) return;
+    if (status < LEAST_SUCCESS) return;
     const facts = this.options.dialect.readAnswer(status, headers);
+    this.options.onAnswerFacts(this.row, facts);
+    if (this.phase.type === 'over') return;
     const head = { status, headers, facts };
     this.endsWithConnection = isCloseDelimited(headers);
     if (facts.requestId !== undefined && facts.requestId !== request.requestId) {
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -124,6 +124,7 @@
       maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
       maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
       onEvent: options.onEvent,
+      onAnswerFacts: context.noteAnswerFacts,
     });
     this.live.push(attempt);
     void attempt.start();
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -125,6 +125,8 @@
   readonly isSealed: boolean;
   /** The endpoint vouches that the request did not run. */
   readonly isNotRun: boolean;
+  /** Whether the endpoint announces that it is about to leave. */
+  readonly isLeaving: boolean;
 }
 
 /** What the router adds to a request for one endpoint. */
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -7,6 +7,7 @@
 import type { Exchange } from './proxy/exchange.js';
 import type { Quarantine } from './quarantine/quarantine.js';
 import type { QuarantineRelay } from './quarantine/quarantineRelay.js';
+import type { AnswerFacts } from './records.js';
 import type { HealthSign } from './systems/endpointHealth.js';
 import type { Placement } from './systems/placement.js';
 import type { RetryBudget } from './systems/retryBudget.js';
@@ -40,4 +41,6 @@
   readonly isStopping: () => boolean;
   /** Notes what a request tells about an endpoint. */
   readonly noteSign: (row: EndpointRow, sign: HealthSign) => void;
+  /** Records what the head of a response announces about its endpoint. */
+  readonly noteAnswerFacts: (row: EndpointRow, facts: AnswerFacts) => void;
 }
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -2,6 +2,8 @@
  * The table of endpoints: what is published of each, what this box saw of it, and what peers say of its load.
  */
 import type { ListedEndpoint } from '../records.js';
+import type { EndpointNotice } from './endpointNotice.js';
+import { createEndpointNotice } from './endpointNotice.js';
 
 /** Why an endpoint gets no new requests from this box. */
 export type Standing =
@@ -41,6 +43,8 @@
   isLapsed: boolean;
   /** Until then it bears little, as far as this box was told or has to suppose. */
   coldUntilMs: number;
+  /** What the endpoint announced in its responses. */
+  readonly notice: EndpointNotice;
 }
 
 /** Load of an endpoint as this box knows it: requests of all boxes. */
@@ -148,5 +152,6 @@
     isBeingChecked: false,
     isLapsed: false,
     coldUntilMs: nowMs + (listing.coldMs ?? 0),
+    notice: createEndpointNotice(),
   };
 }
