Log and count back-offs that endpoints request

A 503 response can state in `Retry-After` how long its endpoint wants this router to send no requests. This was neither logged nor counted, so a back-off that was never requested, one that was not read and one that was overridden could not be told apart. A value that is not a number of seconds greater than zero is ignored. A back-off that ends no later than the current one does not shorten it and is neither logged nor counted. Routing decisions are unchanged.

--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -32,7 +32,7 @@
   readonly retiredPools = this.counter('retired_pools', 'Idle connections closed as doubtful', []);
   /** Changes of belief about endpoints. */
   readonly standings = this.counter('endpoint_standings', 'Changes of standing', ['change']);
-  /** Announcements first seen in responses of endpoints, by kind. */
+  /** Announcements in response headers that changed the recorded state of an endpoint, by kind. */
   readonly notices = this.counter('endpoint_notices', 'News of endpoints in their own answers', ['notice']);
   /** Calls to the platform, by outcome. */
   readonly platformCalls = this.counter('platform_calls', 'Calls to the platform', ['outcome']);
--- a/packages/router/src/observability/standingLog.ts
+++ b/packages/router/src/observability/standingLog.ts
@@ -28,15 +28,16 @@
     });
   }
 
-  /** Logs and counts the first response in which an endpoint makes an announcement. */
+  /** Logs and counts an announcement that changed the recorded state of an endpoint. */
   noteEndpointNotice(row: EndpointRow, change: EndpointNoticeChange): void {
     this.metrics.notices.inc({ notice: change });
-    this.log.write('lifecycle', 'endpointNotice', {
+    this.log.write('notable', 'endpointNotice', {
       endpoint: row.listing.id,
       service: row.listing.service,
       hall: row.listing.hall,
       notice: change,
       listedAs: row.listing.state,
+      backOffMs: Math.max(0, Math.round(row.notice.backOffUntilMs - this.now())),
       inFlight: row.inFlight,
     });
   }
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -127,6 +127,8 @@
   readonly isNotRun: boolean;
   /** Whether the endpoint announces that it is about to leave. */
   readonly isLeaving: boolean;
+  /** How long the endpoint asks this router to send no requests; undefined if it does not ask. */
+  readonly backOffMs: number | undefined;
 }
 
 /** What the router adds to a request for one endpoint. */
--- a/packages/router/src/systems/endpointNotices.ts
+++ b/packages/router/src/systems/endpointNotices.ts
@@ -1,20 +1,33 @@
-/** Records announcements that endpoints make in the heads of their responses. */
+/** Records announcements that endpoints make in their response headers. */
 import type { AnswerFacts } from '../records.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
-/** An announcement that the endpoint had not made to this router before. */
-export type EndpointNoticeChange = 'leaving';
+/** An announcement that changed the recorded state of an endpoint. */
+export type EndpointNoticeChange =
+  /** The endpoint is about to leave. */
+  | 'leaving'
+  /** The endpoint asks this router to send no requests for a limited time. */
+  | 'backOff';
 
 /**
- * Records what the head of a response announces about its endpoint. Returns the announcement if it is new.
+ * Records the announcements in the headers of a response. Returns those that changed the recorded state.
  *
- * @example noteAnswerFacts(row, { requestId: 'r-1', isSealed: true, isNotRun: false, isLeaving: true }) // 'leaving'
+ * @example noteAnswerFacts(row, { ...facts, isLeaving: true }, performance.now()) // ['leaving']
  */
 export function noteAnswerFacts(
   { notice }: EndpointRow,
-  facts: AnswerFacts,
-): EndpointNoticeChange | undefined {
-  if (!facts.isLeaving || notice.isLeaving) return undefined;
-  notice.isLeaving = true;
-  return 'leaving';
+  { isLeaving, backOffMs = 0 }: AnswerFacts,
+  nowMs: number,
+): EndpointNoticeChange[] {
+  const changes: EndpointNoticeChange[] = [];
+  if (isLeaving && !notice.isLeaving) {
+    notice.isLeaving = true;
+    changes.push('leaving');
+  }
+  // A new back-off can extend the current one but not shorten it.
+  if (backOffMs > 0 && nowMs + backOffMs > notice.backOffUntilMs) {
+    notice.backOffUntilMs = nowMs + backOffMs;
+    changes.push('backOff');
+  }
+  return changes;
 }
--- a/packages/router/src/systems/endpointObserver.ts
+++ b/packages/router/src/systems/endpointObserver.ts
@@ -1,4 +1,4 @@
-/** Updates what is believed of endpoints from the requests sent to them, and logs what changes. */
+/** Updates the recorded state of endpoints from request outcomes and response headers, and logs changes. */
 import type { StandingLog } from '../observability/standingLog.js';
 import type { AnswerFacts } from '../records.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
@@ -6,7 +6,6 @@
 import { noteSign } from './endpointHealth.js';
 import { noteAnswerFacts } from './endpointNotices.js';
 
-/** Dependencies of an observer. */
 export interface EndpointObserverOptions {
   readonly table: EndpointTable;
   readonly standingLog: StandingLog;
@@ -15,12 +14,12 @@
   readonly suspectHall: (hall: string) => void;
 }
 
-/** Observes the outcome of requests at endpoints. */
+/** Observes request outcomes and response headers of endpoints. */
 export class EndpointObserver {
   constructor(private readonly options: EndpointObserverOptions) {}
 
   /**
-   * Records how a request at an endpoint ended.
+   * Records the outcome of a request to an endpoint.
    *
    * @example observer.noteSign(row, 'connectTimedOut') // also checks the other endpoints of its hall
    */
@@ -32,12 +31,12 @@
   }
 
   /**
-   * Records what the head of a response announces about its endpoint.
+   * Records the announcements in the headers of a response.
    *
-   * @example observer.noteAnswerFacts(row, { requestId: 'r-1', isSealed: true, isNotRun: false, isLeaving: true })
+   * @example observer.noteAnswerFacts(row, dialect.readAnswer(503, { 'retry-after': '3' }))
    */
   noteAnswerFacts(row: EndpointRow, facts: AnswerFacts): void {
-    const change = noteAnswerFacts(row, facts);
-    if (change !== undefined) this.options.standingLog.noteEndpointNotice(row, change);
+    const { now, standingLog } = this.options;
+    for (const change of noteAnswerFacts(row, facts, now())) standingLog.noteEndpointNotice(row, change);
   }
 }
--- a/packages/router/src/tables/endpointNotice.ts
+++ b/packages/router/src/tables/endpointNotice.ts
@@ -2,9 +2,11 @@
 export interface EndpointNotice {
   /** The endpoint is about to leave and asks for no new requests. */
   isLeaving: boolean;
+  /** Time until which the endpoint asks this router to send no requests; 0 if it has never asked. */
+  backOffUntilMs: number;
 }
 
-/** Creates the notice of an endpoint that has made no announcement yet. */
+/** Creates the initial state, before any announcement. */
 export function createEndpointNotice(): EndpointNotice {
-  return { isLeaving: false };
+  return { isLeaving: false, backOffUntilMs: 0 };
 }
