--- /dev/null
+++ b/packages/router/src/__fixtures__/virtualRouter.ts
@@ -0,0 +1,75 @@
+/** What runs in a box of a virtual fleet that serves callers. */
+import type { Hasher } from '@hazelwalk/core';
+import type { VirtualBox, VirtualProgram } from '../membership/__fixtures__/virtualFleet.js';
+import { LoadRelay } from '../peers/loadRelay.js';
+import type { Heartbeat, RouterFrame } from '../peers/peerFrames.js';
+import type { PeerMesh } from '../peers/peerMesh.js';
+import { ColdEndpoints } from '../systems/coldEndpoints.js';
+import { Evacuations } from '../systems/evacuations.js';
+import { listOwnLoads } from '../systems/loadExchange.js';
+import type { LoadPath } from '../systems/placement.js';
+import { Placement } from '../systems/placement.js';
+import { PromptDemand } from '../systems/promptDemand.js';
+import { PromptHomes } from '../systems/promptHomes.js';
+import { EndpointTable } from '../tables/endpointTable.js';
+
+/** What a box chooses and spreads loads with. */
+export class VirtualRouter implements VirtualProgram {
+  readonly table: EndpointTable;
+  readonly placement: Placement;
+  readonly evacuations = new Evacuations();
+  readonly relay: LoadRelay;
+
+  constructor(box: VirtualBox, mesh: PeerMesh, hasher: Hasher, now: () => number, random: () => number) {
+    const { hall } = box;
+    const hash = (text: string): number => hasher.h32(text);
+    const homes = new PromptHomes();
+    const demand = new PromptDemand();
+    this.table = new EndpointTable(hash);
+    const onKnowledge = (): void => {};
+    const { table } = this;
+    this.relay = new LoadRelay({ mesh, table, homes, demand, hall, hash, random, now, onKnowledge });
+    const readLoadAgeMs = (): number => this.relay.readAgeMs();
+    const readLoadPath = (): LoadPath => (mesh.isFlat ? 'direct' : 'relayed');
+    this.placement = new Placement({
+      table,
+      hasher,
+      hall,
+      random,
+      homes,
+      demand,
+      evacuations: this.evacuations,
+      findRegion: () => undefined,
+      cold: new ColdEndpoints({
+        hall,
+        hasher,
+        bound: { factor: 1.5, allowance: 5 },
+        startedAtMs: now(),
+        hasMetOthers: () => mesh.hasMetOthers,
+        readAddress: () => mesh.address,
+        listHallPeers: () => mesh.listHallPeers(),
+      }),
+      readLoadPath,
+      readLoadAgeMs,
+    });
+  }
+
+  handleFrame(frame: RouterFrame): void {
+    if (frame.type === 'heartbeat') this.relay.handleHeartbeat(frame);
+    else if (frame.type === 'boxLoads') this.relay.handleBoxLoads(frame);
+    else if (frame.type === 'hallLoads') this.relay.handleHallLoads(frame);
+    else if (frame.type === 'fleetLoads') this.relay.handleFleetLoads(frame);
+  }
+
+  tick(): void {
+    this.relay.tick();
+  }
+
+  createDemandNews(): Pick<Heartbeat, 'prompts'> {
+    return { prompts: this.relay.takeDemandForHeartbeat() };
+  }
+
+  listLoads(): number[] {
+    return listOwnLoads(this.table);
+  }
+}
