--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -9,8 +9,11 @@
 import { VirtualFleet } from '../membership/__fixtures__/virtualFleet.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint, PromptPart } from '../records.js';
+import { noteAnswerFacts } from '../systems/endpointNotices.js';
 import { supposeCold } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import { AnnouncementJudge } from './announcementJudge.js';
+import type { BoxCall } from './announcementJudge.js';
 import { createListing } from './createEndpoints.js';
 import type { TrafficPlan, VirtualLoad, VirtualService } from './trafficPlan.js';
 import { countMost } from './trafficPlan.js';
@@ -48,6 +51,8 @@
   coldUntilMs: number;
   /** When requests came while it was cold. */
   readonly coldArrivalsMs: number[];
+  /** Whether its responses announce that it is about to leave. */
+  isLeaving: boolean;
   readonly waiting: (() => void)[];
 }
 
@@ -69,6 +74,7 @@
   private readonly tallies = new Map<string, ServiceTally>();
   private readonly routers = new WeakMap<VirtualBox, VirtualRouter>();
   private readonly random: () => number;
+  readonly judge = new AnnouncementJudge();
   fleet!: VirtualFleet;
   /** Requests for which a box had no endpoint. */
   refused = 0;
@@ -121,6 +127,19 @@
     return this.findEndpoint(id).taken;
   }
 
+  /** Endpoints announce in their responses alone that they are about to leave. */
+  announceLeaving(ids: readonly string[]): void {
+    for (const id of ids) this.findEndpoint(id).isLeaving = true;
+  }
+
+  /** Lists endpoints to every box once more as live. */
+  listAgain(ids: readonly string[]): void {
+    for (const id of ids) {
+      const { listing } = this.findEndpoint(id);
+      this.tellEach((router, nowMs) => router.table.upsert({ ...listing }, nowMs));
+    }
+  }
+
   /** Operators order a hall to be emptied; each box hears of it at a moment of its own. */
   evacuate(hall: string): void {
     this.tellEach((router, nowMs) => router.evacuations.apply({ type: 'ordered', hall }, nowMs));
@@ -237,6 +256,7 @@
       taken: 0,
       coldUntilMs: 0,
       coldArrivalsMs: [],
+      isLeaving: false,
       waiting: [],
     });
   }
@@ -264,7 +284,8 @@
     if (box === undefined) return;
     const { run } = this.fleet.network.readMachine(box.address);
     const promptParts = this.drawPrompt(load);
-    this.fleet.network.actIn(box.address, run, () => this.send(box, run, load, promptParts, new Set()));
+    const call = { box, run, calledAtMs: this.fleet.timeline.nowMs };
+    this.fleet.network.actIn(box.address, run, () => this.send(call, load, promptParts, new Set()));
   }
 
   private drawPrompt(load: VirtualLoad): PromptPart[] {
@@ -278,14 +299,9 @@
     ];
   }
 
-  private send(
-    box: VirtualBox,
-    run: number,
-    load: VirtualLoad,
-    promptParts: PromptPart[],
-    tried: Set<string>,
-  ): void {
+  private send(call: BoxCall, load: VirtualLoad, promptParts: PromptPart[], tried: Set<string>): void {
     const { timeline, network } = this.fleet;
+    const { box, run } = call;
     const router = this.routers.get(box);
     const choice = router?.placement.choose(
       {
@@ -303,18 +319,29 @@
     const { row } = choice;
     row.inFlight += 1;
     timeline.after(SEND_MS, () =>
-      this.arrive(row, load, () => {
+      this.arrive(call, row, load, () => {
         network.actIn(box.address, run, () => {
           row.inFlight -= 1;
+          this.passOn(call, row);
           const isFailed = tried.size === 0 && this.random() < (load.failShare ?? 0);
-          if (isFailed) this.send(box, run, load, promptParts, new Set([row.listing.id]));
+          if (isFailed) this.send(call, load, promptParts, new Set([row.listing.id]));
         });
       }),
     );
   }
 
-  private arrive(row: EndpointRow, load: VirtualLoad, onEnd: () => void): void {
+  /** A box reads the head of a response. */
+  private passOn(call: BoxCall, row: EndpointRow): void {
+    const { isLeaving, listing } = this.findEndpoint(row.listing.id);
+    const facts = { requestId: 'r', isSealed: true, isNotRun: false, isLeaving, backOffMs: undefined };
+    const { nowMs } = this.fleet.timeline;
+    noteAnswerFacts(row, facts, nowMs);
+    if (isLeaving) this.judge.noteLeaving(call, listing.id, nowMs);
+  }
+
+  private arrive(call: BoxCall, row: EndpointRow, load: VirtualLoad, onEnd: () => void): void {
     const endpoint = this.findEndpoint(row.listing.id);
+    this.judge.noteArrival(call, endpoint.listing.id);
     const tally = this.findTally(load.service);
     const bound = BOUND_FACTOR * (tally.held / tally.endpoints) + BOUND_ALLOWANCE;
     tally.arrivals.push({ atMs: this.fleet.timeline.nowMs, isOver: endpoint.held > bound });
