--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -53,6 +53,8 @@
   readonly coldArrivalsMs: number[];
   /** Whether its responses announce that it is about to leave. */
   isLeaving: boolean;
+  /** Turns every request away and asks for a back-off of this length; 0 while it serves. */
+  backOffMs: number;
   readonly waiting: (() => void)[];
 }
 
@@ -132,6 +134,11 @@
     for (const id of ids) this.findEndpoint(id).isLeaving = true;
   }
 
+  /** Endpoints turn every request away and ask for a back-off; with 0 they serve again. */
+  turnAway(ids: readonly string[], backOffMs: number): void {
+    for (const id of ids) this.findEndpoint(id).backOffMs = backOffMs;
+  }
+
   /** Lists endpoints to every box once more as live. */
   listAgain(ids: readonly string[]): void {
     for (const id of ids) {
@@ -257,6 +264,7 @@
       coldUntilMs: 0,
       coldArrivalsMs: [],
       isLeaving: false,
+      backOffMs: 0,
       waiting: [],
     });
   }
@@ -318,30 +326,42 @@
     }
     const { row } = choice;
     row.inFlight += 1;
-    timeline.after(SEND_MS, () =>
-      this.arrive(call, row, load, () => {
-        network.actIn(box.address, run, () => {
-          row.inFlight -= 1;
-          this.passOn(call, row);
-          const isFailed = tried.size === 0 && this.random() < (load.failShare ?? 0);
-          if (isFailed) this.send(call, load, promptParts, new Set([row.listing.id]));
-        });
-      }),
-    );
+    const onResponse = (backOffMs: number | undefined): void =>
+      network.actIn(box.address, run, () => {
+        row.inFlight -= 1;
+        this.passOn(call, row, backOffMs);
+        if (tried.size > 0) return;
+        const isFailed = backOffMs !== undefined || this.random() < (load.failShare ?? 0);
+        if (isFailed) this.send(call, load, promptParts, new Set([row.listing.id]));
+      });
+    timeline.after(SEND_MS, () => this.arrive(call, row, load, onResponse));
   }
 
   /** A box reads the head of a response. */
-  private passOn(call: BoxCall, row: EndpointRow): void {
+  private passOn(call: BoxCall, row: EndpointRow, backOffMs: number | undefined): void {
     const { isLeaving, listing } = this.findEndpoint(row.listing.id);
-    const facts = { requestId: 'r', isSealed: true, isNotRun: false, isLeaving, backOffMs: undefined };
+    const isNotRun = backOffMs !== undefined;
+    const facts = { requestId: 'r', isSealed: !isNotRun, isNotRun, isLeaving, backOffMs };
     const { nowMs } = this.fleet.timeline;
     noteAnswerFacts(row, facts, nowMs);
     if (isLeaving) this.judge.noteLeaving(call, listing.id, nowMs);
   }
 
-  private arrive(call: BoxCall, row: EndpointRow, load: VirtualLoad, onEnd: () => void): void {
+  /** A request reaches an endpoint; `onResponse` is told the back-off if it is turned away. */
+  private arrive(
+    call: BoxCall,
+    row: EndpointRow,
+    load: VirtualLoad,
+    onResponse: (backOffMs: number | undefined) => void,
+  ): void {
     const endpoint = this.findEndpoint(row.listing.id);
-    this.judge.noteArrival(call, endpoint.listing.id);
+    const { backOffMs } = endpoint;
+    this.judge.noteArrival(call, endpoint.listing.id, this.fleet.timeline.nowMs);
+    if (backOffMs > 0) {
+      this.judge.noteBackOff(call, endpoint.listing.id, this.fleet.timeline.nowMs, backOffMs);
+      this.fleet.timeline.after(SEND_MS, () => onResponse(backOffMs));
+      return;
+    }
     const tally = this.findTally(load.service);
     const bound = BOUND_FACTOR * (tally.held / tally.endpoints) + BOUND_ALLOWANCE;
     tally.arrivals.push({ atMs: this.fleet.timeline.nowMs, isOver: endpoint.held > bound });
@@ -356,7 +376,7 @@
         tally.held -= 1;
         endpoint.held -= 1;
         endpoint.waiting.shift()?.();
-        this.fleet.timeline.after(SEND_MS, onEnd);
+        this.fleet.timeline.after(SEND_MS, () => onResponse(undefined));
       });
     };
     if (endpoint.held <= endpoint.listing.slots) begin();
