Stop sending requests to endpoints that announce in a response that they are leaving

Symptom: while the platform was unavailable, a box kept sending requests to an endpoint 2.3 s after that same box had passed on the endpoint's announcement (2 s are allowed). Cause: a box learned that an endpoint is leaving only from the platform's list. Class of fault: a fact that its owner states is taken only from a third party's copy.

A box now applies either source. Announcements are stored by endpoint id, separately from the endpoint table, so that an outdated list (from the platform, from a peer, or one that removes the endpoint and adds it again) cannot revoke them. An announcement expires when a later process start (`born`) is listed under the same id. A request that was waiting for its connection when the announcement arrived is not sent either. An endpoint that has announced that it is leaving is not counted as crashed when it ends, and the requests it held are not suspected.

Ruled out: an announcement that was read and then overwritten (no code read it), and requests that had been waiting (5 ms from caller to endpoint).

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -12,8 +12,8 @@
 import { noteAnswerFacts } from '../systems/endpointNotices.js';
 import { supposeCold } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
-import { AnnouncementJudge } from './announcementJudge.js';
-import type { BoxCall } from './announcementJudge.js';
+import { AnnouncementChecker } from './announcementJudge.js';
+import type { BoxRequest } from './announcementJudge.js';
 import { createListing } from './createEndpoints.js';
 import type { TrafficPlan, VirtualLoad, VirtualService } from './trafficPlan.js';
 import { countMost } from './trafficPlan.js';
@@ -53,7 +53,7 @@
   readonly coldArrivalsMs: number[];
   /** Whether its responses announce that it is about to leave. */
   isLeaving: boolean;
-  /** Turns every request away and asks for a back-off of this length; 0 while it serves. */
+  /** Back-off that it asks for in rejecting every request; 0 while it serves requests. */
   backOffMs: number;
   readonly waiting: (() => void)[];
 }
@@ -76,7 +76,7 @@
   private readonly tallies = new Map<string, ServiceTally>();
   private readonly routers = new WeakMap<VirtualBox, VirtualRouter>();
   private readonly random: () => number;
-  readonly judge = new AnnouncementJudge();
+  readonly announcementChecker = new AnnouncementChecker();
   fleet!: VirtualFleet;
   /** Requests for which a box had no endpoint. */
   refused = 0;
@@ -129,18 +129,18 @@
     return this.findEndpoint(id).taken;
   }
 
-  /** Endpoints announce in their responses alone that they are about to leave. */
+  /** Makes endpoints announce in their responses that they are about to leave, while they stay listed as live. */
   announceLeaving(ids: readonly string[]): void {
     for (const id of ids) this.findEndpoint(id).isLeaving = true;
   }
 
-  /** Endpoints turn every request away and ask for a back-off; with 0 they serve again. */
-  turnAway(ids: readonly string[], backOffMs: number): void {
+  /** Makes endpoints reject every request and ask for a back-off; with 0 they serve requests again. */
+  rejectRequests(ids: readonly string[], backOffMs: number): void {
     for (const id of ids) this.findEndpoint(id).backOffMs = backOffMs;
   }
 
-  /** Lists endpoints to every box once more as live. */
-  listAgain(ids: readonly string[]): void {
+  /** Sends every box the listings of endpoints again, with their state as live. */
+  relistAsLive(ids: readonly string[]): void {
     for (const id of ids) {
       const { listing } = this.findEndpoint(id);
       this.tellEach((router, nowMs) => router.table.upsert({ ...listing }, nowMs));
@@ -292,8 +292,8 @@
     if (box === undefined) return;
     const { run } = this.fleet.network.readMachine(box.address);
     const promptParts = this.drawPrompt(load);
-    const call = { box, run, calledAtMs: this.fleet.timeline.nowMs };
-    this.fleet.network.actIn(box.address, run, () => this.send(call, load, promptParts, new Set()));
+    const request = { box, run, sentAtMs: this.fleet.timeline.nowMs };
+    this.fleet.network.actIn(box.address, run, () => this.send(request, load, promptParts, new Set()));
   }
 
   private drawPrompt(load: VirtualLoad): PromptPart[] {
@@ -307,9 +307,9 @@
     ];
   }
 
-  private send(call: BoxCall, load: VirtualLoad, promptParts: PromptPart[], tried: Set<string>): void {
+  private send(request: BoxRequest, load: VirtualLoad, promptParts: PromptPart[], tried: Set<string>): void {
     const { timeline, network } = this.fleet;
-    const { box, run } = call;
+    const { box, run } = request;
     const router = this.routers.get(box);
     const choice = router?.placement.choose(
       {
@@ -329,36 +329,41 @@
     const onResponse = (backOffMs: number | undefined): void =>
       network.actIn(box.address, run, () => {
         row.inFlight -= 1;
-        this.passOn(call, row, backOffMs);
+        this.handleResponse(request, row, backOffMs);
         if (tried.size > 0) return;
         const isFailed = backOffMs !== undefined || this.random() < (load.failShare ?? 0);
-        if (isFailed) this.send(call, load, promptParts, new Set([row.listing.id]));
+        if (isFailed) this.send(request, load, promptParts, new Set([row.listing.id]));
       });
-    timeline.after(SEND_MS, () => this.arrive(call, row, load, onResponse));
+    timeline.after(SEND_MS, () => this.arrive(request, row, load, onResponse));
   }
 
-  /** A box reads the head of a response. */
-  private passOn(call: BoxCall, row: EndpointRow, backOffMs: number | undefined): void {
+  /** Processes the head of a response at a box. */
+  private handleResponse(request: BoxRequest, row: EndpointRow, backOffMs: number | undefined): void {
     const { isLeaving, listing } = this.findEndpoint(row.listing.id);
     const isNotRun = backOffMs !== undefined;
     const facts = { requestId: 'r', isSealed: !isNotRun, isNotRun, isLeaving, backOffMs };
     const { nowMs } = this.fleet.timeline;
     noteAnswerFacts(row, facts, nowMs);
-    if (isLeaving) this.judge.noteLeaving(call, listing.id, nowMs);
+    if (isLeaving) this.announcementChecker.noteLeaving(request, listing.id, nowMs);
   }
 
-  /** A request reaches an endpoint; `onResponse` is told the back-off if it is turned away. */
+  /** Delivers a request to an endpoint; `onResponse` receives the requested back-off if the request is rejected. */
   private arrive(
-    call: BoxCall,
+    request: BoxRequest,
     row: EndpointRow,
     load: VirtualLoad,
     onResponse: (backOffMs: number | undefined) => void,
   ): void {
     const endpoint = this.findEndpoint(row.listing.id);
     const { backOffMs } = endpoint;
-    this.judge.noteArrival(call, endpoint.listing.id, this.fleet.timeline.nowMs);
+    this.announcementChecker.noteArrival(request, endpoint.listing.id, this.fleet.timeline.nowMs);
     if (backOffMs > 0) {
-      this.judge.noteBackOff(call, endpoint.listing.id, this.fleet.timeline.nowMs, backOffMs);
+      this.announcementChecker.noteBackOff(
+        request,
+        endpoint.listing.id,
+        this.fleet.timeline.nowMs,
+        backOffMs,
+      );
       this.fleet.timeline.after(SEND_MS, () => onResponse(backOffMs));
       return;
     }
--- a/packages/router/src/__tests__/announcedLeaving.test.ts
+++ b/packages/router/src/__tests__/announcedLeaving.test.ts
@@ -1,12 +1,12 @@
 /**
- * Guards against requests to endpoints that announced in their responses that they are about to leave, while the platform tells
- * nobody. Whole fleets in virtual time.
+ * Guards against requests to endpoints that announced in their responses that they are about to leave, while the platform still
+ * lists them as live. Simulates whole fleets in virtual time.
  */
 import type { TrafficPlan, VirtualLoad } from '../__fixtures__/trafficPlan.js';
 import { VirtualTraffic } from '../__fixtures__/virtualTraffic.js';
 
 const HALLS = 4;
-/** Every fourth endpoint leaves. */
+/** Share of the endpoints of each service that leave. */
 const LEAVING_SHARE = 0.25;
 
 function createPlan(boxes: number, seed: number): TrafficPlan {
@@ -51,27 +51,30 @@
   [8, 51],
   [24, 52],
   [65, 53],
-])('nothing reaches them that callers send later than allowed (%d boxes)', async (boxes, seed) => {
-  const plan = createPlan(boxes, seed);
-  const traffic = await startTraffic(plan);
-  traffic.announceLeaving(listLeaving(plan));
-  await traffic.fleet.run(6);
-  expect(traffic.judge.lateAfterLeaving).toBe(0);
-  expect(traffic.refused).toBe(0);
-});
+])(
+  'no request sent after the drain time reaches a leaving endpoint (%d boxes, seed %d)',
+  async (boxes, seed) => {
+    const plan = createPlan(boxes, seed);
+    const traffic = await startTraffic(plan);
+    traffic.announceLeaving(listLeaving(plan));
+    await traffic.fleet.run(6);
+    expect(traffic.announcementChecker.lateArrivals).toBe(0);
+    expect(traffic.refused).toBe(0);
+  },
+);
 
-test('nor when they are listed as live again', async () => {
+test('no late request after leaving endpoints are listed as live again', async () => {
   const plan = createPlan(24, 54);
   const traffic = await startTraffic(plan);
   const leaving = listLeaving(plan);
   traffic.announceLeaving(leaving);
   await traffic.fleet.run(3);
-  traffic.listAgain(leaving);
+  traffic.relistAsLive(leaving);
   await traffic.fleet.run(4);
-  expect(traffic.judge.lateAfterLeaving).toBe(0);
+  expect(traffic.announcementChecker.lateArrivals).toBe(0);
 });
 
-test('nor from boxes that stand still, start again or join', async () => {
+test('no late request from boxes that pause, restart or join', async () => {
   const plan = createPlan(24, 55);
   const traffic = await startTraffic(plan);
   traffic.pauseNowAndThen(600, 300);
@@ -82,10 +85,10 @@
   await traffic.fleet.run(0.5);
   for (const box of traffic.fleet.boxes.slice(0, 8)) traffic.fleet.restart(box);
   await traffic.fleet.run(5);
-  expect(traffic.judge.lateAfterLeaving).toBe(0);
+  expect(traffic.announcementChecker.lateArrivals).toBe(0);
 });
 
-test('nor from halls that are cut off from each other', async () => {
+test('no late request while halls are partitioned from each other', async () => {
   const plan = createPlan(24, 56);
   const traffic = await startTraffic(plan);
   const { fleet } = traffic;
@@ -95,5 +98,5 @@
   await fleet.run(3);
   fleet.network.cut(() => false);
   await fleet.run(3);
-  expect(traffic.judge.lateAfterLeaving).toBe(0);
+  expect(traffic.announcementChecker.lateArrivals).toBe(0);
 });
--- /dev/null
+++ b/packages/router/src/__tests__/attempt.test.ts
@@ -0,0 +1,31 @@
+/** Guards against sending a request to an endpoint that announced that it leaves while the request waited for a connection. */
+import { Ok } from '@hazelwalk/core';
+import { createTable } from '../__fixtures__/createEndpoints.js';
+import { Attempt } from '../proxy/attempt.js';
+import type { AttemptEvent, AttemptOptions } from '../proxy/attempt.js';
+import type { EndpointConnection, EndpointConnections } from '../proxy/endpointConnections.js';
+
+test.each([true, false])(
+  'a connected attempt is sent only if the endpoint still accepts requests: %s',
+  async (maySend) => {
+    const [row] = createTable(1).rows;
+    if (row === undefined) throw new Error('no row');
+    const events: AttemptEvent[] = [];
+    const dispatch = jest.fn();
+    const release = jest.fn();
+    const connection = { client: { dispatch } } as unknown as EndpointConnection;
+    const connections = { acquire: async () => Ok(connection), release } as unknown as EndpointConnections;
+    const options: Partial<AttemptOptions> = {
+      row,
+      connections,
+      maySend: () => maySend,
+      createRequest: () => ({ requestId: 'r', method: 'GET', path: '/', headers: [], body: undefined }),
+      onEvent: (_attempt, event) => events.push(event),
+    };
+    await new Attempt(options as AttemptOptions).start();
+    expect(events).toEqual(maySend ? [{ type: 'sent' }] : [{ type: 'unsent', reason: 'endpointDeclined' }]);
+    expect(dispatch).toHaveBeenCalledTimes(maySend ? 1 : 0);
+    expect(release).toHaveBeenCalledTimes(maySend ? 0 : 1);
+    expect(row.inFlight).toBe(maySend ? 1 : 0);
+  },
+);
--- a/packages/router/src/__tests__/backOff.test.ts
+++ b/packages/router/src/__tests__/backOff.test.ts
@@ -49,21 +49,21 @@
   const plan = createPlan(boxes, seed);
   const traffic = await startTraffic(plan);
   const busy = listFirst(plan, share);
-  traffic.turnAway(busy, BACK_OFF_MS);
+  traffic.rejectRequests(busy, BACK_OFF_MS);
   await traffic.fleet.run(8);
-  traffic.turnAway(busy, 0);
+  traffic.rejectRequests(busy, 0);
   await traffic.fleet.run(4);
-  expect(traffic.judge.mostInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
+  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
 });
 
 test('the others serve meanwhile, and those that turned away serve again afterwards', async () => {
   const plan = createPlan(24, 66);
   const traffic = await startTraffic(plan);
   const busy = listFirst(plan, 0.3);
-  traffic.turnAway(busy, BACK_OFF_MS);
+  traffic.rejectRequests(busy, BACK_OFF_MS);
   await traffic.fleet.run(4);
   expect(traffic.refused).toBe(0);
-  traffic.turnAway(busy, 0);
+  traffic.rejectRequests(busy, 0);
   await traffic.fleet.run(4);
   const before = busy.map((id) => traffic.countTaken(id));
   await traffic.fleet.run(4);
@@ -75,23 +75,23 @@
   const traffic = await startTraffic(plan);
   traffic.pauseNowAndThen(600, 300);
   const busy = listFirst(plan, 0.5);
-  traffic.turnAway(busy, BACK_OFF_MS);
+  traffic.rejectRequests(busy, BACK_OFF_MS);
   await traffic.fleet.run(3);
   for (const box of traffic.fleet.boxes.slice(0, 8)) traffic.fleet.stop(box, 'killed');
   traffic.fleet.addNew('hall-1');
   await traffic.fleet.run(0.5);
   for (const box of traffic.fleet.boxes.slice(0, 8)) traffic.fleet.restart(box);
   await traffic.fleet.run(5);
-  expect(traffic.judge.mostInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
+  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
 });
 
 test('endpoints that are listed anew meanwhile', async () => {
   const plan = createPlan(24, 68);
   const traffic = await startTraffic(plan);
   const busy = listFirst(plan, 0.3);
-  traffic.turnAway(busy, BACK_OFF_MS);
+  traffic.rejectRequests(busy, BACK_OFF_MS);
   await traffic.fleet.run(1);
-  traffic.listAgain(busy);
+  traffic.relistAsLive(busy);
   await traffic.fleet.run(5);
-  expect(traffic.judge.mostInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
+  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
 });
--- a/packages/router/src/__tests__/crashCheck.test.ts
+++ b/packages/router/src/__tests__/crashCheck.test.ts
@@ -47,3 +47,10 @@
   await end();
   expect(await check.check(row)).toBe('unknown');
 });
+
+test('an endpoint that announced in a response that it leaves is not counted as crashed', async () => {
+  await addEndpoint('live');
+  row.notice.isLeaving = true;
+  await end();
+  expect(await check.check(row)).toBe('unknown');
+});
--- a/packages/router/src/__tests__/endpointNotices.test.ts
+++ b/packages/router/src/__tests__/endpointNotices.test.ts
@@ -1,6 +1,7 @@
-import { createTable } from '../__fixtures__/createEndpoints.js';
+import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
 import type { AnswerFacts } from '../records.js';
-import { noteAnswerFacts } from '../systems/endpointNotices.js';
+import { isLeaving, noteAnswerFacts } from '../systems/endpointNotices.js';
+import { EndpointTable } from '../tables/endpointTable.js';
 
 const createFacts = (changes: Partial<AnswerFacts>): AnswerFacts => ({
   requestId: 'r-1',
@@ -15,10 +16,10 @@
   const [row] = createTable(1).rows;
   if (row === undefined) throw new Error('no row');
   expect(noteAnswerFacts(row, createFacts({}), 0)).toEqual([]);
-  expect(row.notice).toEqual({ isLeaving: false, backOffUntilMs: 0 });
+  expect(row.notice).toEqual({ isLeaving: false, backOffUntilMs: 0, bornMs: undefined });
 });
 
-test('that an endpoint leaves is new once, and a response without the announcement does not take it back', () => {
+test('a leave announcement is reported once and not revoked by a response without it', () => {
   const [row] = createTable(1).rows;
   if (row === undefined) throw new Error('no row');
   expect(noteAnswerFacts(row, createFacts({ isLeaving: true }), 0)).toEqual(['leaving']);
@@ -27,7 +28,7 @@
   expect(row.notice.isLeaving).toBe(true);
 });
 
-test('a back-off that ends later extends one, and none shortens it', () => {
+test('a later back-off can extend the current one but not shorten it', () => {
   const [row] = createTable(1).rows;
   if (row === undefined) throw new Error('no row');
   expect(noteAnswerFacts(row, createFacts({ backOffMs: 3_000 }), 1_000)).toEqual(['backOff']);
@@ -39,3 +40,43 @@
   ]);
   expect(row.notice.backOffUntilMs).toBe(4_200);
 });
+
+describe('a leave announcement', () => {
+  let table: EndpointTable;
+
+  beforeEach(() => {
+    table = new EndpointTable(() => 1);
+    const row = table.upsert(createListing('e-1', { bornMs: 1_000 }), 0);
+    noteAnswerFacts(row, createFacts({ isLeaving: true }), 0);
+  });
+
+  test.each([undefined, 999, 1_000])(
+    'persists when its endpoint is removed and listed with start %s',
+    (bornMs) => {
+      expect(isLeaving(table.upsert(createListing('e-1', { bornMs }), 1))).toBe(true);
+      table.remove('e-1');
+      expect(isLeaving(table.upsert(createListing('e-1', { bornMs }), 2))).toBe(true);
+    },
+  );
+
+  test('received after its row was removed applies to the next row', () => {
+    const gone = table.upsert(createListing('e-2'), 0);
+    table.remove('e-2');
+    noteAnswerFacts(gone, createFacts({ isLeaving: true }), 1);
+    expect(isLeaving(table.upsert(createListing('e-2'), 2))).toBe(true);
+  });
+
+  test('is discarded on a later start under the same id, and not restored by an older list', () => {
+    expect(isLeaving(table.upsert(createListing('e-1', { bornMs: 1_001 }), 1))).toBe(false);
+    table.remove('e-1');
+    expect(isLeaving(table.upsert(createListing('e-1', { bornMs: 1_000 }), 2))).toBe(false);
+  });
+
+  test('of a listed endpoint is not evicted by others that come and go', () => {
+    for (let count = 0; count < 5_000; count += 1) {
+      table.upsert(createListing(`other-${count}`), 1);
+      table.remove(`other-${count}`);
+    }
+    expect(isLeaving(table.upsert(createListing('e-1', { bornMs: 1_000 }), 2))).toBe(true);
+  });
+});
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -23,6 +23,7 @@
   slots: z.number(),
   state: z.enum(['live', 'leaving']),
   coldMs: z.number().nonnegative().optional(),
+  bornMs: z.number().optional(),
 }) satisfies z.ZodType<ListedEndpoint>;
 
 /** What the sender knows of the platform; absent if it neither reads it nor is told all by a box that does. */
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from 'undici';
 import type { AnswerHeaders, HttpDialect } from '../httpDialect.js';
 import type { AnswerFacts } from '../records.js';
+import type { HealthSign } from '../systems/endpointHealth.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import { isCloseDelimited } from './forwardHeaders.js';
 import type { ConnectFailure, EndpointConnection, EndpointConnections } from './endpointConnections.js';
@@ -26,10 +27,33 @@
   readonly facts: AnswerFacts;
 }
 
+/** Why an attempt ended before its request was sent. */
+export type UnsentReason =
+  | ConnectFailure
+  /** The endpoint stopped accepting requests while the attempt waited for a connection. */
+  | 'endpointDeclined';
+
+/**
+ * Maps the reason of an unsent attempt to a health sign of its endpoint; undefined if it says nothing about the endpoint.
+ *
+ * @example findHealthSign('connectionLimit') // undefined
+ */
+export function findHealthSign(reason: UnsentReason): HealthSign | undefined {
+  switch (reason) {
+    case 'connectionLimit':
+    case 'endpointDeclined':
+      return undefined;
+    case 'connectRefused':
+    case 'connectTimedOut':
+    case 'connectBroken':
+      return reason;
+  }
+}
+
 /** What happens to an attempt. After `unsent`, `notRun`, `end` and `broken` nothing more comes. */
 export type AttemptEvent =
   | { readonly type: 'sent' }
-  | { readonly type: 'unsent'; readonly reason: ConnectFailure }
+  | { readonly type: 'unsent'; readonly reason: UnsentReason }
   | { readonly type: 'notRun'; readonly head: AnswerHead }
   | { readonly type: 'head'; readonly head: AnswerHead }
   | { readonly type: 'data'; readonly chunk: Buffer }
@@ -51,6 +75,8 @@
   readonly row: EndpointRow;
   readonly connections: EndpointConnections;
   readonly dialect: HttpDialect;
+  /** Whether the endpoint still accepts requests; checked after the connection has been acquired. */
+  readonly maySend: () => boolean;
   /** Builds the request at the moment of sending, so that the time left is right. */
   readonly createRequest: () => ForwardedRequest;
   readonly maxIdleMs: number;
@@ -120,6 +146,10 @@
       return;
     }
     if (acquired.err) return this.finish({ type: 'unsent', reason: acquired.val });
+    if (!this.options.maySend()) {
+      connections.release(row, acquired.val);
+      return this.finish({ type: 'unsent', reason: 'endpointDeclined' });
+    }
     this.phase = { type: 'open', connection: acquired.val };
     this.send(acquired.val);
   }
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { NoPlaceReason, PlacementChoice, PlacementRequest } from '../systems/placement.js';
+import { isLeaving } from '../systems/endpointNotices.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
@@ -120,6 +121,7 @@
       row,
       connections: context.connections,
       dialect: context.dialect,
+      maySend: () => !isLeaving(row),
       createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
       maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
       maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
--- a/packages/router/src/proxy/crashCheck.ts
+++ b/packages/router/src/proxy/crashCheck.ts
@@ -4,6 +4,7 @@
  * What stays in doubt: a link that refuses in the endpoint's place, which hits all endpoints behind it at the same time,
  * and an endpoint that is back within the round trip of the check, whose crash goes unseen.
  */
+import { isLeaving } from '../systems/endpointNotices.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { EndpointConnections } from './endpointConnections.js';
 
@@ -41,7 +42,7 @@
 
   private async connect(row: EndpointRow): Promise<CrashVerdict> {
     // It ends as planned, or its entry is gone: that says nothing against what it had under way.
-    const isEnding = row.listing.state === 'leaving' || row.isLapsed;
+    const isEnding = isLeaving(row) || row.isLapsed;
     const reached = await this.connections.check(row);
     if (reached.ok) return 'running';
     if (reached.val !== 'connectRefused' || isEnding) return 'unknown';
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -10,10 +10,10 @@
 import type { RouterContext } from '../routerContext.js';
 import type { AnswerDelivery } from './answerDelivery.js';
 import { createDelivery } from './answerDelivery.js';
-import type { AnswerHead, Attempt, AttemptEvent, BreakReason } from './attempt.js';
-import type { ConnectFailure } from './endpointConnections.js';
+import type { AnswerHead, Attempt, AttemptEvent, BreakReason, UnsentReason } from './attempt.js';
 import { assignRequest } from './assignment.js';
 import type { Assignment } from './assignment.js';
+import { findHealthSign } from './attempt.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeFacts, RetryReason } from './exchangeLog.js';
 import { logBreak, logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
@@ -157,9 +157,10 @@
     if (attempt.row.inFlight === 1) attempt.row.busySinceMs = nowMs;
   }
 
-  private handleUnsent(attempt: Attempt, reason: ConnectFailure): void {
+  private handleUnsent(attempt: Attempt, reason: UnsentReason): void {
     this.drop(attempt, reason);
-    if (reason !== 'connectionLimit') this.context.noteSign(attempt.row, reason);
+    const sign = findHealthSign(reason);
+    if (sign !== undefined) this.context.noteSign(attempt.row, sign);
     this.attempts.unsentCount += 1;
     logRetry(this.context, this.listFacts(), attempt.row, 'unsent', reason);
     if (this.attempts.live.length > 0) return;
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -100,6 +100,8 @@
   readonly state: 'live' | 'leaving';
   /** How much longer it is cold, as of when it was told; undefined where it does not say. */
   readonly coldMs?: number | undefined;
+  /** Start time of its process in Unix milliseconds; undefined if its entry does not state one. */
+  readonly bornMs?: number | undefined;
 }
 
 /** One part of a prompt; the same id means the same text. */
--- a/packages/router/src/systems/endpointNotices.ts
+++ b/packages/router/src/systems/endpointNotices.ts
@@ -31,3 +31,12 @@
   }
   return changes;
 }
+
+/**
+ * Whether an endpoint is about to leave, according to its listing or to its own announcement. It gets no new requests.
+ *
+ * @example isLeaving(row) // true although row.listing.state is still 'live'
+ */
+export function isLeaving({ listing, notice }: EndpointRow): boolean {
+  return listing.state === 'leaving' || notice.isLeaving;
+}
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -15,6 +15,7 @@
 import { isUsable } from './endpointHealth.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
+import { isLeaving } from './endpointNotices.js';
 import type { Evacuations } from './evacuations.js';
 import type { PromptHomes } from './promptHomes.js';
 import { MAX_HOLDERS } from './promptHomes.js';
@@ -177,7 +178,7 @@
 
   /** Endpoints of a service that are not about to leave. */
   private listLive(service: string): readonly EndpointRow[] {
-    return this.options.table.listService(service).filter((row) => row.listing.state === 'live');
+    return this.options.table.listService(service).filter((row) => !isLeaving(row));
   }
 
   /** Endpoints outside the halls that are to be emptied. */
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -380,6 +380,7 @@
     a.host === b.host &&
     a.port === b.port &&
     a.slots === b.slots &&
-    a.coldMs === b.coldMs
+    a.coldMs === b.coldMs &&
+    a.bornMs === b.bornMs
   );
 }
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -3,7 +3,7 @@
  */
 import type { ListedEndpoint } from '../records.js';
 import type { EndpointNotice } from './endpointNotice.js';
-import { createEndpointNotice } from './endpointNotice.js';
+import { EndpointNotices } from './endpointNotice.js';
 
 /** Why an endpoint gets no new requests from this box. */
 export type Standing =
@@ -43,8 +43,8 @@
   isLapsed: boolean;
   /** Until then it bears little, as far as this box was told or has to suppose. */
   coldUntilMs: number;
-  /** What the endpoint announced in its responses. */
-  readonly notice: EndpointNotice;
+  /** Announcements that the endpoint made in its responses. */
+  notice: EndpointNotice;
 }
 
 /** Load of an endpoint as this box knows it: requests of all boxes. */
@@ -69,6 +69,7 @@
   readonly byId = new Map<string, EndpointRow>();
   private readonly byService = new Map<string, EndpointRow[]>();
   private readonly byTag = new Map<number, EndpointRow>();
+  private readonly notices = new EndpointNotices();
   private lapsed = 0;
 
   constructor(private readonly hashId: (id: string) => number) {}
@@ -84,11 +85,12 @@
     if (known !== undefined) {
       known.coldUntilMs = readColdUntil(known, listing, nowMs);
       known.listing = listing;
+      known.notice = this.notices.find(listing, known.notice);
       this.endLapse(known);
       this.byService.clear();
       return known;
     }
-    const row = createRow(listing, this.hashId(listing.id), nowMs);
+    const row = createRow(listing, this.hashId(listing.id), this.notices.find(listing), nowMs);
     this.byId.set(listing.id, row);
     this.byTag.set(row.tag, row);
     this.byService.clear();
@@ -137,7 +139,7 @@
   return coldMs === (listing.coldMs ?? 0) ? coldUntilMs : nowMs + coldMs;
 }
 
-function createRow(listing: ListedEndpoint, tag: number, nowMs: number): EndpointRow {
+function createRow(listing: ListedEndpoint, tag: number, notice: EndpointNotice, nowMs: number): EndpointRow {
   return {
     listing,
     tag,
@@ -152,6 +154,6 @@
     isBeingChecked: false,
     isLapsed: false,
     coldUntilMs: nowMs + (listing.coldMs ?? 0),
-    notice: createEndpointNotice(),
+    notice,
   };
 }
--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -29,7 +29,8 @@
 }
 
 function run(requestId: string, endpoint = 'e-1', atMs = NOW_MS): void {
-  ledger.runs.push({ requestId, endpoint, atMs, service: 'app', listed: 4, endedAtMs: atMs });
+  const isLeaving = false;
+  ledger.runs.push({ requestId, endpoint, atMs, service: 'app', listed: 4, isLeaving, endedAtMs: atMs });
 }
 
 const answer = (status: number, body = '', seal?: string): CallerOutcome => ({
@@ -195,7 +196,7 @@
 function runMany(count: number, over: number): void {
   const push = (endpoint: string, atMs: number, endedAtMs: number): void => {
     const requestId = `${endpoint}-${ledger.runs.length}`;
-    ledger.runs.push({ requestId, endpoint, atMs, service: 'app', listed: 4, endedAtMs });
+    ledger.runs.push({ requestId, endpoint, atMs, service: 'app', listed: 4, isLeaving: false, endedAtMs });
   };
   for (const endpoint of ['e-1', 'e-1', 'e-2', 'e-2', 'e-3', 'e-3', 'e-4', 'e-4'])
     push(endpoint, NOW_MS, Infinity);
@@ -222,3 +223,41 @@
   runMany(100, 50);
   expect(listBroken()).toEqual([]);
 });
+
+describe('a leave announcement in a response', () => {
+  const LATE_MS = NOW_MS + 50 + 2_001;
+
+  beforeEach(() => {
+    note('a', 'safe', answer(200, 'a|e-1', 'e-1|a'));
+    ledger.runs.push({
+      requestId: 'a',
+      endpoint: 'e-1',
+      atMs: NOW_MS,
+      service: 'app',
+      listed: 4,
+      isLeaving: true,
+      endedAtMs: NOW_MS + 40,
+    });
+    note('b', 'safe', answer(200, 'b|e-1', 'e-1|b'), { sentAtMs: LATE_MS, endedAtMs: LATE_MS + 50 });
+    run('b', 'e-1', LATE_MS);
+  });
+
+  test('forbids requests that callers send to the same box after the drain bound', () => {
+    expect(listBroken()).toEqual(['no new work after an announced leave']);
+  });
+
+  test('does not apply to other boxes or to requests sent within the drain bound', () => {
+    ledger.requests.splice(1);
+    note('b', 'safe', answer(200, 'b|e-1', 'e-1|b'), { sentAtMs: LATE_MS, endedAtMs: LATE_MS, box: 'box-2' });
+    note('c', 'safe', answer(200, 'c|e-1', 'e-1|c'), { sentAtMs: LATE_MS - 1, endedAtMs: LATE_MS + 50 });
+    run('c', 'e-1', LATE_MS + 40);
+    expect(listBroken()).toEqual([]);
+  });
+
+  test('does not apply after the box was interrupted, but applies after other disturbances', () => {
+    ledger.beginDisturbance('box-1').toMs = LATE_MS;
+    expect(listBroken()).toEqual(['no new work after an announced leave']);
+    ledger.interruptions.push({ entity: 'box-1', fromMs: NOW_MS + 100, toMs: NOW_MS + 200 });
+    expect(listBroken()).toEqual([]);
+  });
+});
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -46,6 +46,7 @@
     ...checkAnsweredInTime(ledger),
     ...checkStops(ledger),
     ...checkDrains(ledger),
+    ...checkAnnouncedDrains(ledger),
     ...checkConfiguration(ledger),
     ...checkBudget(ledger),
     ...checkLoadBound(ledger),
@@ -145,6 +146,39 @@
   });
 }
 
+/**
+ * After a box has passed on a response with a leave announcement, requests that callers send to that box after the drain bound must
+ * not reach the endpoint, even while the box cannot reach the store.
+ */
+function checkAnnouncedDrains(ledger: Ledger): Violation[] {
+  const requests = new Map(listSent(ledger).map((request) => [request.requestId, request]));
+  const announcements = listAnnouncements(ledger);
+  return ledger.runs.flatMap((run) => {
+    const request = requests.get(run.requestId);
+    if (request === undefined) return [];
+    const isLate = announcements.some(
+      ({ endpoint, box, atMs }) =>
+        endpoint === run.endpoint &&
+        box === request.box &&
+        request.sentAtMs > atMs + DRAIN_BOUND_MS &&
+        ledger.ranUninterrupted(box, atMs, run.atMs),
+    );
+    return isLate ? [{ check: 'no new work after an announced leave', detail: JSON.stringify(run) }] : [];
+  });
+}
+
+/** Leave announcements that callers received, with the box that passed each on and the end of the response. */
+function listAnnouncements(ledger: Ledger): { endpoint: string; box: string; atMs: number }[] {
+  const leaving = new Map(
+    ledger.runs.filter((run) => run.isLeaving).map((run) => [run.requestId, run.endpoint]),
+  );
+  return ledger.requests.flatMap(({ requestId, box, endedAtMs, outcome }) => {
+    const endpoint = leaving.get(requestId);
+    const isDelivered = outcome.type === 'answer' && outcome.seal?.split('|')[0] === endpoint;
+    return endpoint !== undefined && isDelivered ? [{ endpoint, box, atMs: endedAtMs }] : [];
+  });
+}
+
 function checkConfiguration(ledger: Ledger): Violation[] {
   const published = listEvents(ledger, 'configurationPublished');
   return ledger.probes.flatMap((probe) => {
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -23,8 +23,10 @@
   'configuration',
   'configurationSeries',
 ] as const;
+/** Optional kinds, kept out of `FAULT_KINDS` so that existing seeds still draw the same faults. */
+export const ANNOUNCEMENT_FAULT_KINDS = ['endpointAnnounce'] as const;
 /** One of them. */
-export type FaultKind = (typeof FAULT_KINDS)[number];
+export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof ANNOUNCEMENT_FAULT_KINDS)[number];
 
 const LEAST_FAULT_MS = 300;
 const MOST_FAULT_MS = 4_000;
@@ -35,6 +37,8 @@
 const LEAVE_MS = 3_500;
 /** One that only vanishes from the list serves on for longer than a box can be cut off from the store, and three seconds. */
 const VANISHED_MS = 9_000;
+/** One that only announces it in its responses stays listed and serves on for longer than the drain bound. */
+const ANNOUNCED_MS = 6_000;
 const SERIES = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -58,7 +62,7 @@
       case 'boxKill':
         return this.onBox((box) => this.killBox(box));
       case 'boxPause':
-        return this.onBox((box) => this.pauseProcess(box.name, box.process?.child));
+        return this.onBox((box) => this.pauseBox(box));
       case 'boxStop':
         return this.onBox((box) => this.stopBox(box));
       case 'boxReload':
@@ -69,6 +73,8 @@
         return this.onEndpoint((endpoint) => this.pauseProcess(endpoint.id, endpoint.process.child));
       case 'endpointLeave':
         return this.onEndpoint((endpoint) => this.drainEndpoint(endpoint));
+      case 'endpointAnnounce':
+        return this.onEndpoint((endpoint) => this.announceLeavingInResponses(endpoint));
       case 'endpointLink':
         return this.onEndpoint((endpoint) => this.harmLink(endpoint.id, endpoint.link));
       case 'endpointReset':
@@ -85,7 +91,7 @@
   }
 
   private async killBox(box: SoakBox): Promise<void> {
-    await this.disturb(box.name, async () => {
+    await this.interruptBox(box.name, async () => {
       if (box.process !== undefined) await endProcess(box.process.child, 'SIGKILL');
       await pause(this.drawMs());
       await this.site.startBox(box);
@@ -96,7 +102,13 @@
     if (box.process === undefined) return;
     this.ledger.events.push({ type: 'boxStop', box: box.name, atMs: Date.now() });
     await endProcess(box.process.child, 'SIGTERM');
-    await this.disturb(box.name, () => this.site.startBox(box));
+    await this.interruptBox(box.name, () => this.site.startBox(box));
+  }
+
+  private async pauseBox(box: SoakBox): Promise<void> {
+    const interruption = this.ledger.beginInterruption(box.name);
+    await this.pauseProcess(box.name, box.process?.child);
+    interruption.toMs = Date.now();
   }
 
   private async pauseProcess(entity: string, child: ChildProcess | undefined): Promise<void> {
@@ -127,6 +139,13 @@
     await this.site.removeEndpoint(endpoint, 'SIGTERM');
   }
 
+  private async announceLeavingInResponses(endpoint: SoakEndpoint): Promise<void> {
+    await this.site.addEndpoint(endpoint.service);
+    this.site.announceLeavingInResponses(endpoint);
+    await pause(ANNOUNCED_MS);
+    await this.site.removeEndpoint(endpoint, 'SIGTERM');
+  }
+
   private async resetLink(endpoint: SoakEndpoint): Promise<void> {
     await this.disturb(endpoint.id, async () => endpoint.link.resetAll());
   }
@@ -190,4 +209,11 @@
     await act();
     disturbance.toMs = Date.now();
   }
+
+  /** Disturbs a box and records that its process is interrupted meanwhile. */
+  private async interruptBox(box: string, act: () => Promise<void>): Promise<void> {
+    const interruption = this.ledger.beginInterruption(box);
+    await this.disturb(box, act);
+    interruption.toMs = Date.now();
+  }
 }
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -37,6 +37,8 @@
   readonly service: string;
   /** Endpoints of the service that were listed then. */
   readonly listed: number;
+  /** Whether the response announced that the endpoint is about to leave. */
+  readonly isLeaving: boolean;
   /** Infinite while it runs, and if the endpoint ended first. */
   endedAtMs: number;
 }
@@ -88,6 +90,8 @@
   readonly probeRequests: ProbeRequest[] = [];
   readonly probes: ProbeRecord[] = [];
   readonly disturbances: Disturbance[] = [];
+  /** Spans in which the process of a box was paused or restarted and may have lost its in-memory state. */
+  readonly interruptions: Disturbance[] = [];
   readonly events: PlannedEvent[] = [];
 
   /** Notes the beginning of a fault; the caller ends it by `toMs`. */
@@ -105,6 +109,21 @@
     );
   }
 
+  /** Records that the process of a box is paused or restarted; the caller ends the span by `toMs`. */
+  beginInterruption(box: string): Disturbance {
+    const interruption = { entity: box, fromMs: Date.now(), toMs: Infinity };
+    this.interruptions.push(interruption);
+    return interruption;
+  }
+
+  /** Whether the process of a box was neither paused nor restarted in a span. */
+  ranUninterrupted(box: string, fromMs: number, toMs: number): boolean {
+    return !this.interruptions.some(
+      (interruption) =>
+        interruption.entity === box && interruption.fromMs <= toMs && interruption.toMs >= fromMs,
+    );
+  }
+
   /** Whether nothing was done to anything in a span, nor shortly before it. */
   wasAllCalm(fromMs: number, toMs: number, settleMs: number): boolean {
     return !this.disturbances.some(
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -19,6 +19,11 @@
   .option('boxes', { type: 'number', default: 4, describe: 'boxes' })
   .option('endpoints', { type: 'number', default: 3, describe: 'endpoints of each of the two services' })
   .option('callers', { type: 'number', default: 12, describe: 'callers, each with one request at a time' })
+  .option('announcements', {
+    type: 'boolean',
+    default: false,
+    describe: 'endpoints also announce in responses',
+  })
   .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
   .strict()
   .parse();
@@ -55,6 +60,7 @@
     endpointsPerService: argv.endpoints,
     callers: argv.callers,
     faultsMs: argv.seconds * MS_PER_S,
+    hasAnnouncements: argv.announcements,
   });
   report(result);
   if (result.violations.length === 0) passed += 1;
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -5,7 +5,7 @@
 import type { Violation } from './checks.js';
 import { checkPromises } from './checks.js';
 import type { FaultKind } from './faults.js';
-import { FAULT_KINDS, FaultInjector } from './faults.js';
+import { ANNOUNCEMENT_FAULT_KINDS, FAULT_KINDS, FaultInjector } from './faults.js';
 import type { RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
 import { markOf, SoakSite } from './site.js';
@@ -18,6 +18,8 @@
   readonly callers: number;
   /** How long faults strike. */
   readonly faultsMs: number;
+  /** Whether endpoints also announce in their responses that they leave. */
+  readonly hasAnnouncements: boolean;
 }
 
 /** What came out. */
@@ -58,7 +60,8 @@
     await site.start(options.boxes, options.endpointsPerService);
     await pause(START_MS);
     const stopLoad = startLoad(site, ledger, options, random);
-    await strikeFor(options.faultsMs, new FaultInjector(site, ledger, random), random, faults);
+    const kinds = options.hasAnnouncements ? [...FAULT_KINDS, ...ANNOUNCEMENT_FAULT_KINDS] : FAULT_KINDS;
+    await strikeFor(options.faultsMs, kinds, new FaultInjector(site, ledger, random), random, faults);
     ledger.events.push({ type: 'faultsOver', atMs: Date.now() });
     await pause(CALM_MS);
     stopLoad();
@@ -120,6 +123,7 @@
 /** Strikes for a while, several faults at once, and waits until all are over. */
 async function strikeFor(
   durationMs: number,
+  kinds: readonly FaultKind[],
   injector: FaultInjector,
   random: Random,
   told: string[],
@@ -128,7 +132,7 @@
   const under = new Set<Promise<void>>();
   while (Date.now() - begunAtMs < durationMs) {
     if (under.size < MOST_AT_ONCE) {
-      const kind = FAULT_KINDS[Math.floor(random() * FAULT_KINDS.length)] as FaultKind;
+      const kind = kinds[Math.floor(random() * kinds.length)] as FaultKind;
       told.push(`${Date.now() - begunAtMs} ms ${kind}`);
       const strike: Promise<void> = injector.strike(kind).finally(() => under.delete(strike));
       under.add(strike);
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -68,6 +68,15 @@
   isLeaving: boolean;
 }
 
+/** One line of JSON on the standard output of an endpoint process. */
+interface EndpointOutputLine {
+  readonly run?: string;
+  readonly ended?: string;
+  readonly stalledMs?: number;
+  readonly atMs?: number;
+  readonly isLeaving?: boolean;
+}
+
 /** The processes of one seed. */
 export class SoakSite {
   readonly store = new StandinStore();
@@ -131,6 +140,12 @@
     this.noteLeaving(endpoint);
   }
 
+  /** Makes an endpoint announce in its responses that it is about to leave; it stays listed as ready. */
+  announceLeavingInResponses(endpoint: SoakEndpoint): void {
+    endpoint.isLeaving = true;
+    endpoint.process.child.kill('SIGUSR2');
+  }
+
   /** Takes an endpoint off the list, without a word of it. */
   unlist(endpoint: SoakEndpoint): void {
     this.store.remove(`servers/${endpoint.id}`);
@@ -198,8 +213,8 @@
   }
 
   private noteEndpointLine(id: string, line: string): void {
-    const told = JSON.parse(line) as { run?: string; ended?: string; stalledMs?: number; atMs?: number };
-    const { run, ended, stalledMs, atMs } = told;
+    const told = JSON.parse(line) as EndpointOutputLine;
+    const { run, ended, stalledMs, atMs, isLeaving = false } = told;
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined || atMs === undefined) return;
     if (stalledMs !== undefined) {
@@ -209,7 +224,7 @@
     if (run === undefined) return;
     const { service } = endpoint;
     const listed = this.countListed(service);
-    const record = { requestId: run, endpoint: id, atMs, service, listed, endedAtMs: Infinity };
+    const record = { requestId: run, endpoint: id, atMs, service, listed, isLeaving, endedAtMs: Infinity };
     this.ledger.runs.push(record);
     this.openRuns.set(`${id} ${run}`, record);
   }
