Send no requests to endpoints during a back-off that they requested

Symptom: four of 13 engines rejected all requests for eight seconds and asked each box for 3 s without requests (`Retry-After`). The boxes went on sending, 51 to 94 requests a second were rejected, and over a tenth of three kinds of requests were not served. Cause: a rejection did not change the state that a box keeps for an endpoint. The endpoint held no requests, so it looked the least loaded and stayed the home of its prompts. Class: a statement by the endpoint itself that is not evaluated (the same class as the announced leave).

An endpoint is now excluded until its back-off ends, whatever its load, and also if no other endpoint can take the request. A request that was waiting for its connection when the back-off began is not sent. If all endpoints that a request may reach are in a back-off, the request is refused at once (2027, not run) and told when the first back-off ends. A request that the last of them has rejected (2023) is told the same. A back-off applies to the box that was asked, not to its peers. A box that restarts does not know of it.

Ruled out: that the back-off was read and then overruled by the fallback to all listed endpoints. Nothing read it; the fallback now excludes these endpoints all the same.

--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -116,6 +116,12 @@
     'The endpoints have just started and take no more yet',
     'Come back after Retry-After.',
   ),
+  endpointsBackingOff: info(
+    2027,
+    503,
+    'The endpoints asked to get no requests for a while',
+    'Come back after Retry-After.',
+  ),
 
   deadlineExceeded: info(3001, 504, 'The deadline passed', 'Ask again with more time.'),
   stewardLost: info(
--- a/packages/router/src/__tests__/backOff.test.ts
+++ b/packages/router/src/__tests__/backOff.test.ts
@@ -1,13 +1,13 @@
 /**
- * Guards against requests to endpoints within a back-off that they asked the box for. Whole fleets in virtual time: endpoints
- * turn everything away, each asking for a back-off in each refusal.
+ * Guards against requests to endpoints during a back-off that they requested from the box. Simulates whole fleets in virtual
+ * time with endpoints that reject every request and ask for a back-off each time.
  */
 import type { TrafficPlan, VirtualLoad } from '../__fixtures__/trafficPlan.js';
 import { VirtualTraffic } from '../__fixtures__/virtualTraffic.js';
 
 const BACK_OFF_MS = 3_000;
-/** Requests of one box that an endpoint accepts within a back-off, half a second after it asked for it. */
-const MOST_IN_BACK_OFF = 2;
+/** Limit on requests from one box to an endpoint between half a second after the rejection and the end of the back-off. */
+const MAX_REQUESTS_IN_BACK_OFF = 2;
 
 function createPlan(boxes: number, seed: number): TrafficPlan {
   const endpoints = Math.ceil(boxes * 1.2);
@@ -25,7 +25,7 @@
   };
 }
 
-function listFirst(plan: TrafficPlan, share: number): string[] {
+function listFirstEndpoints(plan: TrafficPlan, share: number): string[] {
   return plan.services.flatMap(({ name, endpoints }) =>
     Array.from({ length: Math.ceil(endpoints * share) }, (_, at) => `${name}-${at}`),
   );
@@ -45,53 +45,56 @@
   [65, 63, 0.3],
   [8, 64, 1],
   [24, 65, 1],
-])('at most two requests of a box (%d boxes, seed %d, %d of the endpoints)', async (boxes, seed, share) => {
-  const plan = createPlan(boxes, seed);
-  const traffic = await startTraffic(plan);
-  const busy = listFirst(plan, share);
-  traffic.rejectRequests(busy, BACK_OFF_MS);
-  await traffic.fleet.run(8);
-  traffic.rejectRequests(busy, 0);
-  await traffic.fleet.run(4);
-  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
-});
+])(
+  'an endpoint gets at most two requests from a box during a back-off (%d boxes, seed %d, endpoint share %d)',
+  async (boxes, seed, share) => {
+    const plan = createPlan(boxes, seed);
+    const traffic = await startTraffic(plan);
+    const rejecting = listFirstEndpoints(plan, share);
+    traffic.rejectRequests(rejecting, BACK_OFF_MS);
+    await traffic.fleet.run(8);
+    traffic.rejectRequests(rejecting, 0);
+    await traffic.fleet.run(4);
+    expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MAX_REQUESTS_IN_BACK_OFF);
+  },
+);
 
-test('the others serve meanwhile, and those that turned away serve again afterwards', async () => {
+test('the other endpoints serve all requests, and the rejecting ones serve again after the back-off', async () => {
   const plan = createPlan(24, 66);
   const traffic = await startTraffic(plan);
-  const busy = listFirst(plan, 0.3);
-  traffic.rejectRequests(busy, BACK_OFF_MS);
+  const rejecting = listFirstEndpoints(plan, 0.3);
+  traffic.rejectRequests(rejecting, BACK_OFF_MS);
   await traffic.fleet.run(4);
   expect(traffic.refused).toBe(0);
-  traffic.rejectRequests(busy, 0);
+  traffic.rejectRequests(rejecting, 0);
   await traffic.fleet.run(4);
-  const before = busy.map((id) => traffic.countTaken(id));
+  const before = rejecting.map((id) => traffic.countTaken(id));
   await traffic.fleet.run(4);
-  busy.forEach((id, at) => expect(traffic.countTaken(id)).toBeGreaterThan(before[at] ?? 0));
+  rejecting.forEach((id, at) => expect(traffic.countTaken(id)).toBeGreaterThan(before[at] ?? 0));
 });
 
-test('boxes that stand still, start again or join', async () => {
+test('back-offs are honored while boxes pause, restart and join', async () => {
   const plan = createPlan(24, 67);
   const traffic = await startTraffic(plan);
   traffic.pauseNowAndThen(600, 300);
-  const busy = listFirst(plan, 0.5);
-  traffic.rejectRequests(busy, BACK_OFF_MS);
+  const rejecting = listFirstEndpoints(plan, 0.5);
+  traffic.rejectRequests(rejecting, BACK_OFF_MS);
   await traffic.fleet.run(3);
   for (const box of traffic.fleet.boxes.slice(0, 8)) traffic.fleet.stop(box, 'killed');
   traffic.fleet.addNew('hall-1');
   await traffic.fleet.run(0.5);
   for (const box of traffic.fleet.boxes.slice(0, 8)) traffic.fleet.restart(box);
   await traffic.fleet.run(5);
-  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
+  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MAX_REQUESTS_IN_BACK_OFF);
 });
 
-test('endpoints that are listed anew meanwhile', async () => {
+test('back-offs are honored after the endpoints are listed again', async () => {
   const plan = createPlan(24, 68);
   const traffic = await startTraffic(plan);
-  const busy = listFirst(plan, 0.3);
-  traffic.rejectRequests(busy, BACK_OFF_MS);
+  const rejecting = listFirstEndpoints(plan, 0.3);
+  traffic.rejectRequests(rejecting, BACK_OFF_MS);
   await traffic.fleet.run(1);
-  traffic.relistAsLive(busy);
+  traffic.relistAsLive(rejecting);
   await traffic.fleet.run(5);
-  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MOST_IN_BACK_OFF);
+  expect(traffic.announcementChecker.mostArrivalsInBackOff).toBeLessThanOrEqual(MAX_REQUESTS_IN_BACK_OFF);
 });
--- a/packages/router/src/__tests__/coldSharing.test.ts
+++ b/packages/router/src/__tests__/coldSharing.test.ts
@@ -88,7 +88,7 @@
   const request = { ...askFor('p'), coldStart };
   for (let count = 0; count < 24; count += 1) expect(placement.choose(request, NOW_MS)).toBeDefined();
   expect(placement.choose(request, NOW_MS)).toBeUndefined();
-  expect(placement.explainNone(request, NOW_MS)).toBe('endpointsCold');
+  expect(placement.explainNone(request, NOW_MS)).toEqual({ reason: 'endpointsCold', waitMs: 0 });
 });
 
 test('with a hall emptied, that is the reason', () => {
@@ -97,7 +97,7 @@
   evacuations.apply({ type: 'ordered', hall: 'a' }, NOW_MS);
   const placement = createPlacement(hasher, table, { evacuations });
   expect(placement.choose(askFor('p'), NOW_MS)).toBeUndefined();
-  expect(placement.explainNone(askFor('p'), NOW_MS)).toBe('hallsEvacuated');
+  expect(placement.explainNone(askFor('p'), NOW_MS)).toEqual({ reason: 'hallsEvacuated', waitMs: 0 });
 });
 
 describe('how long an endpoint is taken for cold', () => {
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -26,7 +26,7 @@
 import type { FleetRouterOptions, RouterInput } from './routerOptions.js';
 import { ColdEndpoints } from './systems/coldEndpoints.js';
 import { isUsable } from './systems/endpointHealth.js';
-import { isLeaving } from './systems/endpointNotices.js';
+import { acceptsRequests } from './systems/endpointNotices.js';
 import { EndpointObserver } from './systems/endpointObserver.js';
 import type { FeedDuty } from './systems/feedDuty.js';
 import { listOwnLoads } from './systems/loadExchange.js';
@@ -225,7 +225,7 @@
   /** Endpoints of a service that get new requests from this box. */
   countUsableEndpoints(service: string): number {
     const rows = this.table.listService(service);
-    return rows.filter((row) => !isLeaving(row) && isUsable(row, this.now())).length;
+    return rows.filter((row) => acceptsRequests(row, this.now()) && isUsable(row, this.now())).length;
   }
 
   /** Address at which peers are accepted. */
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -2,10 +2,10 @@
 import type { IncomingMessage } from 'node:http';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
-import type { CallerRequest, Route } from '../records.js';
+import type { CallerRequest, PromptPart, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
-import type { NoPlaceReason, PlacementChoice, PlacementRequest } from '../systems/placement.js';
-import { isLeaving } from '../systems/endpointNotices.js';
+import type { PlacementChoice, PlacementFailure, PlacementRequest } from '../systems/placement.js';
+import { acceptsRequests } from '../systems/endpointNotices.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
@@ -99,16 +99,9 @@
     assignment: Assignment,
     resumeAfter: string | undefined,
     isSpread: boolean,
-  ): Result<void, NoPlaceReason> {
+  ): Result<void, PlacementFailure> {
     const { context, options } = this;
-    const promptParts = isSpread ? [] : options.request.promptParts;
-    const wanted: PlacementRequest = {
-      service: assignment.service,
-      coldStart: assignment.declared?.coldStart,
-      allowedRegions: listRegionBounds(assignment),
-      promptParts,
-      excluded: this.triedIds,
-    };
+    const wanted = this.createPlacementRequest(assignment, isSpread ? [] : options.request.promptParts);
     const nowMs = context.now();
     const choice = context.placement.choose(wanted, nowMs);
     if (choice === undefined) return Err(context.placement.explainNone(wanted, nowMs));
@@ -121,7 +114,7 @@
       row,
       connections: context.connections,
       dialect: context.dialect,
-      maySend: () => !isLeaving(row),
+      maySend: () => acceptsRequests(row, context.now()),
       createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
       maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
       maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
@@ -133,6 +126,12 @@
     return Ok(undefined);
   }
 
+  /** Time until the first back-off among the endpoints that the request may reach ends; 0 if any of them has none. */
+  readLeastBackOffMs(assignment: Assignment): number {
+    const { context } = this;
+    return context.placement.readLeastBackOffMs(this.createPlacementRequest(assignment, []), context.now());
+  }
+
   /** Takes an attempt out; `end` says why, for the counters. */
   drop(attempt: Attempt, end: string): void {
     const at = this.live.indexOf(attempt);
@@ -141,6 +140,19 @@
     this.context.metrics.attempts.inc({ end });
   }
 
+  private createPlacementRequest(
+    assignment: Assignment,
+    promptParts: readonly PromptPart[],
+  ): PlacementRequest {
+    return {
+      service: assignment.service,
+      coldStart: assignment.declared?.coldStart,
+      allowedRegions: listRegionBounds(assignment),
+      promptParts,
+      excluded: this.triedIds,
+    };
+  }
+
   private createRequest(
     row: EndpointRow,
     assignment: Assignment,
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -126,7 +126,7 @@
     if (waitMs > 0) return this.giveUp('requestQuarantined', waitMs);
     if (suspicion.awaitJudgement(() => this.place(resumeAfter))) return;
     const opened = this.attempts.open(assignment, resumeAfter, suspicion.mustSpread());
-    if (opened.err) this.giveUp(opened.val, pickReturnMs(opened.val));
+    if (opened.err) this.giveUp(opened.val.reason, pickReturnMs(opened.val));
   }
 
   private handleEvent(attempt: Attempt, event: AttemptEvent): void {
@@ -175,7 +175,8 @@
     // Its word covers its own run only; another attempt may still be running.
     if (this.attempts.live.length > 0) return;
     if (this.mayRetry('notRun')) return this.retry(attempt, 'notRun', `status ${head.status}`);
-    this.giveUp('endpointsBusy');
+    const backOffMs = this.assignment === undefined ? 0 : this.attempts.readLeastBackOffMs(this.assignment);
+    this.giveUp('endpointsBusy', backOffMs + pickRetryAfterMs());
   }
 
   private handleHead(attempt: Attempt, head: AnswerHead): void {
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -3,7 +3,7 @@
 import { createProblemBody, PROBLEM_CONTENT_TYPE } from '@hazelwalk/core';
 import type { Ran, ResultCode } from '@hazelwalk/core';
 import type { HttpDialect } from '../httpDialect.js';
-import type { NoPlaceReason } from '../systems/placement.js';
+import type { PlacementFailure } from '../systems/placement.js';
 
 /** A request's final answer where no endpoint gave one. */
 export interface RouterRefusal {
@@ -29,12 +29,14 @@
 /**
  * When a caller should come back whose request found no endpoint.
  *
- * @example pickReturnMs('hallsEvacuated') // 1_000 to 2_000
+ * @example pickReturnMs({ reason: 'hallsEvacuated', waitMs: 0 }) // 1_000 to 2_000
  */
-export function pickReturnMs(reason: NoPlaceReason): number {
+export function pickReturnMs({ reason, waitMs }: PlacementFailure): number {
   switch (reason) {
     case 'hallsEvacuated':
       return LATER_MS + Math.random() * LATER_SPREAD_MS;
+    case 'endpointsBackingOff':
+      return waitMs + pickRetryAfterMs();
     case 'noEndpoint':
     case 'endpointsCold':
       return pickRetryAfterMs();
--- a/packages/router/src/systems/endpointNotices.ts
+++ b/packages/router/src/systems/endpointNotices.ts
@@ -40,3 +40,21 @@
 export function isLeaving({ listing, notice }: EndpointRow): boolean {
   return listing.state === 'leaving' || notice.isLeaving;
 }
+
+/**
+ * Remaining back-off that an endpoint requested from this router; 0 if there is none.
+ *
+ * @example readBackOffMs(row, performance.now()) // 3_000 right after a 503 with `Retry-After: 3`
+ */
+export function readBackOffMs({ notice }: EndpointRow, nowMs: number): number {
+  return Math.max(0, notice.backOffUntilMs - nowMs);
+}
+
+/**
+ * Whether an endpoint accepts new requests from this router: it is neither leaving nor within a back-off.
+ *
+ * @example acceptsRequests(row, performance.now()) // false during a back-off
+ */
+export function acceptsRequests(row: EndpointRow, nowMs: number): boolean {
+  return !isLeaving(row) && readBackOffMs(row, nowMs) === 0;
+}
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -15,7 +15,7 @@
 import { isUsable } from './endpointHealth.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
-import { isLeaving } from './endpointNotices.js';
+import { isLeaving, readBackOffMs } from './endpointNotices.js';
 import type { Evacuations } from './evacuations.js';
 import type { PromptHomes } from './promptHomes.js';
 import { MAX_HOLDERS } from './promptHomes.js';
@@ -84,7 +84,14 @@
   | 'plain';
 
 /** Why a request goes nowhere: result codes of its refusal. */
-export type NoPlaceReason = 'noEndpoint' | 'hallsEvacuated' | 'endpointsCold';
+export type NoPlaceReason = 'noEndpoint' | 'hallsEvacuated' | 'endpointsBackingOff' | 'endpointsCold';
+
+/** Why placement failed, and when a retry may succeed. */
+export interface PlacementFailure {
+  readonly reason: NoPlaceReason;
+  /** Time until the first back-off ends; 0 if the failure is not due to back-offs. */
+  readonly waitMs: number;
+}
 
 /** Where a request goes. */
 export interface PlacementChoice {
@@ -137,21 +144,36 @@
   /**
    * Why no endpoint could be chosen.
    *
-   * @example placement.explainNone(request, nowMs) // 'hallsEvacuated'
+   * @example placement.explainNone(request, nowMs) // { reason: 'hallsEvacuated', waitMs: 0 }
    */
-  explainNone({ service, coldStart }: PlacementRequest, nowMs: number): NoPlaceReason {
-    const live = this.listLive(service);
-    if (live.length === 0) return 'noEndpoint';
+  explainNone(request: PlacementRequest, nowMs: number): PlacementFailure {
+    const live = this.listLive(request.service);
+    if (live.length === 0) return { reason: 'noEndpoint', waitMs: 0 };
     const open = this.listOpen(live);
-    if (open.length === 0) return 'hallsEvacuated';
-    return this.listAdmitted(open, coldStart, nowMs).length === 0 ? 'endpointsCold' : 'noEndpoint';
+    if (open.length === 0) return { reason: 'hallsEvacuated', waitMs: 0 };
+    const waitMs = this.readLeastBackOffMs(request, nowMs);
+    if (waitMs > 0) return { reason: 'endpointsBackingOff', waitMs };
+    const isCold = this.listAdmitted(open, request.coldStart, nowMs).length === 0;
+    return { reason: isCold ? 'endpointsCold' : 'noEndpoint', waitMs: 0 };
+  }
+
+  /**
+   * Time until the first back-off among the endpoints that a request may reach ends; 0 if any of them has none.
+   *
+   * @example placement.readLeastBackOffMs(request, nowMs) // 2_500 if the shortest back-off has 2.5 s left
+   */
+  readLeastBackOffMs(request: PlacementRequest, nowMs: number): number {
+    const allowed = this.listAllowed(this.listOpen(this.listLive(request.service)), request);
+    if (allowed.length === 0) return 0;
+    return Math.min(...allowed.map((row) => readBackOffMs(row, nowMs)));
   }
 
   private find(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
     const { hasher, hall, random, homes, demand } = this.options;
     const live = this.listLive(request.service);
     const open = this.listAllowed(this.listOpen(live), request);
-    const admitted = this.listAdmitted(open, request.coldStart, nowMs);
+    const accepting = open.filter((row) => readBackOffMs(row, nowMs) === 0);
+    const admitted = this.listAdmitted(accepting, request.coldStart, nowMs);
     const rows = listCandidates(admitted, request, nowMs);
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -261,3 +261,38 @@
     expect(listBroken()).toEqual([]);
   });
 });
+
+describe('a back-off', () => {
+  const reject = (requestId: string, atMs: number): void =>
+    void ledger.rejections.push({ requestId, endpoint: 'e-1', atMs, backOffMs: 3_000 });
+
+  function rejectSeries(count: number, gapMs: number, fromMs: number): void {
+    for (let at = 0; at < count; at += 1) {
+      note(`r-${at}`, 'safe', answer(503));
+      reject(`r-${at}`, at === 0 ? NOW_MS : fromMs + at * gapMs);
+    }
+  }
+
+  test('allows two requests, and more within the grace period', () => {
+    rejectSeries(3, 1_000, NOW_MS);
+    note('early', 'safe', answer(200, 'early|e-1', 'e-1|early'));
+    run('early', 'e-1', NOW_MS + 400);
+    expect(listBroken()).toEqual([]);
+  });
+
+  test('is broken by a third request, whether it is run or rejected', () => {
+    rejectSeries(3, 1_000, NOW_MS);
+    note('late', 'safe', answer(200, 'late|e-1', 'e-1|late'));
+    run('late', 'e-1', NOW_MS + 2_999);
+    expect(listBroken()).toEqual(['back-offs are kept']);
+  });
+
+  test('applies unless the box whose request was rejected was interrupted', () => {
+    rejectSeries(4, 500, NOW_MS + 200);
+    expect(listBroken()).toEqual(['back-offs are kept']);
+    ledger.interruptions.push({ entity: 'box-2', fromMs: NOW_MS, toMs: NOW_MS + 100 });
+    expect(listBroken()).toEqual(['back-offs are kept']);
+    ledger.interruptions.push({ entity: 'box-1', fromMs: NOW_MS + 100, toMs: NOW_MS + 200 });
+    expect(listBroken()).toEqual([]);
+  });
+});
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -25,6 +25,9 @@
 const SLACK_MS = 1_000;
 /** A stopping box still takes new requests for this long; later ones may meet the end of their connection. */
 const STOP_ACCEPTS_MS = 2_000;
+/** Requests already in flight when an endpoint asks for a back-off may arrive within this time. */
+const BACK_OFF_GRACE_MS = 500;
+const MAX_REQUESTS_IN_BACK_OFF = 2;
 const RECOVERED_SHARE = 0.9;
 /** No endpoint holds over twice the mean of its service and three; so many requests of a calm window may meet more. */
 const LOAD_FACTOR = 2;
@@ -47,6 +50,7 @@
     ...checkStops(ledger),
     ...checkDrains(ledger),
     ...checkAnnouncedDrains(ledger),
+    ...checkBackOffs(ledger),
     ...checkConfiguration(ledger),
     ...checkBudget(ledger),
     ...checkLoadBound(ledger),
@@ -179,6 +183,30 @@
   });
 }
 
+/**
+ * After an endpoint has rejected a request of a box with a back-off, at most two requests of that box may reach the endpoint between
+ * the end of the grace period and the end of the back-off.
+ */
+function checkBackOffs(ledger: Ledger): Violation[] {
+  const boxOf = new Map(listSent(ledger).map((request) => [request.requestId, request.box]));
+  const arrivals = [...ledger.runs, ...ledger.rejections];
+  return ledger.rejections.flatMap((rejection) => {
+    const { requestId, endpoint, atMs, backOffMs } = rejection;
+    const box = boxOf.get(requestId);
+    const untilMs = atMs + backOffMs;
+    if (box === undefined || !ledger.ranUninterrupted(box, atMs, untilMs)) return [];
+    const count = arrivals.filter(
+      (arrival) =>
+        arrival.endpoint === endpoint &&
+        boxOf.get(arrival.requestId) === box &&
+        arrival.atMs > atMs + BACK_OFF_GRACE_MS &&
+        arrival.atMs < untilMs,
+    ).length;
+    if (count <= MAX_REQUESTS_IN_BACK_OFF) return [];
+    return [{ check: 'back-offs are kept', detail: `${box}, ${count} after ${JSON.stringify(rejection)}` }];
+  });
+}
+
 function checkConfiguration(ledger: Ledger): Violation[] {
   const published = listEvents(ledger, 'configurationPublished');
   return ledger.probes.flatMap((probe) => {
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -24,7 +24,7 @@
   'configurationSeries',
 ] as const;
 /** Optional kinds, kept out of `FAULT_KINDS` so that existing seeds still draw the same faults. */
-export const ANNOUNCEMENT_FAULT_KINDS = ['endpointAnnounce'] as const;
+export const ANNOUNCEMENT_FAULT_KINDS = ['endpointAnnounce', 'endpointBackOff'] as const;
 /** One of them. */
 export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof ANNOUNCEMENT_FAULT_KINDS)[number];
 
@@ -39,6 +39,8 @@
 const VANISHED_MS = 9_000;
 /** One that only announces it in its responses stays listed and serves on for longer than the drain bound. */
 const ANNOUNCED_MS = 6_000;
+/** Covers the 5 s for which the endpoint rejects requests and the 3 s of its last back-off. */
+const REJECTING_MS = 8_000;
 const SERIES = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -75,6 +77,8 @@
         return this.onEndpoint((endpoint) => this.drainEndpoint(endpoint));
       case 'endpointAnnounce':
         return this.onEndpoint((endpoint) => this.announceLeavingInResponses(endpoint));
+      case 'endpointBackOff':
+        return this.onEndpoint((endpoint) => this.rejectRequests(endpoint));
       case 'endpointLink':
         return this.onEndpoint((endpoint) => this.harmLink(endpoint.id, endpoint.link));
       case 'endpointReset':
@@ -146,6 +150,11 @@
     await this.site.removeEndpoint(endpoint, 'SIGTERM');
   }
 
+  private async rejectRequests(endpoint: SoakEndpoint): Promise<void> {
+    endpoint.process.child.kill('SIGHUP');
+    await pause(REJECTING_MS);
+  }
+
   private async resetLink(endpoint: SoakEndpoint): Promise<void> {
     await this.disturb(endpoint.id, async () => endpoint.link.resetAll());
   }
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -43,6 +43,14 @@
   endedAtMs: number;
 }
 
+/** A request that an endpoint rejected with a back-off. */
+export interface RejectionRecord {
+  readonly requestId: string;
+  readonly endpoint: string;
+  readonly atMs: number;
+  readonly backOffMs: number;
+}
+
 /** A span in which an endpoint's process stood still, for want of a processor or by a signal. */
 export interface StallRecord {
   readonly endpoint: string;
@@ -86,6 +94,7 @@
 export class Ledger {
   readonly requests: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
+  readonly rejections: RejectionRecord[] = [];
   readonly stalls: StallRecord[] = [];
   readonly probeRequests: ProbeRequest[] = [];
   readonly probes: ProbeRecord[] = [];
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -75,6 +75,8 @@
   readonly stalledMs?: number;
   readonly atMs?: number;
   readonly isLeaving?: boolean;
+  readonly turnedAway?: string;
+  readonly backOffMs?: number;
 }
 
 /** The processes of one seed. */
@@ -214,13 +216,16 @@
 
   private noteEndpointLine(id: string, line: string): void {
     const told = JSON.parse(line) as EndpointOutputLine;
-    const { run, ended, stalledMs, atMs, isLeaving = false } = told;
+    const { run, ended, stalledMs, atMs, isLeaving = false, turnedAway, backOffMs = 0 } = told;
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined || atMs === undefined) return;
     if (stalledMs !== undefined) {
       this.ledger.stalls.push({ endpoint: id, fromMs: atMs - stalledMs, toMs: atMs });
     }
     if (ended !== undefined) this.endRun(`${id} ${ended}`, atMs);
+    if (turnedAway !== undefined) {
+      this.ledger.rejections.push({ requestId: turnedAway, endpoint: id, atMs, backOffMs });
+    }
     if (run === undefined) return;
     const { service } = endpoint;
     const listed = this.countListed(service);
