Log restores of the platform from a backup and dropped outdated lists

A list with a revision lower than the one in force was dropped without a log line, and no line recorded the era of an answer. Three cases were therefore indistinguishable: a dropped list, a list that lacked changes because revisions had been reused, and a list brought back by a restore from a backup.

The era (`Store-Era` header) is now read from each answer, exported as `hazelwalk_platform_era`, and logged when it changes (`platformRestored`, with the revisions of the answer and of the list in force). A dropped list is logged as `listOutdated`.

--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -36,6 +36,8 @@
   readonly notices = this.counter('endpoint_notices', 'News of endpoints in their own answers', ['notice']);
   /** Calls to the platform, by outcome. */
   readonly platformCalls = this.counter('platform_calls', 'Calls to the platform', ['outcome']);
+  /** Era most recently reported by the platform; increases on each restore from a backup. */
+  readonly platformEra = this.gauge('platform_era', 'Era of the platform, as its answers name it');
   /** Heartbeats and other frames from peers. */
   readonly peerFrames = this.counter('peer_frames', 'Frames from peers', ['type']);
   /** Boxes of the own hall found to be down, and back. */
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -39,6 +39,8 @@
   readonly from: number | undefined;
   /** Revision of the platform that the answer shows. */
   readonly revision: number;
+  /** Increases when the platform is restored from a backup, which resets its revision; undefined if not reported. */
+  readonly era?: number | undefined;
   readonly endpointChanges: readonly EndpointChange[];
   /** Orders to empty halls, and their ends; all of them where the changes hold the whole list. */
   readonly evacuationChanges: readonly EvacuationChange[];
@@ -67,6 +69,7 @@
   private readonly configurations: FleetConfiguration[] = [];
   private readonly digest: ConfigurationDigest;
   private revision = 0;
+  private era: number | undefined;
   private readonly contact = new PlatformContact();
   private contactKind: ContactKind = 'none';
   private readonly directory: EndpointDirectory;
@@ -132,11 +135,12 @@
   /** Takes over an answer of the platform; returns it as what changed since the revision that this box had. */
   applyPublication(publication: Publication): Publication {
     this.noteAnswer();
+    this.noteEra(publication);
     const difference = this.toDifference(publication);
     // An answer that peers have overtaken would bring back endpoints that they said are gone.
     if (publication.revision >= this.revision) {
       this.applyLists(publication, publication.revision, 'platform');
-    }
+    } else this.logOutdatedList(publication);
     // Last: a large one keeps a small box busy for a while, and an endpoint that leaves would get requests meanwhile.
     if (publication.configurationText !== undefined) this.applyConfiguration(publication.configurationText);
     return difference;
@@ -245,6 +249,26 @@
     this.noteContact();
   }
 
+  /** Records the era of an answer, and logs a change of era as a restore of the platform. */
+  private noteEra({ era, revision }: Publication): void {
+    if (era === undefined || era === this.era) return;
+    const { log, metrics } = this.options;
+    if (this.era !== undefined) {
+      log.write('lifecycle', 'platformRestored', {
+        era,
+        before: this.era,
+        revision,
+        listRevision: this.revision,
+      });
+    }
+    metrics.platformEra.set(era);
+    this.era = era;
+  }
+
+  private logOutdatedList({ from, revision, era }: Publication): void {
+    this.options.log.write('notable', 'listOutdated', { from, revision, era, listRevision: this.revision });
+  }
+
   /** Logs by whom the platform is known, whenever that changes. */
   private noteContact(): void {
     const { log, now } = this.options;
