Order published lists by store era, then by revision

Symptom: after a drill in which the store was restored from a backup, requests reached an engine 2.7 s after the store had recorded that it was leaving (limit: 2 s).

Cause: a list was applied only if its revision was not lower than the current one, but a restore resets the revision. Every list was dropped until the former revision was exceeded, and changes made in the meantime were lost. Class of fault: comparing numbers that are unique only within one history across two histories.

Each list now has a position, consisting of its era (`Store-Era`) and its revision, in the box, in the frames between boxes and in the feed:

- A peer with a later era is asked for its list immediately.
Boxes of earlier versions send no era and are treated as the earliest era.
- For a limited period after a restore, lists are screened.
Endpoints missing from the backup are retained for two seconds, as after an outage.
Endpoints that had been removed or were leaving are not reinstated by the backup, but only by an entry written since the restore or by one still present after six seconds, when everything is read once more.
Evacuation orders stay in force.

Ruled out: entries in the backup as the cause of the reported requests (the endpoint left after the restore).

--- a/packages/router/src/__fixtures__/restingBox.ts
+++ b/packages/router/src/__fixtures__/restingBox.ts
@@ -32,6 +32,7 @@
   boxes: 40,
   configurationVersion: 1,
   endpointsRevision: 10,
+  era: 0,
   loads: [],
   homes: [],
   incarnation: 1,
@@ -44,6 +45,7 @@
   address: FOLLOWER,
   from: 10,
   revision: 10,
+  era: 0,
   unsettledMs: 0,
   configurationVersion: 1,
   configurationChars: 100,
@@ -128,7 +130,11 @@
   revision: number,
   source: ValueSource,
 ): void {
-  state.applyLists({ endpointChanges, evacuationChanges: [] }, revision, source);
+  state.applyLists(
+    { endpointChanges, evacuationChanges: [] },
+    { era: state.listPosition.era, revision },
+    source,
+  );
 }
 
 /** Each version adds a team; every hundredth adds more of them than a notice holds. */
--- a/packages/router/src/__tests__/cutOffBox.test.ts
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -43,6 +43,7 @@
     expect(box.listIds()).toEqual(['e-10']);
     box.values.takeEndpoints({
       type: 'endpointsValue',
+      era: 0,
       revision: 11,
       endpoints: [],
       lapsed: [],
@@ -95,6 +96,7 @@
     passCutOff(3_000, () => {});
     box.values.takeEndpoints({
       type: 'endpointsValue',
+      era: 0,
       revision: 11,
       endpoints: [],
       lapsed: [listed('e-10'), listed('e-unknown')],
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -27,6 +27,7 @@
   boxes: 1,
   configurationVersion: 3,
   endpointsRevision: 9,
+  era: 0,
   loads: [4_000_000_000, 2],
   homes: [],
   incarnation: 1,
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -144,6 +144,7 @@
       boxes: mesh.countBoxes(),
       configurationVersion: 1,
       endpointsRevision: 1,
+      era: 0,
       loads: mesh.isFlat ? (box.program?.listLoads() ?? []) : [],
       homes: [],
       incarnation: mesh.incarnation,
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -76,6 +76,7 @@
       // Peers that know an older list ask for the whole one.
       from: from ?? revision,
       revision,
+      era: publication.era ?? state.listPosition.era,
       unsettledMs: state.platformWord?.doubtMs ?? 0,
       configurationVersion: state.configurationVersion,
       configurationChars: state.configurationChars,
@@ -95,12 +96,13 @@
   /** Takes over what a follower told; asks it for what cannot be had from the notice alone. */
   handleNotice(notice: FeedNotice): void {
     const { state, values, now } = this.options;
-    if (notice.from <= state.endpointsRevision) {
+    const { era, revision } = notice;
+    if (era === state.listPosition.era && notice.from <= state.endpointsRevision) {
       this.confirmedAtMs = now();
       state.noteTold(notice.address, notice.unsettledMs);
-      if (notice.revision > state.endpointsRevision) {
+      if (revision > state.endpointsRevision) {
         const { changes: endpointChanges, evacuations: evacuationChanges } = notice;
-        state.applyLists({ endpointChanges, evacuationChanges }, notice.revision, 'peer');
+        state.applyLists({ endpointChanges, evacuationChanges }, { era, revision }, 'peer');
       }
     }
     if (notice.configurationChange !== undefined) values.takeChange(notice.configurationChange);
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -74,6 +74,8 @@
   configurationVersion: z.number(),
   /** How new the sender's list of endpoints is: the platform's revision. */
   endpointsRevision: z.number(),
+  /** Era of that revision; increases when a restore resets the revisions. Omitted by earlier versions. */
+  era: z.number().default(0),
   platformWord,
   /** Tag of an endpoint and the requests that the sender has there, in turn. */
   loads: z.array(z.number()),
@@ -178,6 +180,8 @@
 const endpointsValue = z.object({
   type: z.literal('endpointsValue'),
   revision: z.number(),
+  /** Era of the revision. Omitted by earlier versions. */
+  era: z.number().default(0),
   /** Endpoints that the platform lists. */
   endpoints: z.array(listedEndpoint),
   /** Endpoints that the sender keeps although the platform no longer lists them. */
@@ -196,6 +200,8 @@
   from: z.number(),
   /** What the sender knows is as new as this. */
   revision: z.number(),
+  /** Era of both revisions. Omitted by earlier versions. */
+  era: z.number().default(0),
   /** For so long an entry that vanishes may only have lapsed. */
   unsettledMs: z.number(),
   configurationVersion: z.number(),
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -5,6 +5,8 @@
 import type { PublishedState } from '../systems/publishedState.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import type { ConfigurationChange } from '../systems/configurationChange.js';
+import type { ListPosition } from '../systems/listPosition.js';
+import { comparePositions, isNewerPosition, NO_LIST } from '../systems/listPosition.js';
 import type { EndpointsValue, FeedNotice, Heartbeat, ValueRequest } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 
@@ -37,8 +39,8 @@
   private heardVersion = 0;
   private lacksSinceMs = -Infinity;
   /** Newest list that a peer has, and since when this box has stood still at which one without it. */
-  private heardRevision = 0;
-  private stuckAtRevision = 0;
+  private heardPosition = NO_LIST;
+  private stuckAtPosition = NO_LIST;
   private stuckSinceMs = -Infinity;
   /** The newest configuration is too large to come from the follower, and so is what changed in it. */
   private isLeftToPlatform = false;
@@ -53,12 +55,15 @@
     const isNewer = heartbeat.configurationVersion > state.configurationVersion;
     // A box that knows nothing yet has nothing to wait for.
     const lacksConfiguration = isNewer && (isOverdue || !state.isInformed);
-    const lacksEndpoints = heartbeat.endpointsRevision > state.endpointsRevision;
-    const { address, platformWord } = heartbeat;
+    const { address, platformWord, era, endpointsRevision } = heartbeat;
+    const position = { era, revision: endpointsRevision };
+    const own = state.listPosition;
+    const lacksEndpoints = isNewerPosition(position, own);
     if (platformWord === undefined) state.noteWithdrawn(address);
-    else if (!lacksEndpoints) state.noteVouched(address, platformWord);
-    const isStuck = this.isListStuck(heartbeat.endpointsRevision);
-    this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && (isStuck || !state.isFollowing));
+    else if (!lacksEndpoints && era === own.era) state.noteVouched(address, platformWord);
+    const isStuck = this.isListStuck(position);
+    const mustAsk = era > own.era || isStuck || !state.isFollowing;
+    this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && mustAsk);
   }
 
   /** Asks the box that follows the platform for what its notice did not hold. */
@@ -69,7 +74,7 @@
     if (notice.configurationVersion >= this.heardVersion) this.isLeftToPlatform = !isSmall;
     const isOverdue = now() - this.lacksSinceMs >= this.patienceMs;
     const isNewer = notice.configurationVersion > state.configurationVersion;
-    const lacksEndpoints = notice.from > state.endpointsRevision;
+    const lacksEndpoints = isNewerPosition({ era: notice.era, revision: notice.from }, state.listPosition);
     this.ask(notice.address, isNewer && (isSmall || isOverdue), lacksEndpoints);
   }
 
@@ -106,7 +111,7 @@
       case 'endpoints':
         mesh.send(request.address, {
           type: 'endpointsValue',
-          revision: state.endpointsRevision,
+          ...state.listPosition,
           endpoints: state.listEndpoints('listed'),
           lapsed: state.listEndpoints('lapsed'),
           evacuatedHalls: state.evacuations.list(),
@@ -120,15 +125,16 @@
   /** Takes over the whole list of endpoints that a peer told, unless this box has a newer one. */
   takeEndpoints(value: EndpointsValue): void {
     const { state } = this.options;
-    const { revision, endpoints, lapsed, evacuatedHalls, address, platformWord } = value;
-    if (revision < state.endpointsRevision) return;
+    const { era, revision, endpoints, lapsed, evacuatedHalls, address, platformWord } = value;
+    const position = { era, revision };
+    if (isNewerPosition(state.listPosition, position)) return;
     if (platformWord !== undefined) state.noteVouched(address, platformWord);
-    if (revision === state.endpointsRevision) return;
+    if (!isNewerPosition(position, state.listPosition)) return;
     const endpointChanges = [{ type: 'snapshot', endpoints, lapsed }] as const;
     // A box that does not know of such orders says nothing about them.
     const evacuationChanges =
       evacuatedHalls === undefined ? [] : [{ type: 'snapshot', halls: evacuatedHalls } as const];
-    state.applyLists({ endpointChanges, evacuationChanges }, revision, 'peer');
+    state.applyLists({ endpointChanges, evacuationChanges }, position, 'peer');
   }
 
   private sendConfiguration(request: ValueRequest): void {
@@ -147,12 +153,15 @@
   }
 
   /** Whether the list of this box has not moved for too long although peers have a newer one. */
-  private isListStuck(peerRevision: number): boolean {
+  private isListStuck(peerPosition: ListPosition): boolean {
     const { state, now, applyBoundMs } = this.options;
-    const revision = state.endpointsRevision;
-    this.heardRevision = Math.max(this.heardRevision, peerRevision);
-    if (this.heardRevision <= revision || this.stuckAtRevision !== revision) {
-      this.stuckAtRevision = revision;
+    const position = state.listPosition;
+    if (isNewerPosition(peerPosition, this.heardPosition)) this.heardPosition = peerPosition;
+    if (
+      !isNewerPosition(this.heardPosition, position) ||
+      comparePositions(this.stuckAtPosition, position) !== 0
+    ) {
+      this.stuckAtPosition = position;
       this.stuckSinceMs = now();
     }
     return now() - this.stuckSinceMs >= applyBoundMs * STUCK_SHARE;
--- a/packages/router/src/systems/endpointDirectory.ts
+++ b/packages/router/src/systems/endpointDirectory.ts
@@ -7,6 +7,7 @@
 import type { ListedEndpoint } from '../records.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { PlatformContact } from './platformContact.js';
+import { RestoredEntries } from './restoredEntries.js';
 
 /** A change of the published list. */
 export type EndpointChange =
@@ -32,6 +33,8 @@
 
 /** Applies published changes to the table. */
 export class EndpointDirectory {
+  private readonly restored = new RestoredEntries();
+
   constructor(
     private readonly table: EndpointTable,
     private readonly contact: PlatformContact,
@@ -42,6 +45,7 @@
   apply(change: EndpointChange, nowMs: number): void {
     switch (change.type) {
       case 'listed':
+        this.restored.noteWritten(change.endpoint.id);
         this.table.upsert(change.endpoint, nowMs);
         return;
       case 'removed':
@@ -52,13 +56,31 @@
     }
   }
 
+  /** Records that the platform was restored from a backup. */
+  noteRestored(nowMs: number): void {
+    const rows = [...this.table.byId.values()].filter(({ listing }) => listing.state === 'leaving');
+    this.restored.noteRestored(
+      rows.map(({ listing }) => listing.id),
+      nowMs,
+    );
+  }
+
+  /** Whether a recent restore may have made published lists older than the state of this box. */
+  isScreening(nowMs: number): boolean {
+    return this.restored.isScreening(nowMs);
+  }
+
+  /** Filters outdated entries out of a snapshot that was read after a restore. */
+  screen(change: EndpointChange, nowMs: number): EndpointChange {
+    if (change.type !== 'snapshot') return change;
+    return { ...change, endpoints: this.restored.screen(change.endpoints, nowMs) };
+  }
+
   /** Runs once a tick: ends lapses that were not made good. */
   tick(nowMs: number): void {
     if (this.table.lapsedCount === 0 || this.contact.readUnsettledMs(nowMs) > 0) return;
     for (const row of [...this.table.byId.values()]) {
-      if (!row.isLapsed) continue;
-      this.table.remove(row.listing.id);
-      this.handlers.onRemoved(row.listing.id, 'lapsed');
+      if (row.isLapsed) this.remove(row.listing.id, 'lapsed', nowMs);
     }
   }
 
@@ -86,12 +108,17 @@
     if (row === undefined) return;
     const unsettledMs = this.contact.readUnsettledMs(nowMs);
     if (unsettledMs === 0) {
-      this.table.remove(id);
-      this.handlers.onRemoved(id, 'removed');
+      this.remove(id, 'removed', nowMs);
       return;
     }
     if (row.isLapsed) return;
     this.table.lapse(row);
     this.handlers.onLapsed(id, unsettledMs);
   }
+
+  private remove(id: string, reason: 'removed' | 'lapsed', nowMs: number): void {
+    this.table.remove(id);
+    this.restored.noteRemoved(id, nowMs);
+    this.handlers.onRemoved(id, reason);
+  }
 }
--- a/packages/router/src/systems/platformContact.ts
+++ b/packages/router/src/systems/platformContact.ts
@@ -58,6 +58,17 @@
     this.answeredAtMs = nowMs;
   }
 
+  /**
+   * Extends the unsettled period after a restore from a backup, so that endpoints missing from the backup are kept until they have
+   * written their entries again.
+   *
+   * @param isOwn whether this box detected the restore itself and reports it to its peers
+   */
+  noteRestored(isOwn: boolean, nowMs: number): void {
+    this.settledAtMs = Math.max(this.settledAtMs, nowMs + LAPSE_MS);
+    if (isOwn) this.ownSettledAtMs = this.settledAtMs;
+  }
+
   /** A call of this box failed. */
   noteFailure(): void {
     this.isReading = false;
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -20,6 +20,8 @@
 import { EndpointDirectory } from './endpointDirectory.js';
 import type { EvacuationChange } from './evacuations.js';
 import { Evacuations } from './evacuations.js';
+import type { ListPosition } from './listPosition.js';
+import { isNewerPosition, NO_LIST } from './listPosition.js';
 import type { ContactKind, PlatformWord } from './platformContact.js';
 import { PlatformContact } from './platformContact.js';
 import { RouteIndex } from './routeIndex.js';
@@ -68,8 +70,9 @@
   /** The configurations that were in force, the newest last. */
   private readonly configurations: FleetConfiguration[] = [];
   private readonly digest: ConfigurationDigest;
-  private revision = 0;
-  private era: number | undefined;
+  private position = NO_LIST;
+  /** Latest era seen in an answer of the platform or a list from a peer. */
+  private era = NO_LIST.era;
   private readonly contact = new PlatformContact();
   private contactKind: ContactKind = 'none';
   private readonly directory: EndpointDirectory;
@@ -102,7 +105,12 @@
 
   /** How new the list of endpoints is: the platform's revision. */
   get endpointsRevision(): number {
-    return this.revision;
+    return this.position.revision;
+  }
+
+  /** Position of the list of endpoints, comparable across restores of the platform. */
+  get listPosition(): ListPosition {
+    return this.position;
   }
 
   /** Whether the platform answered last time, this box or a peer that reads it. */
@@ -133,14 +141,15 @@
   }
 
   /** Takes over an answer of the platform; returns it as what changed since the revision that this box had. */
-  applyPublication(publication: Publication): Publication {
+  applyPublication(answer: Publication): Publication {
     this.noteAnswer();
-    this.noteEra(publication);
-    const difference = this.toDifference(publication);
+    const position = { era: answer.era ?? this.era, revision: answer.revision };
+    this.noteEra(position, 'platform');
+    const publication = { ...answer, era: position.era, ...this.screen(answer) };
+    const difference = this.toDifference(publication, position);
     // An answer that peers have overtaken would bring back endpoints that they said are gone.
-    if (publication.revision >= this.revision) {
-      this.applyLists(publication, publication.revision, 'platform');
-    } else this.logOutdatedList(publication);
+    if (isNewerPosition(this.position, position)) this.logOutdatedList(publication);
+    else this.applyLists(publication, position, 'platform');
     // Last: a large one keeps a small box busy for a while, and an endpoint that leaves would get requests meanwhile.
     if (publication.configurationText !== undefined) this.applyConfiguration(publication.configurationText);
     return difference;
@@ -197,13 +206,15 @@
     );
   }
 
-  /** Takes over changes of the list of endpoints and of the halls to be emptied, which then are as new as `revision`. */
-  applyLists(changes: ListChanges, revision: number, source: ValueSource): void {
+  /** Takes over changes of the list of endpoints and of the halls to be emptied, which then are as new as `position`. */
+  applyLists(changes: ListChanges, position: ListPosition, source: ValueSource): void {
     const wasInformed = this.isInformed;
-    this.revision = Math.max(this.revision, revision);
+    this.noteEra(position, source);
+    const { endpointChanges, evacuationChanges } = this.screen(changes);
+    if (isNewerPosition(position, this.position)) this.position = position;
     // First: an endpoint that comes with an order for its hall must not get a request in between.
-    for (const change of changes.evacuationChanges) this.applyEvacuationChange(change, source);
-    for (const change of changes.endpointChanges) this.applyEndpointChange(change, revision, source);
+    for (const change of evacuationChanges) this.applyEvacuationChange(change, source);
+    for (const change of endpointChanges) this.applyEndpointChange(change, position.revision, source);
     this.measureLapsed();
     this.tellIfInformed(wasInformed);
   }
@@ -245,28 +256,53 @@
     const { log, now } = this.options;
     const wasReading = this.contact.readKind(now()) === 'own';
     this.contact.noteAnswer(now());
-    if (!wasReading) log.write('lifecycle', 'platformRegained', { revision: this.revision });
+    if (!wasReading) log.write('lifecycle', 'platformRegained', { revision: this.position.revision });
     this.noteContact();
   }
 
-  /** Records the era of an answer, and logs a change of era as a restore of the platform. */
-  private noteEra({ era, revision }: Publication): void {
-    if (era === undefined || era === this.era) return;
-    const { log, metrics } = this.options;
-    if (this.era !== undefined) {
-      log.write('lifecycle', 'platformRestored', {
-        era,
-        before: this.era,
-        revision,
-        listRevision: this.revision,
-      });
-    }
-    metrics.platformEra.set(era);
+  /** Detects a restore of the platform by a later era, and starts the period in which its lists are screened. */
+  private noteEra({ era, revision }: ListPosition, source: ValueSource): void {
+    if (era <= this.era) return;
+    const { log, metrics, now } = this.options;
+    const before = this.era;
     this.era = era;
+    metrics.platformEra.set(era);
+    if (this.position === NO_LIST) return;
+    log.write('lifecycle', 'platformRestored', {
+      era,
+      before,
+      revision,
+      listRevision: this.position.revision,
+      source,
+    });
+    this.contact.noteRestored(source === 'platform', now());
+    this.directory.noteRestored(now());
+  }
+
+  /** Filters outdated entries out of lists that were read shortly after a restore. */
+  private screen({ endpointChanges, evacuationChanges }: ListChanges): ListChanges {
+    const nowMs = this.options.now();
+    if (!this.directory.isScreening(nowMs)) return { endpointChanges, evacuationChanges };
+    return {
+      endpointChanges: endpointChanges.map((change) => this.directory.screen(change, nowMs)),
+      evacuationChanges: evacuationChanges.map((change) => this.keepEvacuations(change)),
+    };
+  }
+
+  /** Keeps evacuation orders that are missing from a restored snapshot: they may have been given after the backup was taken. */
+  private keepEvacuations(change: EvacuationChange): EvacuationChange {
+    if (change.type !== 'snapshot') return change;
+    return { type: 'snapshot', halls: [...new Set([...this.evacuations.list(), ...change.halls])] };
   }
 
   private logOutdatedList({ from, revision, era }: Publication): void {
-    this.options.log.write('notable', 'listOutdated', { from, revision, era, listRevision: this.revision });
+    this.options.log.write('notable', 'listOutdated', {
+      from,
+      revision,
+      era,
+      listRevision: this.position.revision,
+      listEra: this.position.era,
+    });
   }
 
   /** Logs by whom the platform is known, whenever that changes. */
@@ -277,7 +313,7 @@
     log.write('lifecycle', 'platformContact', {
       contact,
       before: this.contactKind,
-      revision: this.revision,
+      revision: this.position.revision,
       unsettledMs: toLogMs(this.contact.readUnsettledMs(now())),
     });
     this.contactKind = contact;
@@ -301,11 +337,11 @@
   }
 
   /** A whole list, told as what changed in it, so that peers which had the same list need not ask for it. */
-  private toDifference(publication: Publication): Publication {
+  private toDifference(publication: Publication, position: ListPosition): Publication {
     const [whole] = publication.endpointChanges;
-    if (whole?.type !== 'snapshot' || this.revision === 0 || publication.revision < this.revision) {
-      return publication;
-    }
+    const isOtherEra = position.era !== this.position.era;
+    const isOlder = position.revision < this.position.revision;
+    if (whole?.type !== 'snapshot' || this.position === NO_LIST || isOtherEra || isOlder) return publication;
     const { byId } = this.options.table;
     const ids = new Set(whole.endpoints.map((endpoint) => endpoint.id));
     const gone = [...byId.keys()].filter((id) => !ids.has(id));
@@ -318,7 +354,7 @@
     const ended = this.evacuations.list().filter((hall) => !ordered.includes(hall));
     return {
       ...publication,
-      from: this.revision,
+      from: this.position.revision,
       evacuationChanges: [
         ...ordered.map((hall) => ({ type: 'ordered', hall }) as const),
         ...ended.map((hall) => ({ type: 'takenBack', hall }) as const),
@@ -354,11 +390,16 @@
     const { began, ended } = this.evacuations.apply(change, now());
     for (const hall of began) {
       const endpoints = [...table.byId.values()].filter((row) => row.listing.hall === hall).length;
-      log.write('lifecycle', 'evacuationOrdered', { hall, endpoints, revision: this.revision, source });
+      log.write('lifecycle', 'evacuationOrdered', {
+        hall,
+        endpoints,
+        revision: this.position.revision,
+        source,
+      });
     }
     for (const hall of ended) {
       this.supposeHallCold(hall);
-      log.write('lifecycle', 'evacuationTakenBack', { hall, revision: this.revision, source });
+      log.write('lifecycle', 'evacuationTakenBack', { hall, revision: this.position.revision, source });
     }
     metrics.evacuatedHalls.set(this.evacuations.list().length);
   }
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -25,8 +25,13 @@
 ] as const;
 /** Optional kinds, kept out of `FAULT_KINDS` so that existing seeds still draw the same faults. */
 export const ANNOUNCEMENT_FAULT_KINDS = ['endpointAnnounce', 'endpointBackOff'] as const;
+/** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
+export const RESTORE_FAULT_KINDS = ['storeRestore'] as const;
 /** One of them. */
-export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof ANNOUNCEMENT_FAULT_KINDS)[number];
+export type FaultKind =
+  | (typeof FAULT_KINDS)[number]
+  | (typeof ANNOUNCEMENT_FAULT_KINDS)[number]
+  | (typeof RESTORE_FAULT_KINDS)[number];
 
 const LEAST_FAULT_MS = 300;
 const MOST_FAULT_MS = 4_000;
@@ -41,6 +46,14 @@
 const ANNOUNCED_MS = 6_000;
 /** Covers the 5 s for which the endpoint rejects requests and the 3 s of its last back-off. */
 const REJECTING_MS = 8_000;
+/** Upper bounds for a restore: duration of the outage, number of lost changes, delay until endpoints rewrite their entries. */
+const MOST_OUTAGE_MS = 800;
+const MOST_LOST_CHANGES = 200;
+const MOST_REWRITE_MS = 1_500;
+/** Time for writes to reach the boxes. */
+const PROPAGATION_MS = 500;
+/** Entries expire after three missed heartbeats. */
+const ENTRY_LIFETIME_MS = 3_600;
 const SERIES = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -87,6 +100,8 @@
         return this.onBox((box) => this.harmLink(box.name, box.storeLink));
       case 'storeFault':
         return this.once('store', () => this.harmStore());
+      case 'storeRestore':
+        return this.once('store', () => this.restoreStore());
       case 'configuration':
         return this.publish(1);
       case 'configurationSeries':
@@ -176,6 +191,27 @@
     });
   }
 
+  /** Interrupts the store and restores it from a backup; endpoints then rewrite their entries at random times. */
+  private async restoreStore(): Promise<void> {
+    this.site.writeUnrelatedKeys(MOST_LOST_CHANGES);
+    await pause(PROPAGATION_MS);
+    await this.disturb('store', async () => {
+      this.site.store.fault = 'reset';
+      await pause(this.random() * MOST_OUTAGE_MS);
+      this.site.restoreStore(1 + Math.floor(this.random() * MOST_LOST_CHANGES));
+      this.site.store.fault = 'none';
+    });
+    const endpoints = [...this.site.endpoints.values()];
+    const rewrites = endpoints.map(async (endpoint) => {
+      await pause(this.random() * MOST_REWRITE_MS);
+      if (this.site.endpoints.has(endpoint.id)) this.site.writeEntry(endpoint);
+    });
+    await Promise.all([...rewrites, pause(ENTRY_LIFETIME_MS)]);
+    this.site.lapseEntries();
+    // Guards against boxes ignoring changes whose revisions were already used before the restore.
+    await this.onEndpoint((endpoint) => this.drainEndpoint(endpoint));
+  }
+
   private async publish(times: number): Promise<void> {
     for (let count = 0; count < times; count += 1) {
       this.site.publishConfiguration();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -24,6 +24,11 @@
     default: false,
     describe: 'endpoints also announce in responses',
   })
+  .option('restores', {
+    type: 'boolean',
+    default: false,
+    describe: 'the store is also restored from backups',
+  })
   .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
   .strict()
   .parse();
@@ -61,6 +66,7 @@
     callers: argv.callers,
     faultsMs: argv.seconds * MS_PER_S,
     hasAnnouncements: argv.announcements,
+    hasRestores: argv.restores,
   });
   report(result);
   if (result.violations.length === 0) passed += 1;
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -5,7 +5,7 @@
 import type { Violation } from './checks.js';
 import { checkPromises } from './checks.js';
 import type { FaultKind } from './faults.js';
-import { ANNOUNCEMENT_FAULT_KINDS, FAULT_KINDS, FaultInjector } from './faults.js';
+import { ANNOUNCEMENT_FAULT_KINDS, FAULT_KINDS, FaultInjector, RESTORE_FAULT_KINDS } from './faults.js';
 import type { RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
 import { markOf, SoakSite } from './site.js';
@@ -20,6 +20,8 @@
   readonly faultsMs: number;
   /** Whether endpoints also announce in their responses that they leave. */
   readonly hasAnnouncements: boolean;
+  /** Whether the store is also restored from backups. */
+  readonly hasRestores: boolean;
 }
 
 /** What came out. */
@@ -60,7 +62,11 @@
     await site.start(options.boxes, options.endpointsPerService);
     await pause(START_MS);
     const stopLoad = startLoad(site, ledger, options, random);
-    const kinds = options.hasAnnouncements ? [...FAULT_KINDS, ...ANNOUNCEMENT_FAULT_KINDS] : FAULT_KINDS;
+    const kinds = [
+      ...FAULT_KINDS,
+      ...(options.hasAnnouncements ? ANNOUNCEMENT_FAULT_KINDS : []),
+      ...(options.hasRestores ? RESTORE_FAULT_KINDS : []),
+    ];
     await strikeFor(options.faultsMs, kinds, new FaultInjector(site, ledger, random), random, faults);
     ledger.events.push({ type: 'faultsOver', atMs: Date.now() });
     await pause(CALM_MS);
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -66,6 +66,8 @@
   readonly address: string;
   readonly process: StartedProcess<number>;
   isLeaving: boolean;
+  /** State of the entry in the store; `removed` if the endpoint deleted it. */
+  entry: 'ready' | 'draining' | 'removed';
 }
 
 /** One line of JSON on the standard output of an endpoint process. */
@@ -112,8 +114,7 @@
   /** Publishes the next version: the same routes, and one that only this version has. */
   publishConfiguration(): void {
     this.version += 1;
-    const mark = { ...ROUTES[0], name: markOf(this.version) } as StandinRoute;
-    this.store.put('op/config', createStandinConfiguration(this.version, [...ROUTES, mark]));
+    this.writeConfiguration();
     this.ledger.events.push({ type: 'configurationPublished', version: this.version, atMs: Date.now() });
   }
 
@@ -129,7 +130,16 @@
     );
     const link = new LinkProxy(process.announced);
     const address = `127.0.0.1:${await link.listen()}`;
-    const endpoint = { id, service, hall, link, address, process, isLeaving: false };
+    const endpoint: SoakEndpoint = {
+      id,
+      service,
+      hall,
+      link,
+      address,
+      process,
+      isLeaving: false,
+      entry: 'ready' as const,
+    };
     this.endpoints.set(id, endpoint);
     this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'ready'));
     return endpoint;
@@ -137,8 +147,8 @@
 
   /** Announces that an endpoint leaves. */
   announceLeaving(endpoint: SoakEndpoint): void {
-    const { id, service, address, hall } = endpoint;
-    this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, 'draining'));
+    endpoint.entry = 'draining';
+    this.writeEntry(endpoint);
     this.noteLeaving(endpoint);
   }
 
@@ -150,10 +160,36 @@
 
   /** Takes an endpoint off the list, without a word of it. */
   unlist(endpoint: SoakEndpoint): void {
+    endpoint.entry = 'removed';
     this.store.remove(`servers/${endpoint.id}`);
     this.noteLeaving(endpoint);
   }
 
+  /** Writes keys that boxes ignore, which increases the revision. */
+  writeUnrelatedKeys(times: number): void {
+    for (let count = 0; count < times; count += 1) this.store.put('others/key', String(count));
+  }
+
+  /** Restores the store from a backup without its last changes, and writes the current configuration again. */
+  restoreStore(lostChanges: number): void {
+    this.store.restore(Math.max(1, this.store.currentRevision - lostChanges));
+    this.writeConfiguration();
+  }
+
+  /** Writes an endpoint's current entry, unless it was removed. */
+  writeEntry({ id, service, address, hall, entry }: SoakEndpoint): void {
+    if (entry !== 'removed')
+      this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, entry));
+  }
+
+  /** Removes entries that the backup restored for endpoints that no longer refresh them. */
+  lapseEntries(): void {
+    for (const key of this.store.listKeys('servers/')) {
+      const endpoint = this.endpoints.get(key.slice('servers/'.length));
+      if (endpoint === undefined || endpoint.entry === 'removed') this.store.remove(key);
+    }
+  }
+
   /** Ends an endpoint's process and takes it off the list. */
   async removeEndpoint(endpoint: SoakEndpoint, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     await endProcess(endpoint.process.child, signal);
@@ -183,6 +219,11 @@
     this.store.close();
   }
 
+  private writeConfiguration(): void {
+    const mark = { ...ROUTES[0], name: markOf(this.version) } as StandinRoute;
+    this.store.put('op/config', createStandinConfiguration(this.version, [...ROUTES, mark]));
+  }
+
   private async addBox(index: number, boxes: number): Promise<void> {
     const storeLink = new LinkProxy(this.storePort);
     const storeAddress = `127.0.0.1:${await storeLink.listen()}`;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,3 +23,5 @@
 npm run --silent soak -- --seeds 1 --from 711 --boxes 20 --callers 24
 # Guards against requests to endpoints that announced in a response that they are about to leave.
 npm run --silent soak -- --seeds 1 --from 901 --announcements
+# Guards against stale lists after the store was restored from a backup.
+npm run --silent soak -- --seeds 1 --from 924 --restores --seconds 25
