--- a/packages/router/src/__tests__/emptiedHalls.test.ts
+++ b/packages/router/src/__tests__/emptiedHalls.test.ts
@@ -46,7 +46,6 @@
   await traffic.fleet.run(2);
   traffic.evacuate('hall-1');
   await traffic.fleet.run(7);
-  process.stderr.write(`SHARE ${process.env.CAPT} ${seed} ${traffic.readWorstShare('llm')}\n`);
   expect(traffic.readWorstShare('llm')).toBeLessThanOrEqual(BOUND_SHARE);
   expect(traffic.readMostColdInASecond()).toBeLessThanOrEqual(COLD_MOST_PER_S);
   expect(traffic.refused).toBe(0);
@@ -63,7 +62,6 @@
   await traffic.fleet.run(2);
   traffic.takeBack('hall-0');
   await traffic.fleet.run(6);
-  process.stderr.write(`SHARE ${process.env.CAPT} ${seed} ${traffic.readWorstShare('llm')}\n`);
   expect(traffic.readWorstShare('llm')).toBeLessThanOrEqual(BOUND_SHARE);
   expect(traffic.readMostColdInASecond()).toBeLessThanOrEqual(COLD_MOST_PER_S);
 });
