Keep endpoints that were listed again before a restore

An endpoint whose entry disappeared and came back with a full list within the last minute still counted as removed, so a restore would have omitted it for six seconds although it was in use. Only endpoints that are not in the table now count as removed.

--- a/packages/router/src/__tests__/restoredPlatform.test.ts
+++ b/packages/router/src/__tests__/restoredPlatform.test.ts
@@ -137,11 +137,22 @@
   });
 });
 
+test('an endpoint removed and listed again before the restore is not screened', () => {
+  applyFullRead(box, 0, 11, [listed('e-10'), listed('e-back')]);
+  applyFullRead(box, 0, 12, [listed('e-10')]);
+  expect(box.listIds()).not.toContain('e-back');
+  applyFullRead(box, 0, 13, [listed('e-10'), listed('e-back')]);
+  applyFullRead(box, 1, 9, [listed('e-10'), listed('e-back')]);
+  box.nowMs += 2_100;
+  box.state.tick(box.nowMs);
+  expect(box.listIds()).toContain('e-back');
+});
+
 test('endpoints removed more than a minute before the restore are not screened', () => {
   const entries = new RestoredEntries();
   entries.noteRemoved('e-1', 0);
   entries.noteRemoved('e-2', 59_000);
-  entries.noteRestored([], 60_500);
+  entries.noteRestored([], () => false, 60_500);
   const endpoints = [listed('e-1'), listed('e-2')];
   expect(entries.screen(endpoints, 60_500).map(({ id }) => id)).toEqual(['e-1']);
   expect(entries.screen(endpoints, 67_000)).toEqual(endpoints);
--- a/packages/router/src/systems/endpointDirectory.ts
+++ b/packages/router/src/systems/endpointDirectory.ts
@@ -61,6 +61,7 @@
     const rows = [...this.table.byId.values()].filter(({ listing }) => listing.state === 'leaving');
     this.restored.noteRestored(
       rows.map(({ listing }) => listing.id),
+      (id) => this.table.byId.has(id),
       nowMs,
     );
   }
--- a/packages/router/src/systems/restoredEntries.ts
+++ b/packages/router/src/systems/restoredEntries.ts
@@ -41,11 +41,15 @@
     this.departures.delete(id);
   }
 
-  /** Starts or extends the screening period; endpoints screened since an earlier restore in progress are retained. */
-  noteRestored(leavingIds: readonly string[], nowMs: number): void {
+  /**
+   * Starts or extends the screening period; endpoints screened since an earlier restore in progress are retained. Recorded removals
+   * of endpoints that are back in the table are ignored.
+   */
+  noteRestored(leavingIds: readonly string[], isInTable: (id: string) => boolean, nowMs: number): void {
     if (!this.isScreening(nowMs)) this.departures.clear();
     for (const [id, atMs] of this.removedAtMs) {
-      if (nowMs - atMs < REMOVAL_RETENTION_MS) this.departures.set(id, 'removed');
+      const isRecent = nowMs - atMs < REMOVAL_RETENTION_MS;
+      if (isRecent && !isInTable(id)) this.departures.set(id, 'removed');
     }
     for (const id of leavingIds) this.departures.set(id, 'leaving');
     this.screeningUntilMs = nowMs + RESTORE_SCREENING_MS;
