Read a caller's close before its request is sent to an endpoint

Symptom: 19 requests reached an endpoint 0.7 s after their callers' deadline, all from one box in the second in which all boxes start again.

Cause: a caller that gives up while a box stands still leaves its request and the close of its connection in the box's socket. The loop reads the request first and hands it to an endpoint in the same turn; the close is read one turn later. Between the choice of an endpoint and the sending nothing looked at the caller or at the deadline again, so a request past its deadline was sent with one millisecond left.

Each attempt now waits until the sockets have been read once more (one turn of the loop), then looks at the caller's connection and at the deadline, and only then takes a connection. What no endpoint got is settled as left or refused as not run. The look holds for every attempt, also a second one.

--- a/packages/router/src/__tests__/attempt.test.ts
+++ b/packages/router/src/__tests__/attempt.test.ts
@@ -1,4 +1,4 @@
-/** Guards against sending a request to an endpoint that announced that it leaves while the request waited for a connection. */
+/** Guards against sending requests that their endpoint no longer accepts, or that their caller no longer waits for. */
 import { Ok } from '@hazelwalk/core';
 import { createTable } from '../__fixtures__/createEndpoints.js';
 import { Attempt } from '../proxy/attempt.js';
@@ -18,6 +18,7 @@
     const options: Partial<AttemptOptions> = {
       row,
       connections,
+      findObstacle: () => undefined,
       maySend: () => maySend,
       createRequest: () => ({ requestId: 'r', method: 'GET', path: '/', headers: [], body: undefined }),
       onEvent: (_attempt, event) => events.push(event),
@@ -29,3 +30,23 @@
     expect(row.inFlight).toBe(maySend ? 1 : 0);
   },
 );
+
+test.each(['callerLeft', 'deadlinePassed'] as const)(
+  'an attempt takes no connection if its request is of no use any more: %s',
+  async (obstacle) => {
+    const [row] = createTable(1).rows;
+    if (row === undefined) throw new Error('no row');
+    const events: AttemptEvent[] = [];
+    const acquire = jest.fn();
+    const options: Partial<AttemptOptions> = {
+      row,
+      connections: { acquire } as unknown as EndpointConnections,
+      findObstacle: () => obstacle,
+      onEvent: (_attempt, event) => events.push(event),
+    };
+    await new Attempt(options as AttemptOptions).start();
+    expect(events).toEqual([{ type: 'unsent', reason: obstacle }]);
+    expect(acquire).not.toHaveBeenCalled();
+    expect(row.inFlight).toBe(0);
+  },
+);
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -31,7 +31,13 @@
 export type UnsentReason =
   | ConnectFailure
   /** The endpoint stopped accepting requests while the attempt waited for a connection. */
-  | 'endpointDeclined';
+  | 'endpointDeclined'
+  | CallerObstacle;
+
+/** Why a request is of no use to its caller any more. */
+export type CallerObstacle =
+  /** The caller closed its connection. */
+  'callerLeft' | 'deadlinePassed';
 
 /**
  * Maps the reason of an unsent attempt to a health sign of its endpoint; undefined if it says nothing about the endpoint.
@@ -42,6 +48,8 @@
   switch (reason) {
     case 'connectionLimit':
     case 'endpointDeclined':
+    case 'callerLeft':
+    case 'deadlinePassed':
       return undefined;
     case 'connectRefused':
     case 'connectTimedOut':
@@ -75,6 +83,8 @@
   readonly row: EndpointRow;
   readonly connections: EndpointConnections;
   readonly dialect: HttpDialect;
+  /** Why the request is no longer wanted; checked once everything that has arrived from the caller is read. */
+  readonly findObstacle: () => CallerObstacle | undefined;
   /** Whether the endpoint still accepts requests; checked after the connection has been acquired. */
   readonly maySend: () => boolean;
   /** Builds the request at the moment of sending, so that the time left is right. */
@@ -113,6 +123,16 @@
   return socket.errored !== null || socket.remotePort === undefined;
 }
 
+/**
+ * Resolves once the loop has read its sockets again. A caller that gave up while this process stood still has sent its
+ * request and the close of its connection; the loop reads the close one turn after the request. The same holds for the
+ * close of a kept connection to an endpoint.
+ */
+function readSockets(): Promise<void> {
+  // The first one runs before the sockets are read again, the second one after.
+  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
+}
+
 /** A request at one endpoint. */
 export class Attempt {
   readonly row: EndpointRow;
@@ -140,6 +160,10 @@
   /** Connects and sends. */
   async start(): Promise<void> {
     const { row, connections, maxIdleMs, maxConnections } = this.options;
+    await readSockets();
+    if (this.isOver) return;
+    const obstacle = this.options.findObstacle();
+    if (obstacle !== undefined) return this.finish({ type: 'unsent', reason: obstacle });
     const acquired = await connections.acquire(row, maxIdleMs, maxConnections);
     if (this.phase.type === 'over') {
       if (acquired.ok) connections.release(row, acquired.val);
@@ -162,6 +186,10 @@
     if (phase.type === 'open') phase.connection.socket.destroy();
   }
 
+  private get isOver(): boolean {
+    return this.phase.type === 'over';
+  }
+
   /** Whether it goes on a connection that carried a request before. */
   get isOnKeptConnection(): boolean {
     return this.phase.type === 'open' && this.phase.connection.isKept;
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -9,7 +9,7 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
-import type { AttemptEvent, ForwardedRequest } from './attempt.js';
+import type { AttemptEvent, CallerObstacle, ForwardedRequest } from './attempt.js';
 import type { AttemptFacts } from './exchangeLog.js';
 import { describePlacement } from './exchangeLog.js';
 import { keepForwarded } from './forwardHeaders.js';
@@ -114,6 +114,7 @@
       row,
       connections: context.connections,
       dialect: context.dialect,
+      findObstacle: () => this.findObstacle(),
       maySend: () => acceptsRequests(row, context.now()),
       createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
       maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
@@ -140,6 +141,13 @@
     this.context.metrics.attempts.inc({ end });
   }
 
+  private findObstacle(): CallerObstacle | undefined {
+    const { req, readExpiry } = this.options;
+    // The server closes a connection whose caller has closed its side.
+    if (req.socket.readableEnded || req.socket.destroyed) return 'callerLeft';
+    return readExpiry() <= this.context.now() ? 'deadlinePassed' : undefined;
+  }
+
   private createPlacementRequest(
     assignment: Assignment,
     promptParts: readonly PromptPart[],
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -16,11 +16,12 @@
 import { findHealthSign } from './attempt.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeFacts, RetryReason } from './exchangeLog.js';
-import { logBreak, logOutcome, logRetry, logRetryDenied } from './exchangeLog.js';
+import { logBreak, logOutcome, logRetry } from './exchangeLog.js';
 import type { RouterRefusal } from './refusal.js';
 import { pickRetryAfterMs, pickReturnMs, sendRefusal } from './refusal.js';
 import { readRequestBody } from './requestBody.js';
 import { RequestSuspicion } from './requestSuspicion.js';
+import { takeRetry } from './retryPermission.js';
 import { isRepeatable } from './silence.js';
 import { watchSilence } from './silenceWatch.js';
 
@@ -159,6 +160,8 @@
 
   private handleUnsent(attempt: Attempt, reason: UnsentReason): void {
     this.drop(attempt, reason);
+    if (reason === 'callerLeft') return this.handleCallerClosed();
+    if (reason === 'deadlinePassed') return this.expire();
     const sign = findHealthSign(reason);
     if (sign !== undefined) this.context.noteSign(attempt.row, sign);
     this.attempts.unsentCount += 1;
@@ -306,18 +309,9 @@
 
   /** Whether another attempt is allowed; takes it from the budget. */
   private mayRetry(reason: RetryReason): boolean {
-    const { assignment, context } = this;
-    if (assignment === undefined || !this.attempts.mayOpenAnother(assignment.route)) {
-      context.metrics.retriesDenied.inc({ reason: 'attempts' });
-      return false;
-    }
-    if (this.suspicion.readWaitMs() > 0) {
-      context.metrics.retriesDenied.inc({ reason: 'quarantine' });
-      return false;
-    }
-    if (context.budget.take(assignment.service, context.now())) return true;
-    logRetryDenied(context, this.listFacts(), reason);
-    return false;
+    const { assignment, attempts, suspicion } = this;
+    const listFacts = (): ExchangeFacts => this.listFacts();
+    return takeRetry(this.context, { assignment, attempts, suspicion, listFacts }, reason);
   }
 
   private retry(attempt: Attempt, reason: RetryReason, detail: string, resumeAfter?: string): void {
