Attribute processor time to kinds of work, by counters and a log line for each busy second

Each box now attributes the time of its loop to frames, membership, loads, lists, configurations, news of crashes and timeouts, and counts garbage collection and all that it used; a second above 15% of a core is logged (`busySecond`) with all of it, and `started` says what the start took.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -8,10 +8,11 @@
 import { RouterMetrics } from './observability/metrics.js';
 import { createQuarantineLog } from './observability/quarantineLog.js';
 import { StandingLog } from './observability/standingLog.js';
+import { readProcessorMs, WorkMeter } from './observability/workMeter.js';
 import type { PeerListeners } from './peers/dispatchPeerFrame.js';
-import { dispatchPeerFrame } from './peers/dispatchPeerFrame.js';
-import type { Heartbeat } from './peers/peerFrames.js';
+import { dispatchPeerFrame, findWorkKind } from './peers/dispatchPeerFrame.js';
 import { FeedRelay } from './peers/feedRelay.js';
+import { Heartbeats } from './peers/heartbeats.js';
 import { LoadRelay } from './peers/loadRelay.js';
 import { PeerMesh } from './peers/peerMesh.js';
 import { TcpTransport } from './peers/peerTransport.js';
@@ -29,11 +30,9 @@
 import { acceptsRequests } from './systems/endpointNotices.js';
 import { EndpointObserver } from './systems/endpointObserver.js';
 import type { FeedDuty } from './systems/feedDuty.js';
-import { listOwnLoads } from './systems/loadExchange.js';
 import { PlannedStop } from './systems/plannedStop.js';
 import type { Publication } from './systems/publishedState.js';
 import { PublishedState } from './systems/publishedState.js';
-import type { HomeList } from './systems/promptHomes.js';
 import { PromptDemand } from './systems/promptDemand.js';
 import { PromptHomes } from './systems/promptHomes.js';
 import { Placement } from './systems/placement.js';
@@ -45,14 +44,13 @@
 const TICK_MS = 40;
 /** A tick that comes later than this shows that the process stood still: what waits in its sockets is read first. */
 const STALL_MS = 400;
-/** Homes of prompts told in one heartbeat; in a steady state there are next to none to tell. */
-const MAX_TOLD_HOMES = 256;
 
 /** A running box. */
 export class FleetRouter {
   readonly metrics = new RouterMetrics();
   readonly log: DecisionLog;
   private readonly standingLog: StandingLog;
+  private readonly work: WorkMeter;
   private readonly inputs = new SynchronousSource<RouterInput>();
   private readonly table: EndpointTable;
   private readonly state: PublishedState;
@@ -62,7 +60,6 @@
   private readonly mesh: PeerMesh;
   private readonly callers: CallerServer;
   private readonly exchanges = new Set<Exchange>();
-  private heartbeatAtMs = 0;
   private tickedAtMs = performance.now();
   private readonly peerValues: PeerValues;
   private readonly homes = new PromptHomes();
@@ -71,6 +68,7 @@
   private readonly loads: LoadRelay;
   private readonly quarantine: Quarantine;
   private readonly crashNews: QuarantineRelay;
+  private readonly heartbeats: Heartbeats;
   private readonly peerListeners: PeerListeners;
   private readonly plannedStop: PlannedStop;
   private ticker: NodeJS.Timeout | undefined;
@@ -87,6 +85,8 @@
     const now = this.now;
     this.log = new DecisionLog(options.boxId, this.metrics, now);
     this.standingLog = new StandingLog(this.log, this.metrics, now);
+    this.work = new WorkMeter({ log: this.log, metrics: this.metrics, now });
+    const { work } = this;
     this.table = new EndpointTable(hash);
     this.state = new PublishedState({
       table: this.table,
@@ -94,7 +94,7 @@
       metrics: this.metrics,
       now,
       hash,
-      parseConfiguration: options.parseConfiguration,
+      parseConfiguration: (text) => work.measure('configuration', () => options.parseConfiguration(text)),
       onLimits: (limits) => this.callers.applyLimits(limits),
       onEndpointRemoved: (id) => this.connections.forget(id),
       onInformed: () => this.releaseWaiting(),
@@ -119,14 +119,16 @@
       {
         hall: options.hall,
         seeds: options.seedAddresses,
-        transport: new TcpTransport(),
+        transport: new TcpTransport((reader, chunk) =>
+          work.measure('frameDecoding', () => reader.push(chunk)),
+        ),
         now,
         random: Math.random,
         rank: (address) => hash(address),
         firstIncarnation: Date.now(),
       },
       {
-        createHeartbeat: () => this.createGreeting(),
+        createHeartbeat: () => this.heartbeats.createGreeting(),
         onRead: (type) => this.metrics.peerFrames.inc({ type }),
         onFrame: (frame) => this.inputs.push({ type: 'peerFrame', frame }),
         onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
@@ -166,6 +168,20 @@
       applyBoundMs,
     });
     const { homes, loads, crashNews, peerValues, relay } = this;
+    const isStopping = (): boolean => this.plannedStop.isUnderWay;
+    this.heartbeats = new Heartbeats({
+      hall,
+      linkMbps,
+      mesh,
+      state,
+      table,
+      homes,
+      loads,
+      relay,
+      crashNews,
+      isStopping,
+      now,
+    });
     this.peerListeners = { homes, loads, crashNews, peerValues, relay, state };
     this.callers = new CallerServer(this.createContext(countBoxes));
     this.plannedStop = new PlannedStop({
@@ -194,7 +210,11 @@
     await this.callers.listen(callerAddress.host, callerAddress.port);
     // Not the library's own `periodic`: it follows the time of day, which may jump.
     this.ticker = setInterval(() => this.inputs.push({ type: 'tick' }), TICK_MS);
-    this.log.write('lifecycle', 'started', { hall: this.options.hall, callerPort: this.callers.port });
+    this.log.write('lifecycle', 'started', {
+      hall: this.options.hall,
+      callerPort: this.callers.port,
+      processorMs: Math.round(readProcessorMs()),
+    });
   }
 
   /** Adds an input; it is handled before this call returns. */
@@ -244,6 +264,7 @@
     this.callers.close();
     this.mesh.close();
     this.connections.close();
+    this.work.close();
     this.log.write('lifecycle', 'stopped', { requestsCutOff: this.exchanges.size });
     this.log.close();
   }
@@ -304,13 +325,15 @@
       case 'tick':
         return this.tick();
       case 'published':
-        return this.handlePublication(input.publication);
+        return this.work.measure('lists', () => this.handlePublication(input.publication));
       case 'configurationPublished':
-        return this.state.applyConfiguration(input.text);
+        return this.work.measure('configuration', () => this.state.applyConfiguration(input.text));
       case 'feedLost':
         return this.handleFeedLost(input.reason);
       case 'peerFrame':
-        return dispatchPeerFrame(input.frame, this.peerListeners);
+        return this.work.measure(findWorkKind(input.frame.type), () =>
+          dispatchPeerFrame(input.frame, this.peerListeners),
+        );
       case 'stopRequested':
         return this.plannedStop.request();
     }
@@ -321,14 +344,20 @@
     const sinceTickMs = nowMs - this.tickedAtMs;
     this.tickedAtMs = nowMs;
     if (sinceTickMs > STALL_MS) return this.handleStall(sinceTickMs);
-    this.state.tick(nowMs);
-    this.mesh.tick();
+    const { work } = this;
+    work.tick(nowMs);
+    work.measure('timeouts', () => this.state.tick(nowMs));
+    work.measure('membership', () => this.mesh.tick());
+    work.measure('timeouts', () => this.tickRequests(nowMs));
+    work.measure('loads', () => this.loads.tick());
+    work.measure('crashNews', () => this.crashNews.tick());
+    work.measure('membership', () => this.heartbeats.tick(nowMs));
+    this.plannedStop.tick();
+  }
+
+  private tickRequests(nowMs: number): void {
     this.reachability.tick();
     for (const exchange of [...this.exchanges]) exchange.tick(nowMs);
-    this.loads.tick();
-    this.crashNews.tick();
-    if (nowMs - this.heartbeatAtMs >= this.mesh.paceMs) this.sendHeartbeat();
-    this.plannedStop.tick();
   }
 
   /** While this process stood still nobody was silent: the silence that it saw is its own. */
@@ -341,38 +370,6 @@
     for (const exchange of this.exchanges) exchange.noteStall(stalledMs);
   }
 
-  private sendHeartbeat(): void {
-    this.heartbeatAtMs = this.now();
-    const homes = this.mesh.isFlat ? this.homes.takeUntold(MAX_TOLD_HOMES) : [];
-    const prompts = this.loads.takeDemandForHeartbeat();
-    this.mesh.broadcast({ ...this.createHeartbeat(homes), ...(prompts && { prompts }) });
-  }
-
-  /** What a box on a link that just came up may have missed goes with the first heartbeat. */
-  private createGreeting(): Heartbeat {
-    const homes = this.loads.listHomesForNewLink();
-    return { ...this.createHeartbeat(homes), ...this.crashNews.createGreeting() };
-  }
-
-  private createHeartbeat(homes: HomeList): Heartbeat {
-    return {
-      type: 'heartbeat',
-      hall: this.options.hall,
-      feed: this.relay.standing,
-      linkMbps: this.options.linkMbps,
-      address: this.mesh.address,
-      boxes: this.mesh.countBoxes(),
-      configurationVersion: this.state.configurationVersion,
-      endpointsRevision: this.state.listPosition.revision,
-      era: this.state.listPosition.era,
-      platformWord: this.state.platformWord,
-      loads: this.mesh.isFlat ? listOwnLoads(this.table) : [],
-      homes: [...homes],
-      incarnation: this.mesh.incarnation,
-      isStopping: this.plannedStop.isUnderWay,
-    };
-  }
-
   /** Requests that came before the box knew what to serve go on at once. */
   private releaseWaiting(): void {
     const nowMs = this.now();
@@ -388,7 +385,7 @@
     this.state.noteReadFailed(reason);
     this.relay.noteFeedLost();
     // The hall needs another box that follows the platform, sooner than the next heartbeat would say so.
-    if (wasAble) this.mesh.sendToHall(this.options.hall, this.createHeartbeat([]));
+    if (wasAble) this.heartbeats.tellHall();
   }
 
   /** A failure of the loop leaves the tables in doubt: better no box than a wrong one. */
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -48,6 +48,10 @@
   ]);
   /** Requests, by content, that are not sent to endpoints since they crash them. */
   readonly quarantined = this.gauge('quarantined_requests', 'Requests not sent since they crash endpoints');
+  /** Processor time of the process since its loop began. */
+  readonly processorMs = this.counter('processor_ms', 'Processor time, in milliseconds', []);
+  /** Time that the loop spent on a kind of work; garbage collection falls into whichever kind it interrupts as well. */
+  readonly workMs = this.counter('work_ms', 'Time spent by kind of work, in milliseconds', ['kind']);
   /** Log lines left out to bound their volume. */
   readonly suppressedLines = this.counter('log_lines_suppressed', 'Log lines left out', ['event']);
   /** Version of the configuration in force. */
--- /dev/null
+++ b/packages/router/src/observability/workMeter.ts
@@ -0,0 +1,152 @@
+/**
+ * Attributes the processor time of a box to kinds of work: as counters, and as one log line for each second in which the
+ * process was busy. What is not attributed is spent on requests: parsing, connections and copying, within libraries.
+ */
+import { PerformanceObserver } from 'node:perf_hooks';
+import type { DecisionLog } from './decisionLog.js';
+import type { RouterMetrics } from './metrics.js';
+
+/** Time between two reports. */
+const REPORT_MS = 1_000;
+/** Share of a core above which a second is logged: one and a half times what a box with few callers uses. */
+const BUSY_SHARE = 0.15;
+const US_PER_MS = 1_000;
+
+const WORK_KINDS = [
+  /** Decoding frames from peers. */
+  'frameDecoding',
+  /** Heartbeats, probes and links: sent and received. */
+  'membership',
+  /** Loads and prompts: told and received. */
+  'loads',
+  /** Lists of endpoints: from the platform and from peers. */
+  'lists',
+  /** Configurations: from the platform and from peers. */
+  'configuration',
+  /** Crashes of endpoints: told, received and judged. */
+  'crashNews',
+  /** Timeouts and silence of requests under way, and of endpoints. */
+  'timeouts',
+] as const;
+
+/** A kind of work to which processor time is attributed. */
+export type WorkKind = (typeof WORK_KINDS)[number];
+
+/** Processor time of this process since its start, in milliseconds. */
+export function readProcessorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / US_PER_MS;
+}
+
+/** What the meter works with. */
+export interface WorkMeterOptions {
+  readonly log: DecisionLog;
+  readonly metrics: RouterMetrics;
+  readonly now: () => number;
+}
+
+interface WorkTotal {
+  spentMs: number;
+  count: number;
+}
+
+/** Measures the work of one box. */
+export class WorkMeter {
+  private readonly totals = new Map<WorkKind, WorkTotal>(
+    WORK_KINDS.map((kind) => [kind, { spentMs: 0, count: 0 }]),
+  );
+  private current: WorkKind | undefined;
+  private switchedAtMs = 0;
+  private gcMs = 0;
+  private reportedAtMs: number;
+  private reportedProcessorMs = readProcessorMs();
+  private readonly gcObserver = new PerformanceObserver((list) => {
+    for (const entry of list.getEntries()) this.gcMs += entry.duration;
+  });
+
+  constructor(private readonly options: WorkMeterOptions) {
+    this.reportedAtMs = options.now();
+    this.gcObserver.observe({ entryTypes: ['gc'] });
+  }
+
+  /**
+   * Runs some work and attributes its time to a kind. Work of another kind within it counts for that kind alone.
+   *
+   * @example meter.measure('loads', () => relay.tick());
+   */
+  measure<T>(kind: WorkKind, work: () => T): T {
+    const outer = this.current;
+    this.switchTo(kind);
+    try {
+      return work();
+    } finally {
+      this.switchTo(outer);
+      const total = this.totals.get(kind);
+      if (total !== undefined) total.count += 1;
+    }
+  }
+
+  /** Runs once a tick; reports once a second. */
+  tick(nowMs: number): void {
+    if (nowMs - this.reportedAtMs >= REPORT_MS) this.report(nowMs);
+  }
+
+  /** Stops measuring. */
+  close(): void {
+    this.gcObserver.disconnect();
+  }
+
+  private switchTo(kind: WorkKind | undefined): void {
+    const nowMs = this.options.now();
+    const total = this.current === undefined ? undefined : this.totals.get(this.current);
+    if (total !== undefined) total.spentMs += nowMs - this.switchedAtMs;
+    this.current = kind;
+    this.switchedAtMs = nowMs;
+  }
+
+  private report(nowMs: number): void {
+    const spanMs = nowMs - this.reportedAtMs;
+    this.reportedAtMs = nowMs;
+    const processorMs = readProcessorMs();
+    const usedMs = processorMs - this.reportedProcessorMs;
+    this.reportedProcessorMs = processorMs;
+    const spent = this.takeTotals();
+    const { log, metrics } = this.options;
+    metrics.processorMs.inc(usedMs);
+    for (const [kind, { spentMs }] of spent) metrics.workMs.inc({ kind }, spentMs);
+    metrics.workMs.inc({ kind: 'garbageCollection' }, this.gcMs);
+    if (usedMs >= BUSY_SHARE * spanMs)
+      log.write('notable', 'busySecond', this.describe(spanMs, usedMs, spent));
+    this.gcMs = 0;
+  }
+
+  private takeTotals(): [WorkKind, WorkTotal][] {
+    const spent = [...this.totals].map(([kind, total]) => [kind, { ...total }] as [WorkKind, WorkTotal]);
+    for (const total of this.totals.values()) {
+      total.spentMs = 0;
+      total.count = 0;
+    }
+    return spent;
+  }
+
+  private describe(
+    spanMs: number,
+    usedMs: number,
+    spent: readonly [WorkKind, WorkTotal][],
+  ): Record<string, number> {
+    const kinds = spent.flatMap(([kind, { spentMs, count }]) => [
+      [`${kind}Ms`, roundToTenth(spentMs)],
+      [`${kind}Count`, count],
+    ]);
+    const totals = {
+      spanMs: Math.round(spanMs),
+      usedMs: roundToTenth(usedMs),
+      gcMs: roundToTenth(this.gcMs),
+    };
+    return { ...totals, ...(Object.fromEntries(kinds) as Record<string, number>) };
+  }
+}
+
+function roundToTenth(ms: number): number {
+  return Math.round(ms * 10) / 10;
+}
--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -4,7 +4,8 @@
 import type { PublishedState } from '../systems/publishedState.js';
 import type { FeedRelay } from './feedRelay.js';
 import type { LoadRelay } from './loadRelay.js';
-import type { RouterFrame } from './peerFrames.js';
+import type { WorkKind } from '../observability/workMeter.js';
+import type { PeerFrame, RouterFrame } from './peerFrames.js';
 import type { PeerValues } from './peerValues.js';
 
 /** Who listens to peers. */
@@ -50,3 +51,36 @@
       return crashNews.handleNews(frame);
   }
 }
+
+/**
+ * Kind of work that a frame brings.
+ *
+ * @example findWorkKind('hallLoads') // 'loads'
+ */
+export function findWorkKind(type: PeerFrame['type']): WorkKind {
+  switch (type) {
+    case 'heartbeat':
+    case 'heartbeatHeard':
+    case 'introduction':
+    case 'hallSummary':
+    case 'probe':
+    case 'probeHeard':
+    case 'probeRequest':
+    case 'boxDown':
+    case 'boxUp':
+      return 'membership';
+    case 'feedNotice':
+    case 'valueRequest':
+    case 'endpointsValue':
+      return 'lists';
+    case 'configurationValue':
+    case 'configurationDifference':
+      return 'configuration';
+    case 'boxLoads':
+    case 'hallLoads':
+    case 'fleetLoads':
+      return 'loads';
+    case 'crashNews':
+      return 'crashNews';
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/heartbeats.ts
@@ -0,0 +1,78 @@
+/** Builds and sends the heartbeats of a box: to all peers at the pace of the mesh, and on each link that just came up. */
+import type { QuarantineRelay } from '../quarantine/quarantineRelay.js';
+import { listOwnLoads } from '../systems/loadExchange.js';
+import type { HomeList, PromptHomes } from '../systems/promptHomes.js';
+import type { PublishedState } from '../systems/publishedState.js';
+import type { EndpointTable } from '../tables/endpointTable.js';
+import type { FeedRelay } from './feedRelay.js';
+import type { LoadRelay } from './loadRelay.js';
+import type { Heartbeat } from './peerFrames.js';
+import type { PeerMesh } from './peerMesh.js';
+
+/** Homes of prompts told in one heartbeat; in a steady state there are next to none to tell. */
+const MAX_TOLD_HOMES = 256;
+
+/** What heartbeats are made of. */
+export interface HeartbeatsOptions {
+  readonly hall: string;
+  /** Bandwidth of the box's link. */
+  readonly linkMbps: number;
+  readonly mesh: PeerMesh;
+  readonly state: PublishedState;
+  readonly table: EndpointTable;
+  readonly homes: PromptHomes;
+  readonly loads: LoadRelay;
+  readonly relay: FeedRelay;
+  readonly crashNews: QuarantineRelay;
+  readonly isStopping: () => boolean;
+  readonly now: () => number;
+}
+
+/** The heartbeats of one box. */
+export class Heartbeats {
+  private sentAtMs = 0;
+
+  constructor(private readonly options: HeartbeatsOptions) {}
+
+  /** Runs once a tick; sends a heartbeat to all peers when one is due. */
+  tick(nowMs: number): void {
+    const { mesh, homes, loads } = this.options;
+    if (nowMs - this.sentAtMs < mesh.paceMs) return;
+    this.sentAtMs = nowMs;
+    const told = mesh.isFlat ? homes.takeUntold(MAX_TOLD_HOMES) : [];
+    const prompts = loads.takeDemandForHeartbeat();
+    mesh.broadcast({ ...this.create(told), ...(prompts && { prompts }) });
+  }
+
+  /** What a box on a link that just came up may have missed goes with the first heartbeat. */
+  createGreeting(): Heartbeat {
+    const { loads, crashNews } = this.options;
+    return { ...this.create(loads.listHomesForNewLink()), ...crashNews.createGreeting() };
+  }
+
+  /** Sends a heartbeat to the own hall before the next one is due: what it says of this box has changed. */
+  tellHall(): void {
+    const { mesh, hall } = this.options;
+    mesh.sendToHall(hall, this.create([]));
+  }
+
+  private create(homes: HomeList): Heartbeat {
+    const { hall, linkMbps, mesh, state, table, relay } = this.options;
+    return {
+      type: 'heartbeat',
+      hall,
+      feed: relay.standing,
+      linkMbps,
+      address: mesh.address,
+      boxes: mesh.countBoxes(),
+      configurationVersion: state.configurationVersion,
+      endpointsRevision: state.listPosition.revision,
+      era: state.listPosition.era,
+      platformWord: state.platformWord,
+      loads: mesh.isFlat ? listOwnLoads(table) : [],
+      homes: [...homes],
+      incarnation: mesh.incarnation,
+      isStopping: this.options.isStopping(),
+    };
+  }
+}
--- a/packages/router/src/peers/peerTransport.ts
+++ b/packages/router/src/peers/peerTransport.ts
@@ -44,11 +44,17 @@
   close(): void;
 }
 
+/** Reads the frames that a chunk of a connection completes. */
+export type ReadFrames = (reader: PeerFrameReader, chunk: Buffer) => ReturnType<PeerFrameReader['push']>;
+
 /** Connections over TCP. */
 export class TcpTransport implements PeerTransport {
   private readonly accepted = new Set<Socket>();
   private server: Server | undefined;
 
+  /** @param readFrames reads the frames that a chunk completes; lets its time be measured */
+  constructor(private readonly readFrames: ReadFrames = (reader, chunk) => reader.push(chunk)) {}
+
   listen(
     host: string,
     port: number,
@@ -57,7 +63,7 @@
     const server = createServer((socket) => {
       this.accepted.add(socket);
       socket.on('close', () => this.accepted.delete(socket));
-      attachEvents(socket, onAccepted(new TcpConnection(socket)));
+      this.attachEvents(socket, onAccepted(new TcpConnection(socket)));
     });
     this.server = server;
     return new Promise((resolve, reject) => {
@@ -75,7 +81,7 @@
     const port = Number(address.slice(colon + 1));
     const socket = connect({ host, port, noDelay: true });
     socket.on('connect', () => events.onUp());
-    attachEvents(socket, events);
+    this.attachEvents(socket, events);
     return new TcpConnection(socket);
   }
 
@@ -83,6 +89,22 @@
     this.server?.close();
     for (const socket of this.accepted) socket.destroy();
   }
+
+  private attachEvents(socket: Socket, events: ConnectionEvents): void {
+    const reader = new PeerFrameReader();
+    // An error is always followed by `close`, which is what counts.
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => events.onClosed());
+    socket.on('data', (chunk: Buffer) => {
+      const frames = this.readFrames(reader, chunk);
+      if (frames.err) {
+        events.onProblem(frames.val);
+        socket.destroy();
+        return;
+      }
+      for (const frame of frames.val) events.onFrame(frame);
+    });
+  }
 }
 
 class TcpConnection implements PeerConnection {
@@ -104,19 +126,3 @@
     this.socket.destroy();
   }
 }
-
-function attachEvents(socket: Socket, events: ConnectionEvents): void {
-  const reader = new PeerFrameReader();
-  // An error is always followed by `close`, which is what counts.
-  socket.on('error', () => socket.destroy());
-  socket.on('close', () => events.onClosed());
-  socket.on('data', (chunk: Buffer) => {
-    const frames = reader.push(chunk);
-    if (frames.err) {
-      events.onProblem(frames.val);
-      socket.destroy();
-      return;
-    }
-    for (const frame of frames.val) events.onFrame(frame);
-  });
-}
