Count a run as later than a crash that was told before it began, however late the news came

Cause: of two crashes told by different boxes the later one counts only if it began 250 ms after the news of the earlier one, which allows for clocks that are compared by the arrival of news. News that took 0.7 s on the way made the first two crashes seem to overlap with a run that the box itself began afterwards, so it counted two of three. For a run of its own a box needs no such allowance: the start is known on its own clock, and a crash that it was told of cannot have ended after the news arrived.

- The allowance holds only for runs that other boxes saw.
- The box that saw one of the crashes tells its verdict also in a large fleet: the boxes that pass news on may count two.

What the logs could not tell: how late the news came, and where the time went. Each crash told by another box is now logged (`crashNews`): how long its sender held it, what it took on the way over the fastest news of the same box, and how long ago the own loop ran; `quarantine` lists how long ago each crash was.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -6,7 +6,7 @@
 import { DecisionLog } from './observability/decisionLog.js';
 import { LoadKnowledgeLog } from './observability/loadKnowledgeLog.js';
 import { RouterMetrics } from './observability/metrics.js';
-import { createQuarantineLog } from './observability/quarantineLog.js';
+import { createCrashNewsLog, createQuarantineLog } from './observability/quarantineLog.js';
 import { StandingLog } from './observability/standingLog.js';
 import { readProcessorMs, WorkMeter } from './observability/workMeter.js';
 import type { PeerListeners } from './peers/dispatchPeerFrame.js';
@@ -155,7 +155,8 @@
     this.quarantine = new Quarantine(now, createQuarantineLog({ log, metrics, now, readCount }));
     const { quarantine } = this;
     const { random } = Math;
-    this.crashNews = new QuarantineRelay({ mesh, quarantine, hall, rank: hash, now, random });
+    const onNews = createCrashNewsLog(log);
+    this.crashNews = new QuarantineRelay({ mesh, quarantine, hall, rank: hash, now, random, onNews });
     this.relay = new FeedRelay({
       mesh,
       state,
--- a/packages/router/src/observability/quarantineLog.ts
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -1,6 +1,7 @@
 /** Tells operators which requests are held against crashes, and by whose word. */
 import { readLastCrashMs } from '../quarantine/crashedRuns.js';
 import type { OnQuarantineChange } from '../quarantine/quarantine.js';
+import type { CrashNewsDelays } from '../quarantine/quarantineRelay.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { RouterMetrics } from './metrics.js';
 
@@ -29,8 +30,22 @@
       crashes,
       endpointTags: runs.map((run) => run.endpointTag).join(),
       witnesses: runs.map((run) => run.witness).join(),
+      endedAgoMs: runs.map((run) => Math.round(now() - run.heardEndAtMs)).join(),
       lastCrashAgoMs: Math.round(now() - readLastCrashMs(runs)),
       waitMs: verdict.type === 'condemned' ? Math.round(verdict.untilMs - now()) : undefined,
     });
   };
 }
+
+/** Creates what writes down how late the news of crashes came, and where the time went. */
+export function createCrashNewsLog(log: DecisionLog): (delays: CrashNewsDelays) => void {
+  return ({ content, witness, hops, heldMs, delayMs, loopMs }) =>
+    log.write('notable', 'crashNews', {
+      content,
+      witness,
+      hops,
+      heldMs: Math.round(heldMs),
+      delayMs: Math.round(delayMs),
+      loopMs: Math.round(loopMs),
+    });
+}
--- a/packages/router/src/quarantine/__tests__/crashedRuns.test.ts
+++ b/packages/router/src/quarantine/__tests__/crashedRuns.test.ts
@@ -28,6 +28,13 @@
   expect(findCrashChain([run(1, 0, 500, 1), run(2, 800, 900, 2)])).toHaveLength(2);
 });
 
+test('news that come late do not make a crash overlap with a run that this box began after them', () => {
+  const told = { ...run(1, 0, 100, 1), heardEndAtMs: 800 };
+  expect(findCrashChain([told, { ...run(2, 850, 900, 2), isOwn: true }])).toHaveLength(2);
+  expect(findCrashChain([told, { ...run(2, 790, 900, 2), isOwn: true }])).toHaveLength(1);
+  expect(findCrashChain([told, run(2, 850, 900, 2)])).toHaveLength(1);
+});
+
 test('one crash that several boxes tell of counts once, and is news once', () => {
   const known = addAll([run(1, 0, 500, 1), run(1, 100, 510, 2)]);
   expect(known).toHaveLength(1);
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -16,13 +16,16 @@
   /** On the clock of that life. */
   readonly sentAtMs: number;
   readonly endedAtMs: number;
-  /** When it ended, on the clock of the box that keeps it. */
+  /** When it ended, on the clock of the box that keeps it; later than it was by what the news took. */
   readonly heardEndAtMs: number;
+  /** The box that keeps it saw it itself. */
+  readonly isOwn?: boolean;
 }
 
 /**
- * Times seen by two boxes are compared with this much in doubt: news take a few milliseconds and up to one tick of either
- * loop (40 ms); the rest is for boxes that are slow. What one box saw is compared by its own clock, without doubt.
+ * Times told by two boxes are compared with this much in doubt: news take a few milliseconds and up to one tick of either
+ * loop (40 ms); the rest is for boxes that are slow. What one box saw is compared by its own clock, without doubt; so is the
+ * start of a run of its own with a crash that it was told of, which was over before the news came.
  */
 const CLOCK_MARGIN_MS = 250;
 /** Runs kept for one request: the chain that counts, and some of the others. */
@@ -68,7 +71,8 @@
 
 function beganAfter(run: CrashedRun, earlier: CrashedRun): boolean {
   if (run.witness === earlier.witness) return run.sentAtMs >= earlier.endedAtMs;
-  return readHeardSendMs(run) >= earlier.heardEndAtMs + CLOCK_MARGIN_MS;
+  const doubtMs = run.isOwn === true ? 0 : CLOCK_MARGIN_MS;
+  return readHeardSendMs(run) >= earlier.heardEndAtMs + doubtMs;
 }
 
 function readHeardSendMs({ heardEndAtMs, endedAtMs, sentAtMs }: CrashedRun): number {
--- a/packages/router/src/quarantine/quarantine.ts
+++ b/packages/router/src/quarantine/quarantine.ts
@@ -85,6 +85,11 @@
     return this.table.find(content) !== undefined;
   }
 
+  /** Whether this box itself saw one of the crashes that a request met. */
+  hasSeenCrash(content: string): boolean {
+    return this.table.find(content)?.runs.some((run) => run.isOwn === true) ?? false;
+  }
+
   /** Whether a request is to be kept apart from those that it was together with so far. */
   mustSpread(content: string): boolean {
     return (this.table.find(content)?.crashes ?? 0) >= SPREADING_CRASHES;
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -12,6 +12,7 @@
 import type { CrashedRun } from './crashedRuns.js';
 import type { Quarantine } from './quarantine.js';
 import { QUARANTINE_MS } from './quarantine.js';
+import { WitnessClocks } from './witnessClocks.js';
 
 /** Boxes of a hall that pass news on between halls; the second makes up for frames that the first loses. */
 const RELAYS_PER_HALL = 2;
@@ -35,6 +36,23 @@
   readonly now: () => number;
   /** Between 0 and 1. */
   readonly random: () => number;
+  /** Called for each crash that another box tells of. */
+  readonly onNews?: (delays: CrashNewsDelays) => void;
+}
+
+/** How late the news of a crash is. */
+export interface CrashNewsDelays {
+  readonly content: string;
+  /** Names the life of the box that saw it. */
+  readonly witness: number;
+  /** Boxes that the news passed in between. */
+  readonly hops: number;
+  /** From the crash until the last box on the way sent the news, as that box says. */
+  readonly heldMs: number;
+  /** From there to here, over the fastest news of the same witness so far; 0 for its first. */
+  readonly delayMs: number;
+  /** How long ago the loop of this box last ran its systems: part of the delay, if it is above the pace of the loop. */
+  readonly loopMs: number;
 }
 
 /** One run of a request that ended with its endpoint. */
@@ -60,6 +78,8 @@
   private condemned: string[] = [];
   private cleared: string[] = [];
   private readonly witness: number;
+  private readonly clocks = new WitnessClocks();
+  private tickedAtMs = 0;
 
   constructor(private readonly options: QuarantineRelayOptions) {
     this.witness = Math.floor(options.random() * MAX_WITNESS);
@@ -67,7 +87,10 @@
 
   /** This box saw a run end with its endpoint. */
   noteCrash(content: string, run: Pick<CrashedRun, 'endpointTag' | 'sentAtMs' | 'endedAtMs'>): void {
-    const seen = { content, run: { ...run, witness: this.witness, heardEndAtMs: run.endedAtMs } };
+    const seen = {
+      content,
+      run: { ...run, witness: this.witness, heardEndAtMs: run.endedAtMs, isOwn: true },
+    };
     if (this.options.quarantine.noteCrash(content, seen.run)) this.crashes.push(seen);
   }
 
@@ -78,10 +101,9 @@
 
   /** Runs once a tick: judges, and what was seen since the last one goes out together. */
   tick(): void {
+    this.tickedAtMs = this.options.now();
     const condemned = this.options.quarantine.tick();
-    // All boxes judge by the same news. In a large fleet those that pass news on tell what came of it.
-    const mustTell = condemned.length > 0 && (this.options.mesh.isFlat || this.mustPassOn());
-    if (mustTell) this.condemned.push(...condemned);
+    this.condemned.push(...condemned.filter((content) => this.mustTellVerdict(content)));
     if (this.crashes.length + this.condemned.length + this.cleared.length === 0) return;
     const news: News = {
       crashes: this.crashes.splice(0).slice(-MAX_REPORTS_PER_FRAME),
@@ -97,6 +119,7 @@
   handleNews({ hops, crashes, condemned, cleared }: CrashNews): void {
     const { quarantine, now } = this.options;
     const nowMs = now();
+    this.noteDelays(crashes, hops, nowMs);
     const heard = crashes.map(({ content, endedAgoMs, ...run }) => ({
       content,
       run: { ...run, heardEndAtMs: nowMs - endedAgoMs },
@@ -113,6 +136,16 @@
     if (isNews && this.mustPassOn()) this.passOn(hops, news);
   }
 
+  /** Tells how late the news of the crashes in a frame is, and where the time went. */
+  private noteDelays(crashes: readonly CrashedRunReport[], hops: number, nowMs: number): void {
+    for (const report of crashes) {
+      const { content, witness, endedAgoMs } = report;
+      const delayMs = this.clocks.note(witness, report.endedAtMs + endedAgoMs, nowMs);
+      const loopMs = nowMs - this.tickedAtMs;
+      this.options.onNews?.({ content, witness, hops, heldMs: endedAgoMs, delayMs, loopMs });
+    }
+  }
+
   /** Takes over what a box tells on a link that just came up. */
   handleGreeting({ hall, crashes = [], condemned = [] }: Pick<Heartbeat, 'hall'> & CrashGreeting): void {
     if (crashes.length + condemned.length === 0) return;
@@ -131,6 +164,15 @@
     };
   }
 
+  /**
+   * All boxes judge by the same news. In a large fleet those that pass news on tell what came of it, and a box that saw one
+   * of the crashes: it alone may know that a run of its own began after news that came late.
+   */
+  private mustTellVerdict(content: string): boolean {
+    const { mesh, quarantine } = this.options;
+    return mesh.isFlat || quarantine.hasSeenCrash(content) || this.mustPassOn();
+  }
+
   /** News go from the hall where they were seen to the others, and there to all. */
   private passOn(hops: number, news: News): void {
     if (hops >= HOPS_WITHIN_OTHER_HALLS) return;
@@ -155,7 +197,7 @@
   }
 
   private toReport({ content, run }: SeenCrash): CrashedRunReport {
-    const { heardEndAtMs, ...seen } = run;
+    const { heardEndAtMs, isOwn: _isOwn, ...seen } = run;
     return { content, ...seen, endedAgoMs: Math.max(0, this.options.now() - heardEndAtMs) };
   }
 
