Names: reports on the platform, assumed cold, notified once informed; the codec of frames in a module of its own

PlatformWord, noteVouched, supposeCold and tellIfInformed needed explaining. What a box tells another of the platform is a report now (platformReport keeps its number on the wire). peerFrames.ts held schemas and codec in 470 lines: the codec is peerFrameCodec.ts. No change of behaviour.

--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -10,7 +10,7 @@
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { ListedEndpoint, PromptPart } from '../records.js';
 import { noteAnswerFacts } from '../systems/endpointNotices.js';
-import { supposeCold } from '../tables/endpointTable.js';
+import { assumeCold } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import { AnnouncementChecker } from './announcementJudge.js';
 import type { BoxRequest } from './announcementJudge.js';
@@ -157,7 +157,7 @@
     for (const [id, { listing }] of this.endpoints) if (listing.hall === hall) this.makeCold(id, CHANGE_NEWS);
     this.tellEach((router, nowMs) => {
       router.evacuations.apply({ type: 'takenBack', hall }, nowMs);
-      for (const row of router.table.byId.values()) if (row.listing.hall === hall) supposeCold(row, nowMs);
+      for (const row of router.table.byId.values()) if (row.listing.hall === hall) assumeCold(row, nowMs);
     });
   }
 
--- a/packages/router/src/__tests__/cutOffBox.test.ts
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -37,7 +37,7 @@
   test('drops an endpoint that a whole list of a peer in touch no longer has', () => {
     passCutOff(3_000, () =>
       box.values.noteHeartbeat(
-        heartbeatOf('10.0.1.1:1', { hall: 'antigua', platformWord: { doubtMs: 0, saidAgoMs: 0 } }),
+        heartbeatOf('10.0.1.1:1', { hall: 'antigua', platformReport: { doubtMs: 0, saidAgoMs: 0 } }),
       ),
     );
     expect(box.listIds()).toEqual(['e-10']);
@@ -48,7 +48,7 @@
       endpoints: [],
       lapsed: [],
       address: '10.0.1.1:1',
-      platformWord: { doubtMs: 0, saidAgoMs: 0 },
+      platformReport: { doubtMs: 0, saidAgoMs: 0 },
     });
     expect(box.listIds()).toEqual([]);
   });
@@ -124,7 +124,7 @@
   applyEndpoints(box.state, [{ type: 'removed', id: 'e-10' }], 11, 'peer');
   box.values.send({ type: 'valueRequest', value: 'endpoints', address: FOLLOWER, configurationVersion: 1 });
   expect(box.sent).toMatchObject([
-    { frame: { endpoints: [], lapsed: [{ id: 'e-10' }], platformWord: undefined } },
+    { frame: { endpoints: [], lapsed: [{ id: 'e-10' }], platformReport: undefined } },
   ]);
 });
 
--- a/packages/router/src/__tests__/peerFrames.test.ts
+++ b/packages/router/src/__tests__/peerFrames.test.ts
@@ -2,7 +2,7 @@
 import { Encoder } from 'cbor-x';
 import { heartbeatOf, listed } from '../__fixtures__/restingBox.js';
 import type { PeerFrame } from '../peers/peerFrames.js';
-import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrames.js';
+import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 
 function read(packet: Buffer): PeerFrame | undefined {
   const frames = new PeerFrameReader().push(packet);
@@ -17,17 +17,17 @@
   return Buffer.concat([length, payload]);
 }
 
-test('the word on the platform arrives as it was said, and its absence as well', () => {
-  const word = { doubtMs: 1_900, saidAgoMs: 700 };
-  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1', { platformWord: word })))).toMatchObject({
-    platformWord: word,
+test('the report on the platform arrives as it was said, and its absence as well', () => {
+  const report = { doubtMs: 1_900, saidAgoMs: 700 };
+  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1', { platformReport: report })))).toMatchObject({
+    platformReport: report,
   });
-  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1')))).not.toHaveProperty('platformWord');
+  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1')))).not.toHaveProperty('platformReport');
 });
 
-test('a word from the future is no word', () => {
-  const word = { doubtMs: 0, saidAgoMs: -1 };
-  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1', { platformWord: word })))).toBeUndefined();
+test('a report from the future is no report', () => {
+  const report = { doubtMs: 0, saidAgoMs: -1 };
+  expect(read(encodePeerFrame(heartbeatOf('10.0.0.1:1', { platformReport: report })))).toBeUndefined();
 });
 
 test('a list of a box that does not tell what it keeps is read as a list without such endpoints', () => {
--- a/packages/router/src/__tests__/peerMesh.test.ts
+++ b/packages/router/src/__tests__/peerMesh.test.ts
@@ -1,7 +1,7 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Heartbeat, PeerFrame } from '../peers/peerFrames.js';
-import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrames.js';
+import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import { PeerMesh } from '../peers/peerMesh.js';
 import { TcpTransport } from '../peers/peerTransport.js';
 
--- a/packages/router/src/__tests__/platformContact.test.ts
+++ b/packages/router/src/__tests__/platformContact.test.ts
@@ -1,7 +1,7 @@
 /**
  * A box's own trouble is not trouble of the platform. See goneEndpoint.test.ts of the platform for the whole path.
  */
-import type { PlatformWord } from '../systems/platformContact.js';
+import type { PlatformReport } from '../systems/platformContact.js';
 import { PlatformContact } from '../systems/platformContact.js';
 
 const CALM_MS = 10_000;
@@ -11,8 +11,8 @@
 const PEER = '10.0.0.2:1';
 const OTHER_PEER = '10.0.0.3:1';
 
-/** The word of a box that reads the platform itself. */
-const sayNow = (doubtMs: number): PlatformWord => ({ doubtMs, saidAgoMs: 0 });
+/** The report of a box that reads the platform itself. */
+const sayNow = (doubtMs: number): PlatformReport => ({ doubtMs, saidAgoMs: 0 });
 
 let contact: PlatformContact;
 
@@ -33,17 +33,17 @@
 });
 
 test('a box whose calls fail for a minute trusts the list all the time while peers vouch for it', () => {
-  contact.noteVouched(PEER, sayNow(0), CALM_MS);
+  contact.noteConfirmed(PEER, sayNow(0), CALM_MS);
   for (let ms = CALM_MS; ms < CALM_MS + CUT_MS; ms += TICK_MS) {
     contact.noteFailure();
-    contact.noteVouched(PEER, sayNow(0), ms);
+    contact.noteConfirmed(PEER, sayNow(0), ms);
     expect(contact.readUnsettledMs(ms)).toBe(0);
   }
   contact.noteAnswer(CALM_MS + CUT_MS);
   expect(contact.readUnsettledMs(CALM_MS + CUT_MS)).toBe(0);
 });
 
-test('the word of a peer ends when nobody repeats it', () => {
+test('the report of a peer ends when nobody repeats it', () => {
   contact.noteFailure();
   contact.noteTold(PEER, 0, CALM_MS);
   expect(contact.readKind(CALM_MS + 1_999)).toBe('peers');
@@ -52,7 +52,7 @@
 });
 
 test('in an outage the words of peers end as they take them back, not when they would have run out', () => {
-  for (const peer of [PEER, OTHER_PEER]) contact.noteVouched(peer, sayNow(0), CALM_MS);
+  for (const peer of [PEER, OTHER_PEER]) contact.noteConfirmed(peer, sayNow(0), CALM_MS);
   contact.noteFailure();
   contact.noteWithdrawn(PEER);
   expect(contact.readKind(CALM_MS + 100)).toBe('peers');
@@ -63,69 +63,69 @@
 });
 
 test('an outage that a peer saw makes this box doubt as well, for as long as the peer does', () => {
-  contact.noteVouched(PEER, sayNow(1_500), CALM_MS);
+  contact.noteConfirmed(PEER, sayNow(1_500), CALM_MS);
   expect(contact.readUnsettledMs(CALM_MS)).toBe(1_500);
-  contact.noteVouched(OTHER_PEER, sayNow(0), CALM_MS + 100);
+  contact.noteConfirmed(OTHER_PEER, sayNow(0), CALM_MS + 100);
   expect(contact.readUnsettledMs(CALM_MS + 100)).toBe(1_400);
 });
 
-test('a box that neither reads nor is told all has no word for others, though peers vouched for it', () => {
-  contact.noteVouched(PEER, sayNow(0), CALM_MS);
+test('a box that neither reads nor is told all has no report for others, though peers confirmed it', () => {
+  contact.noteConfirmed(PEER, sayNow(0), CALM_MS);
   contact.noteFailure();
   expect(contact.readKind(CALM_MS)).toBe('peers');
-  expect(contact.readWord(CALM_MS)).toBeUndefined();
+  expect(contact.readReport(CALM_MS)).toBeUndefined();
   contact.noteTold(PEER, 700, CALM_MS);
-  expect(contact.readWord(CALM_MS)).toEqual(sayNow(700));
-  expect(contact.readWord(CALM_MS + 2_000)).toBeUndefined();
+  expect(contact.readReport(CALM_MS)).toEqual(sayNow(700));
+  expect(contact.readReport(CALM_MS + 2_000)).toBeUndefined();
 });
 
 test('a box that rests, whose last own answer is old, vouches only by what it is told', () => {
-  expect(contact.readWord(CALM_MS + 3_900)).toEqual(sayNow(0));
-  expect(contact.readWord(CALM_MS + 4_000)).toBeUndefined();
+  expect(contact.readReport(CALM_MS + 3_900)).toEqual(sayNow(0));
+  expect(contact.readReport(CALM_MS + 4_000)).toBeUndefined();
 });
 
 test('a box tells others of an outage that it saw, not of its own start nor of what it heard', () => {
   const started = new PlatformContact();
   started.noteAnswer(0);
-  expect(started.readWord(0)).toEqual(sayNow(0));
-  started.noteVouched(PEER, sayNow(1_000), 100);
-  expect(started.readWord(100)).toEqual(sayNow(0));
+  expect(started.readReport(0)).toEqual(sayNow(0));
+  started.noteConfirmed(PEER, sayNow(1_000), 100);
+  expect(started.readReport(100)).toEqual(sayNow(0));
   contact.noteFailure();
   contact.noteAnswer(CALM_MS + 300);
-  expect(contact.readWord(CALM_MS + 300)).toEqual(sayNow(2_000));
+  expect(contact.readReport(CALM_MS + 300)).toEqual(sayNow(2_000));
 });
 
 test('a box that was told does not pass on doubts that come of its own isolation', () => {
   contact.noteFailure();
   contact.noteTold(PEER, 0, CALM_MS);
   expect(contact.readUnsettledMs(CALM_MS)).toBe(2_000);
-  expect(contact.readWord(CALM_MS)).toEqual(sayNow(0));
+  expect(contact.readReport(CALM_MS)).toEqual(sayNow(0));
 });
 
-test('what peers said before the doubt ended does not show who is back by then: the next word does', () => {
+test('what peers said before the doubt ended does not show who is back by then: the next report does', () => {
   contact.noteFailure();
-  contact.noteVouched(PEER, sayNow(0), CALM_MS);
-  contact.noteVouched(PEER, sayNow(0), CALM_MS + 1_500);
+  contact.noteConfirmed(PEER, sayNow(0), CALM_MS);
+  contact.noteConfirmed(PEER, sayNow(0), CALM_MS + 1_500);
   expect(contact.readUnsettledMs(CALM_MS + 2_100)).toBeGreaterThan(0);
-  contact.noteVouched(PEER, sayNow(0), CALM_MS + 2_200);
+  contact.noteConfirmed(PEER, sayNow(0), CALM_MS + 2_200);
   expect(contact.readUnsettledMs(CALM_MS + 2_200)).toBe(0);
 });
 
-test('a word from second hand is as old as what its teller was told', () => {
+test('a report from second hand is as old as what its teller was told', () => {
   contact.noteTold(PEER, 0, CALM_MS);
   contact.noteFailure();
-  expect(contact.readWord(CALM_MS + 1_500)).toEqual({ doubtMs: 0, saidAgoMs: 1_500 });
+  expect(contact.readReport(CALM_MS + 1_500)).toEqual({ doubtMs: 0, saidAgoMs: 1_500 });
   const reader = new PlatformContact();
-  reader.noteVouched(PEER, { doubtMs: 0, saidAgoMs: 1_500 }, CALM_MS);
+  reader.noteConfirmed(PEER, { doubtMs: 0, saidAgoMs: 1_500 }, CALM_MS);
   expect(reader.readKind(CALM_MS + 499)).toBe('peers');
   expect(reader.readKind(CALM_MS + 500)).toBe('none');
 });
 
 test('a box that hears only second-hand words trusts the list all the time', () => {
-  contact.noteVouched(PEER, { doubtMs: 0, saidAgoMs: 500 }, CALM_MS);
+  contact.noteConfirmed(PEER, { doubtMs: 0, saidAgoMs: 500 }, CALM_MS);
   contact.noteFailure();
   for (let ms = CALM_MS; ms < CALM_MS + CUT_MS; ms += TICK_MS) {
-    contact.noteVouched(PEER, { doubtMs: 0, saidAgoMs: 500 }, ms);
+    contact.noteConfirmed(PEER, { doubtMs: 0, saidAgoMs: 500 }, ms);
     expect(contact.readUnsettledMs(ms)).toBe(0);
   }
 });
@@ -144,6 +144,6 @@
 });
 
 function exchangeWords(from: PlatformContact, to: PlatformContact, address: string, nowMs: number): void {
-  const word = from.readWord(nowMs);
-  if (word !== undefined) to.noteVouched(address, word, nowMs);
+  const report = from.readReport(nowMs);
+  if (report !== undefined) to.noteConfirmed(address, report, nowMs);
 }
--- a/packages/router/src/__tests__/restoredPlatform.test.ts
+++ b/packages/router/src/__tests__/restoredPlatform.test.ts
@@ -25,7 +25,7 @@
   endpoints,
   lapsed: [],
   address: FOLLOWER,
-  platformWord: undefined,
+  platformReport: undefined,
   ...changes,
 });
 
--- a/packages/router/src/membership/__fixtures__/virtualNetwork.ts
+++ b/packages/router/src/membership/__fixtures__/virtualNetwork.ts
@@ -1,6 +1,6 @@
 /** Connections between boxes in virtual time: delay, cuts one way and both, boxes without power, paused or killed. */
 import type { Timeline } from '@hazelwalk/standins';
-import { PeerFrameReader } from '../../peers/peerFrames.js';
+import { PeerFrameReader } from '../../peers/peerFrameCodec.js';
 import type { PeerFrame } from '../../peers/peerFrames.js';
 import type { ConnectionEvents, PeerConnection, PeerTransport } from '../../peers/peerTransport.js';
 
--- a/packages/router/src/observability/quarantineLog.ts
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -1,4 +1,4 @@
-/** Tells operators which requests are held against crashes, and by whose word. */
+/** Tells operators which requests are held against crashes, and by whose report. */
 import { readLastCrashMs } from '../quarantine/crashedRuns.js';
 import type { OnQuarantineChange } from '../quarantine/quarantine.js';
 import type { CrashNewsDelays } from '../quarantine/quarantineRelay.js';
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -77,7 +77,7 @@
       from: from ?? revision,
       revision,
       era: publication.era ?? state.listPosition.era,
-      unsettledMs: state.platformWord?.doubtMs ?? 0,
+      unsettledMs: state.platformReport?.doubtMs ?? 0,
       configurationVersion: state.configurationVersion,
       configurationChars: state.configurationChars,
       isConfigurationChangeSmall: this.isNewsSmall,
--- a/packages/router/src/peers/heartbeats.ts
+++ b/packages/router/src/peers/heartbeats.ts
@@ -68,7 +68,7 @@
       configurationVersion: state.configurationVersion,
       endpointsRevision: state.listPosition.revision,
       era: state.listPosition.era,
-      platformWord: state.platformWord,
+      platformReport: state.platformReport,
       loads: mesh.isFlat ? listOwnLoads(table) : [],
       homes: [...homes],
       incarnation: mesh.incarnation,
--- /dev/null
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -0,0 +1,103 @@
+/** Encodes and decodes the frames between boxes: CBOR with a length in front. */
+import { Err, Ok } from '@hazelwalk/core';
+import type { Problem, Result } from '@hazelwalk/core';
+import { Encoder } from 'cbor-x';
+import type { PeerFrame } from './peerFrames.js';
+import { peerFrame } from './peerFrames.js';
+
+const LENGTH_BYTES = 4;
+/** A configuration holds at most a megabyte; the rest is small. */
+const MAX_FRAME_BYTES = 2_000_000;
+
+/** Fields travel as numbers: a heartbeat goes to every box several times a second. Numbers are never used again. */
+const FIELD_NUMBERS = {
+  type: 1,
+  hall: 2,
+  address: 3,
+  configurationVersion: 4,
+  endpointsRevision: 5,
+  loads: 6,
+  incarnation: 7,
+  isStopping: 8,
+  feed: 9,
+  boxes: 10,
+  linkMbps: 11,
+  homes: 12,
+  sequence: 13,
+  isRelayed: 14,
+  passTo: 15,
+  platformReport: 16,
+  doubtMs: 17,
+  saidAgoMs: 18,
+  coverage: 19,
+  ageMs: 20,
+  prompts: 21,
+  content: 22,
+  endpointTag: 23,
+  sentAtMs: 24,
+  endedAtMs: 25,
+  endedAgoMs: 26,
+  witness: 27,
+  crashes: 28,
+  cleared: 29,
+  hops: 30,
+  condemned: 31,
+} as const;
+
+const cbor = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  keyMap: { ...FIELD_NUMBERS },
+  tagUint8Array: false,
+});
+
+/**
+ * Encodes a frame with its length in front.
+ *
+ * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [], homes: [], prompts: [] }))
+ */
+export function encodePeerFrame(frame: PeerFrame): Buffer {
+  const payload = cbor.encode(frame);
+  const packet = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  packet.writeUInt32BE(payload.length, 0);
+  payload.copy(packet, LENGTH_BYTES);
+  return packet;
+}
+
+function decodePayload(payload: Buffer): Result<PeerFrame, Problem> {
+  try {
+    const parsed = peerFrame.safeParse(cbor.decode(payload));
+    if (parsed.success) return Ok(parsed.data);
+    return Err({
+      code: 'frameMalformed',
+      at: 'peer',
+      detail: parsed.error.issues[0]?.message ?? 'unknown frame',
+    });
+  } catch (error) {
+    return Err({ code: 'frameMalformed', at: 'peer', detail: (error as Error).message });
+  }
+}
+
+/** Collects the bytes of one link. After an error the link must be closed. */
+export class PeerFrameReader {
+  private pending: Buffer = Buffer.alloc(0);
+
+  /** Adds a chunk; returns the frames it completed. */
+  push(chunk: Buffer): Result<PeerFrame[], Problem> {
+    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const frames: PeerFrame[] = [];
+    while (this.pending.length >= LENGTH_BYTES) {
+      const length = this.pending.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) {
+        return Err({ code: 'frameTooLarge', at: 'peer', detail: `${length} bytes` });
+      }
+      const end = LENGTH_BYTES + length;
+      if (this.pending.length < end) break;
+      const frame = decodePayload(this.pending.subarray(LENGTH_BYTES, end));
+      if (frame.err) return frame;
+      frames.push(frame.val);
+      this.pending = this.pending.subarray(end);
+    }
+    return Ok(frames);
+  }
+}
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -1,19 +1,12 @@
 /**
- * What boxes tell each other: heartbeats with loads and versions, and the published values to those that lack them.
- * Frames are CBOR with a length in front.
+ * What boxes tell each other: heartbeats with loads and versions, and the published values to those that lack them. How frames
+ * are encoded: `peerFrameCodec.ts`.
  */
-import { Err, Ok } from '@hazelwalk/core';
-import type { Problem, Result } from '@hazelwalk/core';
-import { Encoder } from 'cbor-x';
 import * as z from 'zod';
 import type { ListedEndpoint } from '../records.js';
-import type { PlatformWord } from '../systems/platformContact.js';
+import type { PlatformReport } from '../systems/platformContact.js';
 import { configurationChange, fleetConfiguration } from './configurationSchema.js';
 
-const LENGTH_BYTES = 4;
-/** A configuration holds at most a megabyte; the rest is small. */
-const MAX_FRAME_BYTES = 2_000_000;
-
 /** Lists of numbers are most of what large frames hold; the library would check each entry by a schema of its own. */
 const numberList = z.custom<number[]>(
   (value) => Array.isArray(value) && value.every((entry) => Number.isFinite(entry)),
@@ -32,14 +25,14 @@
 }) satisfies z.ZodType<ListedEndpoint>;
 
 /** What the sender knows of the platform; absent if it neither reads it nor is told all by a box that does. */
-const platformWord = z
+const platformReport = z
   .object({
     /** For how long an entry that vanishes may only have lapsed. */
     doubtMs: z.number().nonnegative(),
     /** How long ago the sender was told, if it does not read the platform itself. */
     saidAgoMs: z.number().nonnegative(),
   })
-  .optional() satisfies z.ZodType<PlatformWord | undefined>;
+  .optional() satisfies z.ZodType<PlatformReport | undefined>;
 
 /** A run of a request that ended with its endpoint. */
 const crashedRunReport = z.object({
@@ -81,7 +74,7 @@
   endpointsRevision: z.number(),
   /** Era of that revision; increases when a restore resets the revisions. Omitted by earlier versions. */
   era: z.number().default(0),
-  platformWord,
+  platformReport,
   /** Tag of an endpoint and the requests that the sender has there, in turn. */
   loads: numberList,
   /** A prompt and an endpoint that holds it, in turn: what the reader may not know. */
@@ -195,7 +188,7 @@
   evacuatedHalls: z.array(z.string()).optional(),
   /** Address of the sender. */
   address: z.string().default(''),
-  platformWord,
+  platformReport,
 });
 const feedNotice = z.object({
   type: z.literal('feedNotice'),
@@ -279,7 +272,8 @@
   /** Requests, by content, that an endpoint answered whole. */
   cleared: z.array(z.string()),
 });
-const peerFrame = z.discriminatedUnion('type', [
+/** Checks a decoded frame. */
+export const peerFrame = z.discriminatedUnion('type', [
   heartbeat,
   heartbeatHeard,
   introduction,
@@ -368,96 +362,3 @@
 export function isMembershipFrame(frame: PeerFrame): frame is MembershipFrame {
   return (MEMBERSHIP_TYPES as readonly string[]).includes(frame.type);
 }
-
-/** Fields travel as numbers: a heartbeat goes to every box several times a second. Numbers are never used again. */
-const FIELD_NUMBERS = {
-  type: 1,
-  hall: 2,
-  address: 3,
-  configurationVersion: 4,
-  endpointsRevision: 5,
-  loads: 6,
-  incarnation: 7,
-  isStopping: 8,
-  feed: 9,
-  boxes: 10,
-  linkMbps: 11,
-  homes: 12,
-  sequence: 13,
-  isRelayed: 14,
-  passTo: 15,
-  platformWord: 16,
-  doubtMs: 17,
-  saidAgoMs: 18,
-  coverage: 19,
-  ageMs: 20,
-  prompts: 21,
-  content: 22,
-  endpointTag: 23,
-  sentAtMs: 24,
-  endedAtMs: 25,
-  endedAgoMs: 26,
-  witness: 27,
-  crashes: 28,
-  cleared: 29,
-  hops: 30,
-  condemned: 31,
-} as const;
-
-const cbor = new Encoder({
-  useRecords: false,
-  mapsAsObjects: true,
-  keyMap: { ...FIELD_NUMBERS },
-  tagUint8Array: false,
-});
-
-/**
- * Encodes a frame with its length in front.
- *
- * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [], homes: [], prompts: [] }))
- */
-export function encodePeerFrame(frame: PeerFrame): Buffer {
-  const payload = cbor.encode(frame);
-  const packet = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
-  packet.writeUInt32BE(payload.length, 0);
-  payload.copy(packet, LENGTH_BYTES);
-  return packet;
-}
-
-function decodePayload(payload: Buffer): Result<PeerFrame, Problem> {
-  try {
-    const parsed = peerFrame.safeParse(cbor.decode(payload));
-    if (parsed.success) return Ok(parsed.data);
-    return Err({
-      code: 'frameMalformed',
-      at: 'peer',
-      detail: parsed.error.issues[0]?.message ?? 'unknown frame',
-    });
-  } catch (error) {
-    return Err({ code: 'frameMalformed', at: 'peer', detail: (error as Error).message });
-  }
-}
-
-/** Collects the bytes of one link. After an error the link must be closed. */
-export class PeerFrameReader {
-  private pending: Buffer = Buffer.alloc(0);
-
-  /** Adds a chunk; returns the frames it completed. */
-  push(chunk: Buffer): Result<PeerFrame[], Problem> {
-    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const frames: PeerFrame[] = [];
-    while (this.pending.length >= LENGTH_BYTES) {
-      const length = this.pending.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) {
-        return Err({ code: 'frameTooLarge', at: 'peer', detail: `${length} bytes` });
-      }
-      const end = LENGTH_BYTES + length;
-      if (this.pending.length < end) break;
-      const frame = decodePayload(this.pending.subarray(LENGTH_BYTES, end));
-      if (frame.err) return frame;
-      frames.push(frame.val);
-      this.pending = this.pending.subarray(end);
-    }
-    return Ok(frames);
-  }
-}
--- a/packages/router/src/peers/peerLinks.ts
+++ b/packages/router/src/peers/peerLinks.ts
@@ -1,6 +1,6 @@
 /** The links that a box made: kept to the addresses that it needs, made anew where they are missing or stuck. */
 import type { PeerFrame } from './peerFrames.js';
-import { encodePeerFrame } from './peerFrames.js';
+import { encodePeerFrame } from './peerFrameCodec.js';
 import type { ConnectionEvents, PeerConnection, PeerTransport } from './peerTransport.js';
 
 /** Pace of attempts to reach a peer that was heard lately. */
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -7,7 +7,8 @@
 import { FailureDetector } from '../membership/failureDetector.js';
 import { FleetDirectory } from '../membership/fleetDirectory.js';
 import type { HallSummary, Heartbeat, MembershipFrame, PeerFrame, RouterFrame } from './peerFrames.js';
-import { encodePeerFrame, isMembershipFrame } from './peerFrames.js';
+import { encodePeerFrame } from './peerFrameCodec.js';
+import { isMembershipFrame } from './peerFrames.js';
 import { PeerLinks } from './peerLinks.js';
 import type { ConnectionEvents, PeerConnection, PeerTransport } from './peerTransport.js';
 
--- a/packages/router/src/peers/peerTransport.ts
+++ b/packages/router/src/peers/peerTransport.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Problem } from '@hazelwalk/core';
 import type { PeerFrame } from './peerFrames.js';
-import { PeerFrameReader } from './peerFrames.js';
+import { PeerFrameReader } from './peerFrameCodec.js';
 
 /** What happens on a connection. After `onClosed` nothing more comes. */
 export interface ConnectionEvents {
--- a/packages/router/src/peers/peerValues.ts
+++ b/packages/router/src/peers/peerValues.ts
@@ -55,12 +55,12 @@
     const isNewer = heartbeat.configurationVersion > state.configurationVersion;
     // A box that knows nothing yet has nothing to wait for.
     const lacksConfiguration = isNewer && (isOverdue || !state.isInformed);
-    const { address, platformWord, era, endpointsRevision } = heartbeat;
+    const { address, platformReport, era, endpointsRevision } = heartbeat;
     const position = { era, revision: endpointsRevision };
     const own = state.listPosition;
     const lacksEndpoints = isNewerPosition(position, own);
-    if (platformWord === undefined) state.noteWithdrawn(address);
-    else if (!lacksEndpoints && era === own.era) state.noteVouched(address, platformWord);
+    if (platformReport === undefined) state.noteWithdrawn(address);
+    else if (!lacksEndpoints && era === own.era) state.noteConfirmed(address, platformReport);
     const isStuck = this.isListStuck(position);
     const mustAsk = era > own.era || isStuck || !state.isFollowing;
     this.ask(heartbeat.address, lacksConfiguration, lacksEndpoints && mustAsk);
@@ -116,7 +116,7 @@
           lapsed: state.listEndpoints('lapsed'),
           evacuatedHalls: state.evacuations.list(),
           address: mesh.address,
-          platformWord: state.platformWord,
+          platformReport: state.platformReport,
         });
         return;
     }
@@ -125,10 +125,10 @@
   /** Takes over the whole list of endpoints that a peer told, unless this box has a newer one. */
   takeEndpoints(value: EndpointsValue): void {
     const { state } = this.options;
-    const { era, revision, endpoints, lapsed, evacuatedHalls, address, platformWord } = value;
+    const { era, revision, endpoints, lapsed, evacuatedHalls, address, platformReport } = value;
     const position = { era, revision };
     if (isNewerPosition(state.listPosition, position)) return;
-    if (platformWord !== undefined) state.noteVouched(address, platformWord);
+    if (platformReport !== undefined) state.noteConfirmed(address, platformReport);
     if (!isNewerPosition(position, state.listPosition)) return;
     const endpointChanges = [{ type: 'snapshot', endpoints, lapsed }] as const;
     // A box that does not know of such orders says nothing about them.
--- a/packages/router/src/systems/endpointHealth.ts
+++ b/packages/router/src/systems/endpointHealth.ts
@@ -2,7 +2,7 @@
  * Judges endpoints by their traffic, as this box sees it: a link may be broken for one hall only.
  */
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
-import { supposeCold } from '../tables/endpointTable.js';
+import { assumeCold } from '../tables/endpointTable.js';
 
 /** How a request at an endpoint ended, as far as it tells about the endpoint. */
 export type HealthSign =
@@ -98,7 +98,7 @@
   row.heardAtMs = nowMs;
   if (row.standing.type !== 'unreachable') return undefined;
   // What listens there now has started a moment ago, and its entry may not say so yet.
-  if (row.standing.hasEnded) supposeCold(row, nowMs);
+  if (row.standing.hasEnded) assumeCold(row, nowMs);
   row.standing = { type: 'good' };
   row.consecutiveFailures = 0;
   return 'restored';
--- a/packages/router/src/systems/platformContact.ts
+++ b/packages/router/src/systems/platformContact.ts
@@ -1,5 +1,5 @@
 /**
- * Whether what this box knows of the platform is current, by its own calls or by the word of peers that read it.
+ * Whether what this box knows of the platform is current, by its own calls or by the reports of peers that read it.
  *
  * Entries of live endpoints vanish while the platform is away, so an entry that vanishes then does not prove that its
  * endpoint leaves. Calls of this box that fail do not show that the platform is away: only its own way may be cut, while
@@ -13,22 +13,22 @@
  * For so long what a peer said of the platform holds. Peers speak once a second or more often. An outage that fits in lets no
  * entry lapse: that takes three signs of life of an endpoint, 1.2 s apart.
  */
-const WORD_LIFE_MS = 2_000;
+const REPORT_LIFE_MS = 2_000;
 /** For so long an own answer is news: a waiting call lasts up to 3 s, and is found to be lost 0.9 s later. */
 const ANSWER_LIFE_MS = 4_000;
 
 /** What a box tells another of its contact with the platform. */
-export interface PlatformWord {
+export interface PlatformReport {
   /** For how long an entry that vanishes may only have lapsed. */
   readonly doubtMs: number;
-  /** How old the word is: a box that does not read the platform itself was told so long ago. */
+  /** How old the report is: a box that does not read the platform itself was told so long ago. */
   readonly saidAgoMs: number;
 }
 
-/** As of when the words of a peer are. */
-interface PeerWord {
+/** Times of the last reports of a peer. */
+interface PeerReport {
   /** It had nothing newer than this box. */
-  readonly vouchedAtMs: number;
+  readonly confirmedAtMs: number;
   /** It told all that was new. */
   readonly toldAtMs: number;
 }
@@ -40,8 +40,8 @@
 export class PlatformContact {
   private isReading = false;
   private answeredAtMs = -Infinity;
-  /** Words of peers that hold, by address. */
-  private readonly words = new Map<string, PeerWord>();
+  /** Reports of peers that still hold, by address. */
+  private readonly reports = new Map<string, PeerReport>();
   /** Until then an entry that vanishes may only have lapsed. */
   private settledAtMs = 0;
   /** The same, as far as this box saw it as it read the platform: what it tells others. */
@@ -76,36 +76,37 @@
 
   /** A peer that follows the platform told all that changed; entries that vanish may have lapsed for so long. */
   noteTold(address: string, unsettledMs: number, nowMs: number): void {
-    this.noteVouched(address, { doubtMs: unsettledMs, saidAgoMs: 0 }, nowMs);
-    this.words.set(address, { vouchedAtMs: nowMs, toldAtMs: nowMs });
+    this.noteConfirmed(address, { doubtMs: unsettledMs, saidAgoMs: 0 }, nowMs);
+    this.reports.set(address, { confirmedAtMs: nowMs, toldAtMs: nowMs });
     this.toldSettledAtMs = Math.max(this.toldSettledAtMs, nowMs + unsettledMs);
   }
 
   /** A peer that is in touch with the platform has nothing newer than this box. */
-  noteVouched(address: string, word: PlatformWord, nowMs: number): void {
-    const vouchedAtMs = nowMs - word.saidAgoMs;
-    if (!holds(vouchedAtMs, nowMs)) return;
+  noteConfirmed(address: string, report: PlatformReport, nowMs: number): void {
+    const confirmedAtMs = nowMs - report.saidAgoMs;
+    if (!holds(confirmedAtMs, nowMs)) return;
     this.noteReturn(nowMs);
-    const toldAtMs = this.words.get(address)?.toldAtMs ?? -Infinity;
-    this.words.set(address, { vouchedAtMs, toldAtMs });
-    // A word without a doubt ends none and begins none: one from second hand is older than its arrival.
-    if (word.doubtMs > 0) this.settledAtMs = Math.max(this.settledAtMs, nowMs + word.doubtMs);
+    const toldAtMs = this.reports.get(address)?.toldAtMs ?? -Infinity;
+    this.reports.set(address, { confirmedAtMs, toldAtMs });
+    // A report without a doubt ends none and begins none: one from second hand is older than its arrival.
+    if (report.doubtMs > 0) this.settledAtMs = Math.max(this.settledAtMs, nowMs + report.doubtMs);
   }
 
   /** A peer is not in touch with the platform any more: in an outage of the platform all say so within half a second. */
   noteWithdrawn(address: string): void {
-    this.words.delete(address);
+    this.reports.delete(address);
   }
 
-  /** Forgets words that no longer hold. Runs once a tick. */
+  /** Forgets reports that no longer hold. Runs once a tick. */
   tick(nowMs: number): void {
-    for (const [address, word] of this.words) if (!holds(word.vouchedAtMs, nowMs)) this.words.delete(address);
+    for (const [address, report] of this.reports)
+      if (!holds(report.confirmedAtMs, nowMs)) this.reports.delete(address);
   }
 
   /** By whom this box knows what the platform publishes. */
   readKind(nowMs: number): ContactKind {
     if (this.isReading) return 'own';
-    return holds(this.readNewest('vouchedAtMs'), nowMs) ? 'peers' : 'none';
+    return holds(this.readNewest('confirmedAtMs'), nowMs) ? 'peers' : 'none';
   }
 
   /** Whether every change reaches this box by itself: it need not ask for the list. */
@@ -120,21 +121,21 @@
       case 'own':
         return leftMs;
       case 'peers':
-        // What peers said before the doubt ended may lack who has come back since: the next word settles it.
-        return this.readNewest('vouchedAtMs') >= this.settledAtMs ? 0 : Math.max(1, leftMs);
+        // What peers said before the doubt ended may lack who has come back since: the next report settles it.
+        return this.readNewest('confirmedAtMs') >= this.settledAtMs ? 0 : Math.max(1, leftMs);
       case 'none':
         return Infinity;
     }
   }
 
   /**
-   * What this box can tell peers; undefined if it neither reads the platform nor is told all by a box that does. Words of
-   * other peers are not passed on, or boxes that are cut off would vouch for each other. A box that was told passes on its
+   * What this box can tell peers; undefined if it neither reads the platform nor is told all by a box that does. Reports
+   * of other peers are not passed on, or boxes that are cut off would confirm each other. A box that was told passes on its
    * teller's doubt, not that of its own isolation, or each box that is back would spread it to all.
    *
-   * @example new PlatformContact().readWord(0) // undefined
+   * @example new PlatformContact().readReport(0) // undefined
    */
-  readWord(nowMs: number): PlatformWord | undefined {
+  readReport(nowMs: number): PlatformReport | undefined {
     if (this.isReading && nowMs - this.answeredAtMs < ANSWER_LIFE_MS) {
       return { doubtMs: readLeftMs(this.ownSettledAtMs, nowMs), saidAgoMs: 0 };
     }
@@ -146,8 +147,8 @@
     };
   }
 
-  private readNewest(kind: keyof PeerWord): number {
-    return Math.max(-Infinity, ...[...this.words.values()].map((word) => word[kind]));
+  private readNewest(kind: keyof PeerReport): number {
+    return Math.max(-Infinity, ...[...this.reports.values()].map((report) => report[kind]));
   }
 
   /** Whoever was in touch all the time saw no outage, whoever of them answers now. */
@@ -157,7 +158,7 @@
 }
 
 function holds(saidAtMs: number, nowMs: number): boolean {
-  return nowMs - saidAtMs < WORD_LIFE_MS;
+  return nowMs - saidAtMs < REPORT_LIFE_MS;
 }
 
 /** Whole milliseconds until a time: they travel in fewer bytes. */
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -8,7 +8,7 @@
 import type { RouterMetrics } from '../observability/metrics.js';
 import type { CallerLimits, FleetConfiguration, ListedEndpoint } from '../records.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
-import { supposeCold } from '../tables/endpointTable.js';
+import { assumeCold } from '../tables/endpointTable.js';
 import type { ChangeFailure, ConfigurationChange } from './configurationChange.js';
 import {
   applyConfigurationChange,
@@ -22,7 +22,7 @@
 import { Evacuations } from './evacuations.js';
 import type { ListPosition } from './listPosition.js';
 import { isNewerPosition, NO_LIST } from './listPosition.js';
-import type { ContactKind, PlatformWord } from './platformContact.js';
+import type { ContactKind, PlatformReport } from './platformContact.js';
 import { PlatformContact } from './platformContact.js';
 import { RouteIndex } from './routeIndex.js';
 
@@ -124,8 +124,8 @@
   }
 
   /** What peers are told of the platform; undefined if this box cannot say. */
-  get platformWord(): PlatformWord | undefined {
-    return this.contact.readWord(this.options.now());
+  get platformReport(): PlatformReport | undefined {
+    return this.contact.readReport(this.options.now());
   }
 
   /** Whether the box knows what to serve and where. */
@@ -216,7 +216,7 @@
     for (const change of evacuationChanges) this.applyEvacuationChange(change, source);
     for (const change of endpointChanges) this.applyEndpointChange(change, position.revision, source);
     this.measureLapsed();
-    this.tellIfInformed(wasInformed);
+    this.notifyOnceInformed(wasInformed);
   }
 
   /** The platform does not answer this box. */
@@ -234,8 +234,8 @@
   }
 
   /** A peer that is in touch with the platform has nothing newer than this box. */
-  noteVouched(address: string, word: PlatformWord): void {
-    this.contact.noteVouched(address, word, this.options.now());
+  noteConfirmed(address: string, report: PlatformReport): void {
+    this.contact.noteConfirmed(address, report, this.options.now());
     this.noteContact();
   }
 
@@ -333,7 +333,7 @@
       source,
       routes: configuration.routes.length,
     });
-    this.tellIfInformed(wasInformed);
+    this.notifyOnceInformed(wasInformed);
   }
 
   /** A whole list, told as what changed in it, so that peers which had the same list need not ask for it. */
@@ -380,9 +380,9 @@
   }
 
   /** Endpoints that got nothing for a while may have been restarted meanwhile, and say so later than callers come back. */
-  private supposeHallCold(hall: string): void {
+  private assumeHallCold(hall: string): void {
     const { now, table } = this.options;
-    for (const row of table.byId.values()) if (row.listing.hall === hall) supposeCold(row, now());
+    for (const row of table.byId.values()) if (row.listing.hall === hall) assumeCold(row, now());
   }
 
   private applyEvacuationChange(change: EvacuationChange, source: ValueSource): void {
@@ -398,13 +398,13 @@
       });
     }
     for (const hall of ended) {
-      this.supposeHallCold(hall);
+      this.assumeHallCold(hall);
       log.write('lifecycle', 'evacuationTakenBack', { hall, revision: this.position.revision, source });
     }
     metrics.evacuatedHalls.set(this.evacuations.list().length);
   }
 
-  private tellIfInformed(wasInformed: boolean): void {
+  private notifyOnceInformed(wasInformed: boolean): void {
     if (!wasInformed && this.isInformed) this.options.onInformed();
   }
 
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -58,9 +58,9 @@
 /**
  * Takes an endpoint for cold until its entry must have told.
  *
- * @example supposeCold(row, performance.now()) // its process was gone a moment ago
+ * @example assumeCold(row, performance.now()) // its process was gone a moment ago
  */
-export function supposeCold(row: EndpointRow, nowMs: number): void {
+export function assumeCold(row: EndpointRow, nowMs: number): void {
   row.coldUntilMs = Math.max(row.coldUntilMs, nowMs + COLD_DOUBT_MS);
 }
 
