--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -103,6 +103,11 @@
     for (const load of this.plan.loads) this.scheduleNext(load);
   }
 
+  /** So many callers call in the same moment. */
+  callAtOnce(load: VirtualLoad, callers: number): void {
+    for (let count = 0; count < callers; count += 1) this.call(load);
+  }
+
   /** The worst share, over any window that counts, of a service's requests that met an endpoint over the bound. */
   readWorstShare(service: string): number {
     const { arrivals } = this.findTally(service);
