Split the published state and end the import circle through routerContext

What a whole list changes is worked out by snapshotDifference.ts, without state; a publication is a list of changes with its origin. routerContext names what the loop needs of a request in place of importing the class that imports it.

--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerRequest } from '../records.js';
-import type { RouterContext } from '../routerContext.js';
+import type { RouterContext, RunningRequest } from '../routerContext.js';
 import type { AnswerDelivery } from './answerDelivery.js';
 import { createDelivery } from './answerDelivery.js';
 import type { AnswerHead, Attempt, AttemptEvent, BreakReason, UnsentReason } from './attempt.js';
@@ -32,7 +32,7 @@
 const LEAST_SERVER_ERROR = 500;
 
 /** One request under way. */
-export class Exchange {
+export class Exchange implements RunningRequest {
   private readonly arrivedAtMs: number;
   private expiresAtMs = Infinity;
   private assignment: Assignment | undefined;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -4,7 +4,6 @@
 import type { RouterMetrics } from './observability/metrics.js';
 import type { CrashCheck } from './proxy/crashCheck.js';
 import type { EndpointConnections } from './proxy/endpointConnections.js';
-import type { Exchange } from './proxy/exchange.js';
 import type { Quarantine } from './quarantine/quarantine.js';
 import type { QuarantineRelay } from './quarantine/quarantineRelay.js';
 import type { AnswerFacts } from './records.js';
@@ -14,6 +13,14 @@
 import type { RouteIndex } from './systems/routeIndex.js';
 import type { EndpointRow, EndpointTable } from './tables/endpointTable.js';
 
+/** A request under way, as the loop drives it. */
+export interface RunningRequest {
+  /** Runs once a tick. */
+  tick(nowMs: number): void;
+  /** The process stood still for so long. */
+  noteStall(stalledMs: number): void;
+}
+
 /** Shared tables, systems and adapters. */
 export interface RouterContext {
   readonly dialect: HttpDialect;
@@ -29,7 +36,7 @@
   readonly metrics: RouterMetrics;
   readonly log: DecisionLog;
   /** Requests under way. */
-  readonly exchanges: Set<Exchange>;
+  readonly exchanges: Set<RunningRequest>;
   /** Monotonic milliseconds. */
   readonly now: () => number;
   readonly hash: (text: string) => number;
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -25,6 +25,8 @@
 import type { ContactKind, PlatformReport } from './platformContact.js';
 import { PlatformContact } from './platformContact.js';
 import { RouteIndex } from './routeIndex.js';
+import type { ListChanges } from './snapshotDifference.js';
+import { diffSnapshot } from './snapshotDifference.js';
 
 /** Earlier configurations from which a peer may be told the change; records are shared, so each costs little. */
 const KEPT_CONFIGURATIONS = 32;
@@ -32,20 +34,14 @@
 /** Where a published value came from. */
 export type ValueSource = 'platform' | 'peer';
 
-/** What is published of endpoints and halls; both are as new as one revision. */
-export type ListChanges = Pick<Publication, 'endpointChanges' | 'evacuationChanges'>;
-
 /** One answer of the platform to the question what is new. */
-export interface Publication {
+export interface Publication extends ListChanges {
   /** The changes are all those after this revision; undefined if they hold the whole list of endpoints. */
   readonly from: number | undefined;
   /** Revision of the platform that the answer shows. */
   readonly revision: number;
   /** Increases when the platform is restored from a backup, which resets its revision; undefined if not reported. */
   readonly era?: number | undefined;
-  readonly endpointChanges: readonly EndpointChange[];
-  /** Orders to empty halls, and their ends; all of them where the changes hold the whole list. */
-  readonly evacuationChanges: readonly EvacuationChange[];
   /** The configuration, if it is among the changes. */
   readonly configurationText: string | undefined;
 }
@@ -146,7 +142,7 @@
     const position = { era: answer.era ?? this.era, revision: answer.revision };
     this.noteEra(position, 'platform');
     const publication = { ...answer, era: position.era, ...this.screen(answer) };
-    const difference = this.toDifference(publication, position);
+    const difference = this.describeDifference(publication, position);
     // An answer that peers have overtaken would bring back endpoints that they said are gone.
     if (isNewerPosition(this.position, position)) this.logOutdatedList(publication);
     else this.applyLists(publication, position, 'platform');
@@ -337,33 +333,12 @@
   }
 
   /** A whole list, told as what changed in it, so that peers which had the same list need not ask for it. */
-  private toDifference(publication: Publication, position: ListPosition): Publication {
-    const [whole] = publication.endpointChanges;
-    const isOtherEra = position.era !== this.position.era;
-    const isOlder = position.revision < this.position.revision;
-    if (whole?.type !== 'snapshot' || this.position === NO_LIST || isOtherEra || isOlder) return publication;
+  private describeDifference(publication: Publication, position: ListPosition): Publication {
+    const isComparable = this.position !== NO_LIST && position.era === this.position.era;
+    if (!isComparable || position.revision < this.position.revision) return publication;
     const { byId } = this.options.table;
-    const ids = new Set(whole.endpoints.map((endpoint) => endpoint.id));
-    const gone = [...byId.keys()].filter((id) => !ids.has(id));
-    const written = whole.endpoints.filter(
-      (endpoint) => !isSameListing(byId.get(endpoint.id)?.listing, endpoint),
-    );
-    const ordered = publication.evacuationChanges.flatMap((change) =>
-      change.type === 'snapshot' ? change.halls : [],
-    );
-    const ended = this.evacuations.list().filter((hall) => !ordered.includes(hall));
-    return {
-      ...publication,
-      from: this.position.revision,
-      evacuationChanges: [
-        ...ordered.map((hall) => ({ type: 'ordered', hall }) as const),
-        ...ended.map((hall) => ({ type: 'takenBack', hall }) as const),
-      ],
-      endpointChanges: [
-        ...written.map((endpoint) => ({ type: 'listed', endpoint }) as const),
-        ...gone.map((id) => ({ type: 'removed', id }) as const),
-      ],
-    };
+    const changes = diffSnapshot(publication, byId, this.evacuations.list());
+    return changes === undefined ? publication : { ...publication, ...changes, from: this.position.revision };
   }
 
   private applyEndpointChange(change: EndpointChange, revision: number, source: ValueSource): void {
@@ -437,15 +412,3 @@
 function toLogMs(ms: number): number | undefined {
   return Number.isFinite(ms) ? Math.ceil(ms) : undefined;
 }
-
-function isSameListing(a: ListedEndpoint | undefined, b: ListedEndpoint): boolean {
-  return (
-    a !== undefined &&
-    a.state === b.state &&
-    a.host === b.host &&
-    a.port === b.port &&
-    a.slots === b.slots &&
-    a.coldMs === b.coldMs &&
-    a.bornMs === b.bornMs
-  );
-}
