--- a/packages/router/src/observability/workMeter.ts
+++ b/packages/router/src/observability/workMeter.ts
@@ -8,7 +8,7 @@
 
 /** Time between two reports. */
 const REPORT_MS = 1_000;
-/** Share of a core above which a second is logged: one and a half times what a box with few callers uses. */
+/** Share of a core from which a second is logged. */
 const BUSY_SHARE = 0.15;
 const US_PER_MS = 1_000;
 
