Simplify the work meter; one spelling of an attempt that is over

Work of one kind within work of the same kind counted twice (a configuration that is read alone is parsed within its own measurement) and read the clock in vain; it is part of the outer one now, with a test. Totals are replaced at each report in place of being copied and reset, and keyed by kind, so that no kind can be missing. No other change of behaviour.

--- a/packages/router/src/__tests__/workMeter.test.ts
+++ b/packages/router/src/__tests__/workMeter.test.ts
@@ -67,3 +67,11 @@
   expect(await readWorkMs('lists')).toBe(11);
   expect(await readWorkMs('configuration')).toBe(5);
 });
+
+test('work within work of the same kind is part of it', () => {
+  meter.measure('configuration', () => meter.measure('configuration', () => (nowMs += 20)));
+  processorUs = 200_000;
+  nowMs = SECOND_MS;
+  meter.tick(nowMs);
+  expect(lines).toEqual([expect.objectContaining({ configurationMs: 20, configurationCount: 1 })]);
+});
--- a/packages/router/src/observability/workMeter.ts
+++ b/packages/router/src/observability/workMeter.ts
@@ -50,11 +50,16 @@
   count: number;
 }
 
+type WorkTotals = Readonly<Record<WorkKind, WorkTotal>>;
+
+function createTotals(): WorkTotals {
+  return Object.fromEntries(WORK_KINDS.map((kind) => [kind, { spentMs: 0, count: 0 }])) as WorkTotals;
+}
+
 /** Measures the work of one box. */
 export class WorkMeter {
-  private readonly totals = new Map<WorkKind, WorkTotal>(
-    WORK_KINDS.map((kind) => [kind, { spentMs: 0, count: 0 }]),
-  );
+  /** Since the last report. */
+  private totals = createTotals();
   private current: WorkKind | undefined;
   private switchedAtMs = 0;
   private gcMs = 0;
@@ -70,19 +75,20 @@
   }
 
   /**
-   * Runs some work and attributes its time to a kind. Work of another kind within it counts for that kind alone.
+   * Runs some work and attributes its time to a kind. Work of another kind within it counts for that kind alone; work of the
+   * same kind within it is part of it.
    *
    * @example meter.measure('loads', () => relay.tick());
    */
   measure<T>(kind: WorkKind, work: () => T): T {
     const outer = this.current;
+    if (outer === kind) return work();
     this.switchTo(kind);
     try {
       return work();
     } finally {
       this.switchTo(outer);
-      const total = this.totals.get(kind);
-      if (total !== undefined) total.count += 1;
+      this.totals[kind].count += 1;
     }
   }
 
@@ -98,8 +104,7 @@
 
   private switchTo(kind: WorkKind | undefined): void {
     const nowMs = this.options.now();
-    const total = this.current === undefined ? undefined : this.totals.get(this.current);
-    if (total !== undefined) total.spentMs += nowMs - this.switchedAtMs;
+    if (this.current !== undefined) this.totals[this.current].spentMs += nowMs - this.switchedAtMs;
     this.current = kind;
     this.switchedAtMs = nowMs;
   }
@@ -110,40 +115,28 @@
     const processorMs = readProcessorMs();
     const usedMs = processorMs - this.reportedProcessorMs;
     this.reportedProcessorMs = processorMs;
-    const spent = this.takeTotals();
+    const { totals } = this;
+    this.totals = createTotals();
     const { log, metrics } = this.options;
     metrics.processorMs.inc(usedMs);
-    for (const [kind, { spentMs }] of spent) metrics.workMs.inc({ kind }, spentMs);
+    for (const kind of WORK_KINDS) metrics.workMs.inc({ kind }, totals[kind].spentMs);
     metrics.workMs.inc({ kind: 'garbageCollection' }, this.gcMs);
     if (usedMs >= BUSY_SHARE * spanMs)
-      log.write('notable', 'busySecond', this.describe(spanMs, usedMs, spent));
+      log.write('notable', 'busySecond', this.describe(spanMs, usedMs, totals));
     this.gcMs = 0;
   }
 
-  private takeTotals(): [WorkKind, WorkTotal][] {
-    const spent = [...this.totals].map(([kind, total]) => [kind, { ...total }] as [WorkKind, WorkTotal]);
-    for (const total of this.totals.values()) {
-      total.spentMs = 0;
-      total.count = 0;
-    }
-    return spent;
-  }
-
-  private describe(
-    spanMs: number,
-    usedMs: number,
-    spent: readonly [WorkKind, WorkTotal][],
-  ): Record<string, number> {
-    const kinds = spent.flatMap(([kind, { spentMs, count }]) => [
-      [`${kind}Ms`, roundToTenth(spentMs)],
-      [`${kind}Count`, count],
-    ]);
-    const totals = {
+  private describe(spanMs: number, usedMs: number, totals: WorkTotals): Record<string, number> {
+    const fields: Record<string, number> = {
       spanMs: Math.round(spanMs),
       usedMs: roundToTenth(usedMs),
       gcMs: roundToTenth(this.gcMs),
     };
-    return { ...totals, ...(Object.fromEntries(kinds) as Record<string, number>) };
+    for (const kind of WORK_KINDS) {
+      fields[`${kind}Ms`] = roundToTenth(totals[kind].spentMs);
+      fields[`${kind}Count`] = totals[kind].count;
+    }
+    return fields;
   }
 }
 
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -165,7 +165,7 @@
     const obstacle = this.options.findObstacle();
     if (obstacle !== undefined) return this.finish({ type: 'unsent', reason: obstacle });
     const acquired = await connections.acquire(row, maxIdleMs, maxConnections);
-    if (this.phase.type === 'over') {
+    if (this.isOver) {
       if (acquired.ok) connections.release(row, acquired.val);
       return;
     }
@@ -223,7 +223,7 @@
     connection.client.dispatch(options, {
       onRequestStart: (controller) => {
         this.controller = controller;
-        if (this.phase.type === 'over') connection.socket.destroy();
+        if (this.isOver) connection.socket.destroy();
       },
       onResponseStart: (_controller, status, headers) => this.handleHead(request, status, headers),
       onResponseData: (_controller, chunk) => this.handleData(chunk),
@@ -236,7 +236,7 @@
     if (status < LEAST_SUCCESS) return;
     const facts = this.options.dialect.readAnswer(status, headers);
     this.options.onAnswerFacts(this.row, facts);
-    if (this.phase.type === 'over') return;
+    if (this.isOver) return;
     const head = { status, headers, facts };
     this.endsWithConnection = isCloseDelimited(headers);
     if (facts.requestId !== undefined && facts.requestId !== request.requestId) {
@@ -258,7 +258,7 @@
   }
 
   private handleEnd(connection: EndpointConnection): void {
-    if (this.phase.type === 'over') return;
+    if (this.isOver) return;
     const { connections, row } = this.options;
     if (this.endsWithConnection && wasReset(connection.socket)) {
       return this.breakOff('connectionLost', 'reset in an answer without a length');
