Metrics: the number of endpoints to which a box cannot connect

A box that loses its own links to the endpoints logs what a box logs whose endpoints end: one line for each of them. The gauge hazelwalk_unreachable_endpoints can be compared between boxes. Nothing else changes.

--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -32,6 +32,11 @@
   readonly retiredPools = this.counter('retired_pools', 'Idle connections closed as doubtful', []);
   /** Changes of the health of endpoints. */
   readonly healthChanges = this.counter('endpoint_standings', 'Changes of standing', ['change']);
+  /** Endpoints to which this box cannot connect. */
+  readonly unreachableEndpoints = this.gauge(
+    'unreachable_endpoints',
+    'Endpoints to which this box cannot connect',
+  );
   /** Failures after which an endpoint stayed in use, since the others of its service had no room. */
   readonly ejectionsWithheld = this.counter(
     'ejections_withheld',
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -114,6 +114,7 @@
       now,
       isEvacuated: (hall) => this.state.evacuations.isEvacuated(hall),
       onChange: (row, change, reason) => this.healthLog.logEndpointHealth(row, change, reason),
+      onCounted: (unreachable) => this.metrics.unreachableEndpoints.set(unreachable),
     });
     const { table, healthLog } = this;
     const checkHall = (endpointHall: string): void => this.reachability.checkHall(endpointHall);
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -25,6 +25,8 @@
    */
   readonly isEvacuated: (hall: string) => boolean;
   readonly onChange: OnHealthChange;
+  /** Called once a tick with the number of unreachable endpoints. */
+  readonly onCounted: (unreachable: number) => void;
 }
 
 /** Runs the connection checks of one box. */
@@ -34,9 +36,12 @@
   /** Runs once a tick: starts the checks that are due. */
   tick(): void {
     const nowMs = this.options.now();
+    let unreachable = 0;
     for (const row of this.options.table.byId.values()) {
+      if (row.health.type === 'unreachable') unreachable += 1;
       if (!row.isBeingChecked && this.mayCheck(row) && isDue(row, nowMs)) void this.check(row);
     }
+    this.options.onCounted(unreachable);
   }
 
   private mayCheck(row: EndpointRow): boolean {
