Tests: connections to endpoints can be replaced; the link proxy moves to the stand-ins

A box takes the function that connects to endpoints as an option, as it takes the transport between boxes, so that tests can cut the links of one box alone.

--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -22,6 +22,13 @@
 /** Share of an endpoint's connections that all boxes together may use. */
 const USABLE_CONNECTIONS_SHARE = 0.9;
 
+/** Starts to connect to a host and port. */
+export type Dial = (address: { readonly host: string; readonly port: number }) => Socket;
+
+/** Connects over TCP. Idle connections are probed, so that a lost link closes them. */
+const dialTcp: Dial = ({ host, port }) =>
+  connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS });
+
 /** Why no connection was acquired. Nothing was sent in any of these cases. */
 export type ConnectFailure =
   /** No process listens on the port: the process of the endpoint has ended. */
@@ -49,6 +56,8 @@
 export interface EndpointConnectionsOptions {
   readonly countBoxes: () => number;
   readonly now: () => number;
+  /** Connects to endpoints; by default over TCP. */
+  readonly dial?: Dial | undefined;
   /** Called for each new connection. */
   readonly onOpened: () => void;
 }
@@ -168,15 +177,9 @@
   }
 
   private connectSocket(row: EndpointRow): Promise<Result<Socket, ConnectFailure>> {
-    const { host, port } = row.listing;
+    const { dial = dialTcp } = this.options;
     return new Promise((resolve) => {
-      const socket = connect({
-        host,
-        port,
-        noDelay: true,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-      });
+      const socket = dial(row.listing);
       const timer = setTimeout(() => {
         socket.destroy();
         resolve(Err('connectTimedOut'));
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -3,6 +3,7 @@
 import type { FeatureSet } from './featureSwitches.js';
 import type { HttpDialect } from './httpDialect.js';
 import type { RouterFrame } from './peers/peerFrames.js';
+import type { Dial } from './proxy/endpointConnections.js';
 import type { FleetConfiguration } from './records.js';
 import type { ColdBound } from './systems/coldEndpointLimiter.js';
 import type { Publication } from './systems/publishedState.js';
@@ -42,6 +43,8 @@
   readonly stopGraceMs: number;
   /** Optional parts that are on; all if not given. */
   readonly features?: FeatureSet | undefined;
+  /** Connects to endpoints; by default over TCP. */
+  readonly dialEndpoint?: Dial | undefined;
   readonly dialect: HttpDialect;
   /** Reads a published configuration. */
   readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -106,6 +106,7 @@
     this.connections = new EndpointConnections({
       countBoxes,
       now,
+      dial: options.dialEndpoint,
       onOpened: () => this.metrics.connections.inc(),
     });
     this.reachability = new Reachability({
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -2,9 +2,8 @@
 import type { ChildProcess } from 'node:child_process';
 import type { StoreFault } from '@hazelwalk/platform/standins';
 import { endProcess, pause } from '@hazelwalk/standins';
-import type { Random } from '@hazelwalk/standins';
+import type { LinkFault, LinkProxy, Random } from '@hazelwalk/standins';
 import type { Ledger } from './ledger.js';
-import type { LinkFault, LinkProxy } from './linkProxy.js';
 import type { SoakBox, SoakEndpoint, SoakSite } from './site.js';
 
 /** Kinds of faults and of planned operations. */
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -13,11 +13,10 @@
   StandinStore,
 } from '@hazelwalk/platform/standins';
 import type { StandinRoute } from '@hazelwalk/platform/standins';
-import { endProcess, startProcess } from '@hazelwalk/standins';
+import { endProcess, LinkProxy, startProcess } from '@hazelwalk/standins';
 import type { StartedProcess } from '@hazelwalk/standins';
 import type { BoxAddress } from './callers.js';
 import type { Ledger, RunRecord } from './ledger.js';
-import { LinkProxy } from './linkProxy.js';
 
 const HALLS = ['mixco', 'antigua'] as const;
 const CALLER_PORT = 8_227;
--- a/packages/soak/src/linkProxy.ts
+++ b/packages/standins/src/linkProxy.ts
@@ -1,7 +1,7 @@
 /** A TCP proxy on loopback in front of one server that simulates link faults. */
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import { pause } from '@hazelwalk/standins';
+import { pause } from './httpTools.js';
 
 /** The fault that a link simulates. */
 export type LinkFault =
