--- a/packages/router/src/__tests__/silenceWatch.test.ts
+++ b/packages/router/src/__tests__/silenceWatch.test.ts
@@ -22,7 +22,7 @@
  */
 test('a hedge is requested as soon as it is due, and then at a fixed interval', () => {
   const attempt = {
-    row: { health: { type: 'good' } },
+    row: { health: { type: 'good' }, path: { type: 'direct' } },
     sentAtMs: 1_000,
     retryWantedAtMs: -Infinity,
     isOnKeptConnection: false,
--- a/packages/router/src/featureSwitches.ts
+++ b/packages/router/src/featureSwitches.ts
@@ -14,6 +14,8 @@
   'ejectionLimit',
   /** Spreads the returns of callers whose service was away. */
   'returnSpreading',
+  /** Reaches endpoints through other boxes where direct connections fail, and does so for other boxes. */
+  'endpointTunnels',
 ] as const;
 
 /** Name of an optional part. */
@@ -35,6 +37,7 @@
     loadShedding: isOn,
     ejectionLimit: isOn,
     returnSpreading: isOn,
+    endpointTunnels: isOn,
   };
 }
 
--- a/packages/router/src/membership/fleetDirectory.ts
+++ b/packages/router/src/membership/fleetDirectory.ts
@@ -186,6 +186,13 @@
     return [...targets];
   }
 
+  /** The aggregator candidates of the other halls, as last reported. */
+  listContacts(): { readonly address: string; readonly hall: string }[] {
+    return [...this.halls].flatMap(([hall, { addresses }]) =>
+      addresses.map((address) => ({ address, hall })),
+    );
+  }
+
   /** Whether a box was seen or mentioned so recently that another attempt to connect is worthwhile at once. */
   isLikelyReachable(address: string): boolean {
     const box = this.boxes.get(address);
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -37,6 +37,25 @@
     'unreachable_endpoints',
     'Endpoints to which this box cannot connect',
   );
+  /** Endpoints that this box reaches only through other boxes. */
+  readonly tunnelledEndpoints = this.gauge(
+    'tunnelled_endpoints',
+    'Endpoints that are reached only through other boxes',
+  );
+  /** Changes of the path to an endpoint: tunnelled, direct, lost. */
+  readonly pathChanges = this.counter('endpoint_path_changes', 'Changes of the path to an endpoint', [
+    'change',
+  ]);
+  /** Requests of this box for tunnels through others, by result. */
+  readonly tunnelsRequested = this.counter('tunnels_requested', 'Tunnels requested of other boxes', [
+    'result',
+  ]);
+  /** Tunnels that this box serves for others at the moment. */
+  readonly tunnelsServed = this.gauge('tunnels_served', 'Tunnels that are served for other boxes');
+  /** Bytes in tunnels served for others, counted when a tunnel ends. */
+  readonly tunnelBytes = this.counter('tunnel_bytes', 'Bytes in tunnels served for other boxes', [
+    'direction',
+  ]);
   /** Failures after which an endpoint stayed in use, since the others of its service had no room. */
   readonly ejectionsWithheld = this.counter(
     'ejections_withheld',
--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -5,7 +5,7 @@
 import type { FeedRelay } from './feedRelay.js';
 import type { LoadRelay } from './loadRelay.js';
 import type { WorkKind } from '../observability/workMeter.js';
-import type { PeerFrame, RouterFrame } from './peerFrames.js';
+import type { PeerFrame, RouterFrame, TunnelFrame } from './peerFrames.js';
 import type { SlotRelay } from './slotRelay.js';
 import type { PeerValueSync } from './peerValueSync.js';
 
@@ -65,7 +65,7 @@
  *
  * @example findWorkKind('hallLoads') // 'loads'
  */
-export function findWorkKind(type: PeerFrame['type']): WorkKind {
+export function findWorkKind(type: Exclude<PeerFrame, TunnelFrame>['type']): WorkKind {
   switch (type) {
     case 'heartbeat':
     case 'heartbeatHeard':
--- a/packages/router/src/peers/heartbeatSender.ts
+++ b/packages/router/src/peers/heartbeatSender.ts
@@ -27,6 +27,8 @@
   readonly isStopping: () => boolean;
   /** Whether this box handles frames about slots. */
   readonly handlesSlots: () => boolean;
+  /** Whether this box serves tunnels of other boxes. */
+  readonly servesTunnels: () => boolean;
   readonly now: () => number;
 }
 
@@ -77,6 +79,7 @@
       incarnation: mesh.incarnation,
       isStopping: this.options.isStopping(),
       handlesSlots: this.options.handlesSlots(),
+      servesTunnels: this.options.servesTunnels(),
     };
   }
 }
--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -65,6 +65,10 @@
   outcome: 50,
   heldMs: 51,
   expiresMs: 52,
+  servesTunnels: 53,
+  result: 54,
+  bytes: 55,
+  isReset: 56,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -6,6 +6,13 @@
 import type { ListedEndpoint } from '../records.js';
 import type { PlatformReport } from '../systems/platformConnectivity.js';
 import { configurationChangeSchema, fleetConfigurationSchema } from './configurationSchema.js';
+import {
+  tunnelDataSchema,
+  tunnelEndSchema,
+  tunnelReplySchema,
+  tunnelRequestSchema,
+  tunnelRetireSchema,
+} from '../tunnels/tunnelFrames.js';
 import { slotAnswersSchema, slotReleasesSchema, slotRequestsSchema } from './slotFrames.js';
 
 /**
@@ -93,6 +100,8 @@
   isStopping: z.boolean(),
   /** Whether the sender handles frames about slots. Omitted by earlier versions, which close a link that carries one. */
   handlesSlots: z.boolean().optional(),
+  /** Whether the sender opens tunnels to endpoints for other boxes. Omitted by earlier versions, which do not. */
+  servesTunnels: z.boolean().optional(),
   /** On a new link: runs that were in flight when their endpoints crashed; absent if there are none. */
   crashes: z.array(crashedRunReport).optional(),
   /** On a new link: quarantined requests; absent if there are none. */
@@ -312,6 +321,11 @@
   slotRequestsSchema,
   slotAnswersSchema,
   slotReleasesSchema,
+  tunnelRequestSchema,
+  tunnelReplySchema,
+  tunnelDataSchema,
+  tunnelEndSchema,
+  tunnelRetireSchema,
 ]);
 
 /** Liveness signal of a box, with its loads and versions. */
@@ -371,8 +385,10 @@
 
 /** A frame about membership alone. */
 export type MembershipFrame = Extract<PeerFrame, { type: (typeof MEMBERSHIP_TYPES)[number] }>;
+/** A frame of a tunnel, which has a connection of its own. */
+export type TunnelFrame = Extract<PeerFrame, { type: `tunnel${string}` }>;
 /** Any other frame. Heartbeats are also about membership. */
-export type RouterFrame = Exclude<PeerFrame, MembershipFrame>;
+export type RouterFrame = Exclude<PeerFrame, MembershipFrame | TunnelFrame>;
 
 /**
  * Whether a frame is about membership alone.
@@ -382,3 +398,12 @@
 export function isMembershipFrame(frame: PeerFrame): frame is MembershipFrame {
   return (MEMBERSHIP_TYPES as readonly string[]).includes(frame.type);
 }
+
+/**
+ * Whether a frame belongs to a tunnel.
+ *
+ * @example isTunnelFrame({ type: 'tunnelRetire' }) // true
+ */
+export function isTunnelFrame(frame: PeerFrame): frame is TunnelFrame {
+  return frame.type.startsWith('tunnel');
+}
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -7,12 +7,13 @@
 import type { DetectorEffect } from '../membership/failureDetector.js';
 import { FailureDetector } from '../membership/failureDetector.js';
 import { FleetDirectory } from '../membership/fleetDirectory.js';
+import type { TunnelPeer } from '../tunnels/tunnelCandidates.js';
 import type { KnownPeer } from './knownPeers.js';
 import { KnownPeers } from './knownPeers.js';
 import { MembershipUpdates } from './membershipUpdates.js';
 import type { Heartbeat, MembershipFrame, PeerFrame, RouterFrame } from './peerFrames.js';
 import { encodePeerFrame } from './peerFrameCodec.js';
-import { isMembershipFrame } from './peerFrames.js';
+import { isMembershipFrame, isTunnelFrame } from './peerFrames.js';
 import { PeerLinks } from './peerLinks.js';
 import type { ConnectionEvents, PeerConnection, PeerTransport } from './peerTransport.js';
 
@@ -151,6 +152,19 @@
       .filter(({ address }) => this.links.isUp(address) && !this.detector.isDown(address));
   }
 
+  /**
+   * Boxes that may serve tunnels: reachable peers that say so, and contacts in other halls of a large fleet, from which this box
+   * gets no heartbeats.
+   */
+  listTunnelPeers(): TunnelPeer[] {
+    const peers = this.listReachable().filter(
+      ({ servesTunnels = false, isStopping }) => servesTunnels && !isStopping,
+    );
+    if (this.isFullMesh) return peers;
+    const contacts = this.directory.listContacts();
+    return [...peers, ...contacts.filter(({ address }) => this.peers.findIncarnation(address) === undefined)];
+  }
+
   /** Whether this box has received a heartbeat of a peer, or its seeds name no other box. */
   get hasJoinedFleet(): boolean {
     return this.peers.size > 0 || this.options.seeds.every((seed) => seed === this.ownAddress);
@@ -251,6 +265,8 @@
   private handleFrame(frame: PeerFrame, reply: Reply): void {
     this.handlers.onFrameRead(frame.type);
     if (isMembershipFrame(frame)) return this.handleMembership(frame, reply);
+    // Tunnels have connections of their own; on a link such a frame has no meaning.
+    if (isTunnelFrame(frame)) return;
     if (frame.type === 'heartbeat') this.recordHeartbeat(frame, reply);
     this.handlers.onFrame(frame);
   }
--- a/packages/router/src/peers/peerTransport.ts
+++ b/packages/router/src/peers/peerTransport.ts
@@ -2,6 +2,7 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Problem } from '@hazelwalk/core';
+import type { TunnelRequest } from '../tunnels/tunnelFrames.js';
 import type { PeerFrame } from './peerFrames.js';
 import { PeerFrameReader } from './peerFrameCodec.js';
 
@@ -44,6 +45,19 @@
   close(): void;
 }
 
+/** Takes over a connection that was accepted and whose first frame asks for a tunnel. */
+export type OnTunnelRequest = (request: TunnelRequest, socket: Socket) => void;
+
+/**
+ * Splits an address into host and port.
+ *
+ * @example parseAddress('10.0.0.1:8229') // { host: '10.0.0.1', port: 8229 }
+ */
+export function parseAddress(address: string): { readonly host: string; readonly port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
 /** Reads the frames that a chunk of a connection completes. */
 export type ReadFrames = (reader: PeerFrameReader, chunk: Buffer) => ReturnType<PeerFrameReader['push']>;
 
@@ -52,8 +66,14 @@
   private readonly accepted = new Set<Socket>();
   private server: Server | undefined;
 
-  /** @param readFrames reads the frames that a chunk completes; can be replaced to measure the time this takes */
-  constructor(private readonly readFrames: ReadFrames = (reader, chunk) => reader.push(chunk)) {}
+  /**
+   * @param readFrames reads the frames that a chunk completes; can be replaced to measure the time this takes
+   * @param onTunnelRequest without it, connections that ask for a tunnel are closed
+   */
+  constructor(
+    private readonly readFrames: ReadFrames = (reader, chunk) => reader.push(chunk),
+    private readonly onTunnelRequest: OnTunnelRequest = (_request, socket) => socket.destroy(),
+  ) {}
 
   listen(
     host: string,
@@ -76,10 +96,7 @@
   }
 
   connect(address: string, events: ConnectionEvents): PeerConnection {
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon);
-    const port = Number(address.slice(colon + 1));
-    const socket = connect({ host, port, noDelay: true });
+    const socket = connect({ ...parseAddress(address), noDelay: true });
     socket.on('connect', () => events.onUp());
     this.attachEvents(socket, events);
     return new TcpConnection(socket);
@@ -95,15 +112,23 @@
     // An error is always followed by `close`, which reports the end of the connection.
     socket.on('error', () => socket.destroy());
     socket.on('close', () => events.onClosed());
-    socket.on('data', (chunk: Buffer) => {
+    const handleChunk = (chunk: Buffer): void => {
       const frames = this.readFrames(reader, chunk);
       if (frames.err) {
         events.onProblem(frames.val);
         socket.destroy();
         return;
       }
-      for (const frame of frames.val) events.onFrame(frame);
-    });
+      for (const frame of frames.val) {
+        if (frame.type !== 'tunnelRequest') {
+          events.onFrame(frame);
+          continue;
+        }
+        socket.off('data', handleChunk);
+        return this.onTunnelRequest(frame, socket);
+      }
+    };
+    socket.on('data', handleChunk);
   }
 }
 
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -2,13 +2,13 @@
  * Sends a request to one endpoint. The events of an attempt distinguish the cases that decide whether the request may
  * be sent again: nothing was sent, the endpoint confirms that it did not run, or it may have run.
  */
-import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import { afterSocketReads } from '../afterSocketReads.js';
 import type { HttpDialect, ResponseHeaders } from '../httpDialect.js';
 import type { ResponseMetadata } from '../records.js';
 import type { HealthSignal } from '../systems/endpointHealth.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import { isTunnelLost } from '../tunnels/tunnelStream.js';
 import { isCloseDelimited } from './forwardHeaders.js';
 import type { ConnectFailure, EndpointConnection, EndpointConnections } from './endpointConnections.js';
 
@@ -16,6 +16,8 @@
 export type BreakReason =
   /** The connection ended before the response did, or the response was not valid HTTP. */
   | 'connectionLost'
+  /** The tunnel to the endpoint was lost: the other box or the link to it failed, which says nothing about the endpoint. */
+  | 'tunnelLost'
   /** The response carries the id of another request, or none. */
   | 'foreignAnswer'
   /** A successful response without the seal of the endpoint. */
@@ -132,14 +134,6 @@
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
 
-/**
- * Whether a connection that ended was reset. If a reset follows the last bytes closely, Node reports a regular end, but
- * the socket no longer has a remote port.
- */
-function wasReset(socket: Socket): boolean {
-  return socket.errored !== null || socket.remotePort === undefined;
-}
-
 /**
  * Resolves once the event loop has read its sockets again. If a caller gave up while this process was paused, both its
  * request and the close of its connection are waiting; the loop reads the close one turn after the request. The same
@@ -163,6 +157,8 @@
   retryWantedAtMs = -Infinity;
   /** Whether the idle connections to the endpoint were closed because this connection was silent for too long. */
   hasRetiredConnections = false;
+  /** Name of the tunnel that carries it, in the logs of both boxes; undefined for a direct connection, and before it has one. */
+  tunnel: string | undefined;
   /** Whether its silence was counted against the endpoint. */
   hasRecordedSilence = false;
   private phase: AttemptPhase = { type: 'connecting' };
@@ -196,6 +192,7 @@
       return this.finish({ type: 'unsent', reason: 'endpointDeclined' });
     }
     this.phase = { type: 'open', connection: acquired.val };
+    this.tunnel = acquired.val.tunnel;
     this.send(acquired.val);
   }
 
@@ -249,7 +246,8 @@
       onResponseStart: (_controller, status, headers) => this.handleHead(request, status, headers),
       onResponseData: (_controller, chunk) => this.handleData(chunk),
       onResponseEnd: () => this.handleEnd(connection),
-      onResponseError: (_controller, error) => this.markBroken('connectionLost', error.message),
+      onResponseError: (_controller, error) =>
+        this.markBroken(isTunnelLost(error) ? 'tunnelLost' : 'connectionLost', error.message),
     });
   }
 
@@ -282,7 +280,7 @@
   private handleEnd(connection: EndpointConnection): void {
     if (this.isOver) return;
     const { connections, row } = this.options;
-    if (this.endsWithConnection && wasReset(connection.socket)) {
+    if (this.endsWithConnection && connection.wasReset()) {
       return this.markBroken('connectionLost', 'reset in an answer without a length');
     }
     this.close();
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -63,6 +63,7 @@
   /** Attempts whose endpoint confirmed that the request did not run. */
   notRunCount = 0;
   private lastChoice: PlacementChoice | undefined;
+  private lastAttempt: Attempt | undefined;
   /** Attempts that sent the request to their endpoint. */
   private sentCount = 0;
   private readonly triedIds = new Set<string>();
@@ -103,7 +104,12 @@
 
   /** Log fields that describe the attempts. */
   createLogFields(): AttemptLogFields {
-    return { sent: this.sentCount, unsent: this.unsentCount, ...describePlacement(this.lastChoice) };
+    return {
+      sent: this.sentCount,
+      unsent: this.unsentCount,
+      tunnel: this.lastAttempt?.tunnel,
+      ...describePlacement(this.lastChoice),
+    };
   }
 
   get lastTriedId(): string | undefined {
@@ -154,6 +160,7 @@
       onResponseMetadata: context.recordAnnouncements,
     });
     this.live.push(attempt);
+    this.lastAttempt = attempt;
     this.tickets.set(attempt, plan.ticket);
     void attempt.start();
     return Ok(undefined);
--- a/packages/router/src/proxy/crashCheck.ts
+++ b/packages/router/src/proxy/crashCheck.ts
@@ -1,11 +1,11 @@
 /**
  * Distinguishes a crashed endpoint from a broken link. A connection that breaks off looks the same in both cases, but
  * a new connection is refused if no process listens any more, while after a fault of the link it succeeds or times
- * out.
+ * out. Where connections are refused on the path of this box alone, the check succeeds through another box.
  *
- * Two cases are classified wrongly: a device on the link that refuses connections in place of the endpoints counts as a
- * crash of all endpoints behind it at the same time, and the crash of an endpoint that is back within the round trip of
- * the check is missed.
+ * Two cases are classified wrongly: a device that refuses connections in place of the endpoints on the paths of all boxes that
+ * are asked counts as a crash of all endpoints behind it at the same time, and the crash of an endpoint that is back
+ * within the round trip of the check is missed.
  */
 import { isLeaving } from '../systems/endpointNotices.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
@@ -30,7 +30,7 @@
   ) {}
 
   /**
-   * Connects to the endpoint; takes one round trip, a quarter of a second at most.
+   * Connects to the endpoint; takes a few round trips, 0.3 s at most.
    *
    * @example if ((await crashCheck.check(row)) === 'crashed') relay.recordCrash(fingerprint, run);
    */
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -3,52 +3,39 @@
  * number that an endpoint accepts. A connection is established before a request is assigned to it, so that a failure to
  * connect proves that nothing was sent.
  */
-import { connect } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
-import { Client } from './httpClient.js';
+import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import type { DialedConnection } from './endpointDialer.js';
+import { EndpointDialer } from './endpointDialer.js';
+import { TunnelStream } from '../tunnels/tunnelStream.js';
+import { Client } from './httpClient.js';
 
-/**
- * Links between halls take a few milliseconds; if connecting takes longer than this, the link is cut or the host is
- * down.
- */
-const CONNECT_TIMEOUT_MS = 250;
-/** Idle time after which TCP keep-alive probes are sent. */
-const KEEP_ALIVE_PROBE_MS = 5_000;
 /** Idle connections are closed after this, or earlier if the endpoint announced a shorter time. */
 const IDLE_TIMEOUT_MS = 60_000;
 /** Share of an endpoint's connections that all boxes together may use. */
 const USABLE_CONNECTIONS_SHARE = 0.9;
 
-/** Starts to connect to a host and port. */
-export type Dial = (address: { readonly host: string; readonly port: number }) => Socket;
-
-/** Connects over TCP. Idle connections are probed, so that a lost link closes them. */
-const dialTcp: Dial = ({ host, port }) =>
-  connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS });
-
 /** Why no connection was acquired. Nothing was sent in any of these cases. */
-export type ConnectFailure =
-  /** No process listens on the port: the process of the endpoint has ended. */
-  | 'connectRefused'
-  | 'connectTimedOut'
-  /** Any other network error. */
-  | 'connectBroken'
-  | 'connectionLimit';
+export type ConnectFailure = DialFailure | 'connectionLimit';
 
 /** One open connection. */
-export interface EndpointConnection {
+export interface EndpointConnection extends DialedConnection {
   readonly client: Client;
-  readonly socket: Socket;
   idleSinceMs: number;
   /** Whether it has carried an earlier request. */
   isKept: boolean;
+  /** It carries no further request: the box that it passes through is about to stop, or a better path has been found. */
+  isRetired: boolean;
 }
 
 interface EndpointPool {
   readonly idle: EndpointConnection[];
+  readonly open: Set<EndpointConnection>;
+  /** Open connections, and those that are being established. */
   openCount: number;
 }
 
@@ -56,8 +43,8 @@
 export interface EndpointConnectionsOptions {
   readonly countBoxes: () => number;
   readonly now: () => number;
-  /** Connects to endpoints; by default over TCP. */
-  readonly dial?: Dial | undefined;
+  /** Connects to endpoints; by default directly. */
+  readonly dialer?: EndpointDialer | undefined;
   /** Called for each new connection. */
   readonly onOpened: () => void;
 }
@@ -65,8 +52,11 @@
 /** The connections of one box to all endpoints. */
 export class EndpointConnections {
   private readonly pools = new Map<string, EndpointPool>();
+  private readonly dialer: EndpointDialer;
 
-  constructor(private readonly options: EndpointConnectionsOptions) {}
+  constructor(private readonly options: EndpointConnectionsOptions) {
+    this.dialer = options.dialer ?? new EndpointDialer({ now: options.now });
+  }
 
   /**
    * Takes an idle connection or opens a new one.
@@ -85,14 +75,14 @@
     const share = Math.floor(
       (maxConnections * USABLE_CONNECTIONS_SHARE) / Math.max(1, this.options.countBoxes()),
     );
-    if (pool.openCount >= Math.max(1, share)) return Err('connectionLimit');
+    if (countUsable(pool) >= Math.max(1, share)) return Err('connectionLimit');
     return this.open(row, pool);
   }
 
   /** Returns a connection to its pool after a complete response. */
   release(row: EndpointRow, connection: EndpointConnection): void {
     // An endpoint that responded before it read the whole request body may never read the rest.
-    if (connection.socket.writableLength > 0) connection.socket.destroy();
+    if (connection.socket.writableLength > 0 || connection.isRetired) connection.socket.destroy();
     const pool = this.pools.get(row.listing.id);
     // The endpoint has been removed in the meantime.
     if (pool === undefined) connection.socket.destroy();
@@ -116,23 +106,33 @@
     for (const connection of this.pools.get(endpointId)?.idle.splice(0) ?? []) connection.socket.destroy();
   }
 
+  /** Uses the open connections of one kind to an endpoint for no further request. */
+  retire(endpointId: string, kind: 'direct' | 'tunnel'): void {
+    const pool = this.pools.get(endpointId);
+    for (const connection of [...(pool?.open ?? [])]) {
+      if ((connection.tunnel === undefined) === (kind === 'direct')) this.retireConnection(connection, pool);
+    }
+  }
+
   /** Closes all idle connections. */
   close(): void {
     for (const endpointId of [...this.pools.keys()]) this.forget(endpointId);
   }
 
-  /** Checks whether an endpoint accepts connections; nothing is sent. */
-  async check(row: EndpointRow): Promise<Result<void, ConnectFailure>> {
-    const socket = await this.connectSocket(row);
-    if (socket.err) return socket;
-    socket.val.destroy();
-    return Ok(undefined);
+  /** Checks whether an endpoint accepts connections, directly or through another box; nothing is sent. */
+  async check(row: EndpointRow): Promise<Result<void, DialFailure>> {
+    return closeAfter(await this.dialer.connect(row));
+  }
+
+  /** Checks whether an endpoint accepts direct connections; nothing is sent. */
+  async checkDirectly(row: EndpointRow): Promise<Result<void, DialFailure>> {
+    return closeAfter(await this.dialer.connectDirectly(row));
   }
 
   private findPool(endpointId: string): EndpointPool {
     let pool = this.pools.get(endpointId);
     if (pool === undefined) {
-      pool = { idle: [], openCount: 0 };
+      pool = { idle: [], open: new Set(), openCount: 0 };
       this.pools.set(endpointId, pool);
     }
     return pool;
@@ -155,51 +155,56 @@
     pool: EndpointPool,
   ): Promise<Result<EndpointConnection, ConnectFailure>> {
     pool.openCount += 1;
-    const connected = await this.connectSocket(row);
+    const connected = await this.dialer.connect(row);
     if (connected.err) {
       pool.openCount -= 1;
       return connected;
     }
     this.options.onOpened();
-    const socket = connected.val;
-    const connection = {
+    const { socket } = connected.val;
+    const connection: EndpointConnection = {
+      ...connected.val,
       client: createClient(row, socket),
-      socket,
       idleSinceMs: this.options.now(),
       isKept: false,
+      isRetired: false,
     };
+    pool.open.add(connection);
+    if (socket instanceof TunnelStream) socket.onRetire = () => this.retireConnection(connection, pool);
     socket.once('close', () => {
       pool.openCount -= 1;
-      const at = pool.idle.indexOf(connection);
-      if (at >= 0) pool.idle.splice(at, 1);
+      pool.open.delete(connection);
+      removeIdle(pool, connection);
     });
     return Ok(connection);
   }
 
-  private connectSocket(row: EndpointRow): Promise<Result<Socket, ConnectFailure>> {
-    const { dial = dialTcp } = this.options;
-    return new Promise((resolve) => {
-      const socket = dial(row.listing);
-      const timer = setTimeout(() => {
-        socket.destroy();
-        resolve(Err('connectTimedOut'));
-      }, CONNECT_TIMEOUT_MS);
-      socket.once('connect', () => {
-        clearTimeout(timer);
-        resolve(Ok(socket));
-      });
-      // This listener stays for the lifetime of the socket; an error is always followed by `close`, which updates the
-      // pool.
-      socket.on('error', (error: NodeJS.ErrnoException) => {
-        clearTimeout(timer);
-        resolve(Err(error.code === 'ECONNREFUSED' ? 'connectRefused' : 'connectBroken'));
-      });
-    });
+  private retireConnection(connection: EndpointConnection, pool: EndpointPool | undefined): void {
+    connection.isRetired = true;
+    if (pool !== undefined && removeIdle(pool, connection)) connection.socket.destroy();
   }
 }
 
+/** Counts open connections without those that are about to end: after a cut they may hang until their requests expire. */
+function countUsable({ open, openCount }: EndpointPool): number {
+  return openCount - [...open].filter(({ isRetired }) => isRetired).length;
+}
+
+/** Removes a connection from the idle ones; returns whether it was idle. */
+function removeIdle(pool: EndpointPool, connection: EndpointConnection): boolean {
+  const at = pool.idle.indexOf(connection);
+  if (at >= 0) pool.idle.splice(at, 1);
+  return at >= 0;
+}
+
+function closeAfter(connected: Result<DialedConnection, DialFailure>): Result<void, DialFailure> {
+  if (connected.err) return connected;
+  connected.val.socket.destroy();
+  return Ok(undefined);
+}
+
 /** Creates a client for one socket; it does not reconnect. */
-function createClient(row: EndpointRow, socket: Socket): Client {
+function createClient(row: EndpointRow, socket: Duplex): Client {
   let isUsed = false;
   return new Client(`http://${row.listing.host}:${row.listing.port}`, {
     pipelining: 1,
@@ -211,7 +216,7 @@
       isUsed = true;
       // Undici does not continue with its queue if the callback is called synchronously.
       queueMicrotask(() =>
-        isLost ? callback(new Error('the connection is closed'), null) : callback(null, socket),
+        isLost ? callback(new Error('the connection is closed'), null) : callback(null, socket as Socket),
       );
     },
   });
--- /dev/null
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -0,0 +1,193 @@
+/**
+ * Connects to endpoints: directly, or through another box where direct connections fail. A box that is cut off from endpoints
+ * serves its callers that way; for all decisions a tunnel is a connection of this box like any other.
+ */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { Err, Ok } from '@hazelwalk/core';
+import type { Result } from '@hazelwalk/core';
+import type { DialFailure } from '../tables/endpointPath.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+import type { TunnelClient, TunnelFailure } from '../tunnels/tunnelClient.js';
+import { raceConnections } from './raceConnections.js';
+import { wasReset } from './wasReset.js';
+
+/**
+ * Links between halls take a few milliseconds; if connecting takes longer than this, the link is cut or the host is
+ * down.
+ */
+const CONNECT_TIMEOUT_MS = 250;
+/** Idle time after which TCP keep-alive probes are sent. */
+const KEEP_ALIVE_PROBE_MS = 5_000;
+/** A way that has not led to a connection after this gets company: the next one is tried beside it. */
+const NEXT_WAY_DELAY_MS = 100;
+/** A request goes to another endpoint after this. */
+const ALL_WAYS_TIMEOUT_MS = 300;
+/** After tunnels to an endpoint failed, they are not tried again for this long; doubles with each time in a row. */
+const MIN_TUNNEL_PAUSE_MS = 250;
+const MAX_TUNNEL_PAUSE_MS = 4_000;
+
+/** Starts to connect to a host and port. */
+export type Dial = (address: { readonly host: string; readonly port: number }) => Socket;
+
+/** Connects over TCP. Idle connections are probed, so that a lost link closes them. */
+const dialTcp: Dial = ({ host, port }) =>
+  connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS });
+
+/** An established connection to an endpoint. */
+export interface DialedConnection {
+  readonly socket: Duplex;
+  /** Name of the tunnel that it is, in the logs of both boxes; undefined for a direct connection. */
+  readonly tunnel: string | undefined;
+  /** Whether it ended by a reset. */
+  readonly wasReset: () => boolean;
+}
+
+/** Why one way to connect failed. */
+type WayFailure =
+  | { readonly way: 'direct'; readonly failure: DialFailure }
+  | { readonly way: 'tunnel'; readonly failure: TunnelFailure };
+
+type Way = () => Promise<Result<DialedConnection, WayFailure>>;
+
+/** Dependencies and callbacks of the dialer. */
+export interface EndpointDialerOptions {
+  /** Starts to connect; by default over TCP. */
+  readonly dial?: Dial | undefined;
+  /** Opens tunnels; without it, all connections are direct. */
+  readonly tunnels?: Pick<TunnelClient, 'listCandidates' | 'open'> | undefined;
+  readonly now: () => number;
+  /** Called when a direct connection failed while a tunnel succeeded. */
+  readonly onTunnelled?: ((row: EndpointRow, because: DialFailure) => void) | undefined;
+  /** Called when a direct connection succeeded to an endpoint that was reached through tunnels. */
+  readonly onDirect?: ((row: EndpointRow) => void) | undefined;
+}
+
+interface TunnelPause {
+  readonly lengthMs: number;
+  readonly untilMs: number;
+}
+
+/** Connects one box to endpoints. */
+export class EndpointDialer {
+  /** Endpoints to which no tunnel could be opened. */
+  private readonly pauses = new WeakMap<EndpointRow, TunnelPause>();
+
+  constructor(private readonly options: EndpointDialerOptions) {}
+
+  /**
+   * Connects to an endpoint on its path; if that fails, in the other way. Returns `connectRefused` only if no other box
+   * contradicts.
+   *
+   * @example (await dialer.connect(row)).map(({ tunnel }) => tunnel) // Ok(undefined) for a direct connection
+   */
+  async connect(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
+    const { onTunnelled } = this.options;
+    const attempt: { failure?: DialFailure; isTunnelled?: boolean } = {};
+    const tunnelWays = this.listTunnelWays(row);
+    const direct: Way = async () => {
+      const dialed = await this.connectDirectly(row);
+      if (dialed.ok) return dialed;
+      attempt.failure = dialed.val;
+      if (attempt.isTunnelled === true) onTunnelled?.(row, dialed.val);
+      return Err({ way: 'direct', failure: dialed.val });
+    };
+    const isTunnelFirst = row.path.type === 'tunnel';
+    const connected = await raceConnections(
+      isTunnelFirst ? [...tunnelWays, direct] : [direct, ...tunnelWays],
+      {
+        staggerMs: NEXT_WAY_DELAY_MS,
+        limitMs: ALL_WAYS_TIMEOUT_MS,
+        isFinal: ({ way, failure }) => way === 'tunnel' && failure === 'connectRefused',
+        discard: ({ socket }) => socket.destroy(),
+      },
+    );
+    if (connected.err) {
+      this.pauseTunnels(row, tunnelWays.length > 0);
+      return Err(summarizeFailures(connected.val));
+    }
+    if (connected.val.tunnel !== undefined) {
+      this.pauses.delete(row);
+      attempt.isTunnelled = true;
+      if (attempt.failure !== undefined) onTunnelled?.(row, attempt.failure);
+    }
+    return connected;
+  }
+
+  /** Connects to an endpoint directly, whatever its path. */
+  async connectDirectly(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
+    const dialed = await this.dialSocket(row);
+    if (dialed.err) return dialed;
+    if (row.path.type === 'tunnel') this.options.onDirect?.(row);
+    const socket = dialed.val;
+    return Ok({ socket, tunnel: undefined, wasReset: () => wasReset(socket) });
+  }
+
+  /** Opens a TCP connection to an endpoint. */
+  dialSocket(row: EndpointRow): Promise<Result<Socket, DialFailure>> {
+    const { dial = dialTcp } = this.options;
+    return new Promise((resolve) => {
+      const socket = dial(row.listing);
+      const timer = setTimeout(() => {
+        socket.destroy();
+        resolve(Err('connectTimedOut'));
+      }, CONNECT_TIMEOUT_MS);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        resolve(Ok(socket));
+      });
+      // This listener stays for the lifetime of the socket; an error is always followed by `close`, which updates the
+      // pool.
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer);
+        resolve(Err(error.code === 'ECONNREFUSED' ? 'connectRefused' : 'connectBroken'));
+      });
+    });
+  }
+
+  private listTunnelWays(row: EndpointRow): Way[] {
+    const { tunnels, now } = this.options;
+    if (tunnels === undefined || now() < (this.pauses.get(row)?.untilMs ?? -Infinity)) return [];
+    return tunnels.listCandidates(row).map((peer) => async () => {
+      const opened = await tunnels.open(peer, row);
+      if (opened.err) return Err({ way: 'tunnel', failure: opened.val } as const);
+      const { stream, name } = opened.val;
+      return Ok({ socket: stream, tunnel: name, wasReset: () => stream.errored !== null });
+    });
+  }
+
+  private pauseTunnels(row: EndpointRow, wereTried: boolean): void {
+    if (!wereTried) return;
+    const before = this.pauses.get(row)?.lengthMs ?? MIN_TUNNEL_PAUSE_MS / 2;
+    const lengthMs = Math.min(MAX_TUNNEL_PAUSE_MS, before * 2);
+    this.pauses.set(row, { lengthMs, untilMs: this.options.now() + lengthMs });
+  }
+}
+
+/** The failure of the direct way, unless other boxes saw something else than a refusal. */
+function summarizeFailures(failures: readonly WayFailure[]): DialFailure {
+  const direct = failures.find(({ way }) => way === 'direct')?.failure as DialFailure | undefined;
+  const seenByOthers = failures.flatMap(({ way, failure }) => (way === 'tunnel' ? [failure] : []));
+  if (seenByOthers.includes('connectRefused')) return 'connectRefused';
+  if (direct === undefined) return 'connectTimedOut';
+  return direct === 'connectRefused' && seenByOthers.some(isOtherObservation) ? 'connectBroken' : direct;
+}
+
+/** Whether another box saw that the endpoint, or the links to it, fail in another way than by a refusal. */
+function isOtherObservation(failure: TunnelFailure): boolean {
+  switch (failure) {
+    case 'connectTimedOut':
+    case 'connectBroken':
+    case 'noPath':
+      return true;
+    case 'connectRefused':
+    case 'unknownEndpoint':
+    case 'stopping':
+    case 'full':
+    case 'turnedOff':
+    case 'unanswered':
+    case 'unsupported':
+      return false;
+  }
+}
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -26,7 +26,7 @@
 import { RequestQuarantine } from './requestQuarantine.js';
 import { takeRetry } from './retryPermission.js';
 import { isRepeatable } from './silence.js';
-import { recordSilence, watchSilence } from './silenceWatch.js';
+import { isOnSilentPath, recordSilence, watchSilence } from './silenceWatch.js';
 
 /** Deadline of a request that states none; the timeout of its route applies as well. */
 const DEFAULT_DEADLINE_MS = 30_000;
@@ -265,7 +265,7 @@
   private handleBroken(attempt: Attempt, reason: BreakReason | 'resumeRefused', detail: string): void {
     this.drop(attempt, 'broken');
     const { context, requestQuarantine } = this;
-    context.recordHealthSignal(attempt.row, 'broke');
+    if (reason !== 'tunnelLost') context.recordHealthSignal(attempt.row, 'broke');
     logBreak(context, { ...this.createLogFields(), content: requestQuarantine.fingerprint }, attempt, {
       reason,
       detail,
@@ -291,7 +291,7 @@
     const isPermitted = this.mayRetry(delivery?.hasStarted === true ? 'resume' : reason);
     if (reason === 'silent') {
       recordSilence(this.context, attempt, isPermitted);
-      if (!isPermitted && attempt.row.health.type !== 'unreachable') return;
+      if (!isPermitted && !isOnSilentPath(attempt)) return;
       this.abandon(attempt, 'silent');
     }
     if (!isPermitted) return this.ending.fail(detail);
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -19,6 +19,8 @@
 export interface AttemptLogFields {
   readonly sent: number;
   readonly unsent: number;
+  /** Name of the tunnel that carried the last attempt, in the logs of both boxes; undefined for a direct connection. */
+  readonly tunnel?: string | undefined;
   /** How the last endpoint was chosen. */
   readonly way?: PlacementWay;
   /** Load of that endpoint as known to this box at that time, and the mean load of its service. */
--- a/packages/router/src/proxy/silenceWatch.ts
+++ b/packages/router/src/proxy/silenceWatch.ts
@@ -1,6 +1,7 @@
 /** Monitors an attempt whose endpoint does not respond: retires connections and decides about hedging. */
 import type { Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
+import { isDirectPathSilent } from '../tables/endpointPath.js';
 import type { Attempt } from './attempt.js';
 import type { SilenceAction } from './silence.js';
 import { decideOnSilence } from './silence.js';
@@ -34,7 +35,7 @@
   const isAnswering = lastDataAtMs !== undefined;
   const silentMs = nowMs - (lastDataAtMs ?? attempt.sentAtMs);
   if (!isAnswering) retireIdleIfSilent(context, attempt, silentMs);
-  const isUnreachable = attempt.row.health.type === 'unreachable';
+  const isUnreachable = isOnSilentPath(attempt);
   const action = decideOnSilence({ route, silentMs, isUnreachable, hasOthers, isAnswering });
   return { action: action === 'wait' ? action : limitRate(action, attempt, nowMs), silentMs };
 }
@@ -53,6 +54,15 @@
   context.recordHealthSignal(row, 'silent');
 }
 
+/**
+ * Whether the connection of an attempt has probably stopped working: new ones on its path get no answer.
+ *
+ * @example isOnSilentPath(attempt) // true for a direct connection while new ones only succeed through other boxes
+ */
+export function isOnSilentPath({ row, tunnel }: Pick<Attempt, 'row' | 'tunnel'>): boolean {
+  return row.health.type === 'unreachable' || (tunnel === undefined && isDirectPathSilent(row.path));
+}
+
 function limitRate(action: SilenceAction, attempt: Attempt, nowMs: number): SilenceAction {
   if (nowMs - attempt.retryWantedAtMs < DENIED_RETRY_INTERVAL_MS) return 'wait';
   attempt.retryWantedAtMs = nowMs;
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -23,6 +23,7 @@
 import { CallerServer } from './proxy/callerServer.js';
 import { CrashCheck } from './proxy/crashCheck.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
+import { EndpointDialer } from './proxy/endpointDialer.js';
 import { PaceObserver } from './proxy/paceObserver.js';
 import { Quarantine } from './quarantine/quarantine.js';
 import { QuarantineRelay } from './quarantine/quarantineRelay.js';
@@ -39,6 +40,7 @@
 import { Reachability } from './systems/reachability.js';
 import { RetryBudget } from './systems/retryBudget.js';
 import { EndpointTable } from './tables/endpointTable.js';
+import { BoxTunnels } from './tunnels/boxTunnels.js';
 
 /** What the parts need from the loop that drives them. */
 export interface RouterHooks {
@@ -58,6 +60,7 @@
   readonly work: WorkMeter;
   readonly table: EndpointTable;
   readonly state: PublishedState;
+  readonly tunnels: BoxTunnels;
   readonly connections: EndpointConnections;
   readonly reachability: Reachability;
   readonly mesh: PeerMesh;
@@ -71,6 +74,7 @@
   readonly admission: BoxAdmission;
   readonly peerFrameHandlers: PeerFrameHandlers;
   readonly gracefulShutdown: GracefulShutdown;
+  private readonly dialer: EndpointDialer;
   private readonly healthLog: HealthLog;
   private readonly observer: EndpointObserver;
   private readonly paceObserver: PaceObserver;
@@ -103,10 +107,20 @@
       onInitialized: () => hooks.resumeWaitingRequests(),
     });
     const countBoxes = (): number => this.mesh.countBoxes();
+    this.dialer = new EndpointDialer({
+      dial: options.dialEndpoint,
+      tunnels: {
+        listCandidates: (row) => this.tunnels.client.listCandidates(row),
+        open: (peer, row) => this.tunnels.client.open(peer, row),
+      },
+      now,
+      onTunnelled: (row, because) => this.reachability.recordTunnelled(row, because),
+      onDirect: (row) => this.reachability.recordDirect(row),
+    });
     this.connections = new EndpointConnections({
       countBoxes,
       now,
-      dial: options.dialEndpoint,
+      dialer: this.dialer,
       onOpened: () => this.metrics.connections.inc(),
     });
     this.reachability = new Reachability({
@@ -115,7 +129,8 @@
       now,
       isEvacuated: (hall) => this.state.evacuations.isEvacuated(hall),
       onChange: (row, change, reason) => this.healthLog.logEndpointHealth(row, change, reason),
-      onCounted: (unreachable) => this.metrics.unreachableEndpoints.set(unreachable),
+      onPathChange: (row, change, reason) => this.tunnels.recordPathChange(row, change, reason),
+      onCounted: (counts) => this.tunnels.recordCounts(counts),
     });
     const { table, healthLog } = this;
     const checkHall = (endpointHall: string): void => this.reachability.checkHall(endpointHall);
@@ -129,8 +144,9 @@
       {
         hall: options.hall,
         seeds: options.seedAddresses,
-        transport: new TcpTransport((reader, chunk) =>
-          work.measure('frameDecoding', () => reader.push(chunk)),
+        transport: new TcpTransport(
+          (reader, chunk) => work.measure('frameDecoding', () => reader.push(chunk)),
+          (request, socket) => void this.tunnels.server.serve(request, socket),
         ),
         now,
         random: Math.random,
@@ -204,6 +220,19 @@
       readView: () => this.loadRelay.readViewStatus(),
       isStopping,
     });
+    this.tunnels = new BoxTunnels({
+      hall,
+      mesh,
+      table,
+      features: this.features,
+      metrics,
+      log,
+      now,
+      isStopping,
+      dialSocket: (row) => this.dialer.dialSocket(row),
+      onDialFailed: (row) => this.reachability.checkGood(row),
+      onAbilityChange: () => this.heartbeatSender.sendToHall(),
+    });
     const { slotRelay } = this.admission;
     this.heartbeatSender = new HeartbeatSender({
       hall,
@@ -217,6 +246,7 @@
       quarantineRelay,
       isStopping,
       handlesSlots: () => this.admission.handlesSlots,
+      servesTunnels: () => this.tunnels.isAble,
       now,
     });
     this.peerFrameHandlers = {
@@ -234,6 +264,8 @@
       log,
       graceMs: options.stopGraceMs,
       countExchanges: () => this.exchanges.size,
+      countTunnels: () => this.tunnels.server.size,
+      retireTunnels: () => this.tunnels.server.retireAll(),
       stopAccepting: () => this.callers.stopAccepting(),
       onStopped: () => hooks.handleStopped(),
     });
--- a/packages/router/src/systems/endpointHealth.ts
+++ b/packages/router/src/systems/endpointHealth.ts
@@ -1,6 +1,7 @@
 /** Tracks the health of endpoints by the requests of this box alone: a link may be down for one hall only. */
 import type { EjectionCandidate, EjectionDecision } from '../capacity/ejectionLimit.js';
 import { hasRoomWithout, isWithinEjectionShare } from '../capacity/ejectionLimit.js';
+import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { assumeCold, readFleetLoad } from '../tables/endpointTable.js';
 import { acceptsRequests } from './endpointNotices.js';
@@ -34,7 +35,7 @@
 const EJECT_MS = 1_500;
 const MAX_EJECT_DOUBLINGS = 3;
 /** Interval of connection checks of an unreachable endpoint. */
-const UNREACHABLE_CHECK_INTERVAL_MS = 500;
+export const UNREACHABLE_CHECK_INTERVAL_MS = 500;
 
 /** A change of an endpoint's health. */
 export type HealthChange = 'ejected' | 'unreachable' | 'restored';
@@ -127,6 +128,22 @@
   return 'restored';
 }
 
+/**
+ * Records that a direct connection to an endpoint failed while another box reached it: the fault is on the path of this box, and
+ * so were its last failures.
+ */
+export function markTunnelled(
+  row: EndpointRow,
+  because: DialFailure,
+  nowMs: number,
+): HealthChange | undefined {
+  row.path = { type: 'tunnel', because, nextCheckMs: nowMs + UNREACHABLE_CHECK_INTERVAL_MS };
+  row.failureRate = 0;
+  row.consecutiveFailures = 0;
+  if (row.health.type === 'ejected') row.health = { type: 'good' };
+  return markReachable(row, nowMs);
+}
+
 function recordSuccess(row: EndpointRow, nowMs: number): HealthChange | undefined {
   row.lastResponseAtMs = nowMs;
   row.consecutiveFailures = 0;
--- a/packages/router/src/systems/gracefulShutdown.ts
+++ b/packages/router/src/systems/gracefulShutdown.ts
@@ -21,6 +21,10 @@
   readonly graceMs: number;
   /** Number of requests in flight. */
   readonly countExchanges: () => number;
+  /** Number of tunnels that other boxes use. */
+  readonly countTunnels: () => number;
+  /** Asks the other boxes to use their tunnels for no further request. */
+  readonly retireTunnels: () => void;
   /** Refuses new connections of callers. */
   readonly stopAccepting: () => void;
   readonly onStopped: () => void;
@@ -39,19 +43,20 @@
   /** Starts the shutdown; does nothing if it has started. */
   request(): void {
     if (this.isInProgress) return;
-    const { now, log, countExchanges } = this.options;
+    const { now, log, countExchanges, countTunnels, retireTunnels } = this.options;
     this.requestedAtMs = now();
-    log.write('lifecycle', 'stopping', { requestsInFlight: countExchanges() });
+    log.write('lifecycle', 'stopping', { requestsInFlight: countExchanges(), tunnels: countTunnels() });
+    retireTunnels();
   }
 
   /** Runs once a tick. */
   tick(): void {
     if (this.requestedAtMs === undefined) return;
-    const { now, graceMs, countExchanges, stopAccepting, onStopped } = this.options;
+    const { now, graceMs, countExchanges, countTunnels, stopAccepting, onStopped } = this.options;
     const elapsedMs = now() - this.requestedAtMs;
     if (elapsedMs < STOP_LINGER_MS) return;
     stopAccepting();
     const isLate = elapsedMs >= graceMs - STOP_MARGIN_MS;
-    if (countExchanges() === 0 || isLate) onStopped();
+    if (countExchanges() + countTunnels() === 0 || isLate) onStopped();
   }
 }
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -1,11 +1,20 @@
 /**
- * Detects unreachable endpoints. An endpoint that has requests in flight and sends nothing at all gets a connection
- * check; an unreachable one is checked again at a fixed interval.
+ * Detects unreachable endpoints, and those that this box reaches only through other boxes. An endpoint that has requests in
+ * flight and sends nothing at all gets a connection check; an unreachable one is checked again at a fixed interval, and so is
+ * the direct path to one that is reached through tunnels.
  */
 import type { EndpointConnections } from '../proxy/endpointConnections.js';
+import type { DialFailure } from '../tables/endpointPath.js';
+import { DIRECT_PATH, isDirectPathSilent } from '../tables/endpointPath.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import type { EndpointCounts } from './endpointAccess.js';
 import type { HealthChange } from './endpointHealth.js';
-import { markUnreachable, markReachable } from './endpointHealth.js';
+import {
+  markReachable,
+  markTunnelled,
+  markUnreachable,
+  UNREACHABLE_CHECK_INTERVAL_MS,
+} from './endpointHealth.js';
 
 /** An endpoint with requests of this box in flight is checked after it has sent nothing for this long. */
 const SILENCE_LIMIT_MS = 300;
@@ -15,18 +24,28 @@
 /** Called when the health of an endpoint changes. */
 export type OnHealthChange = (row: EndpointRow, change: HealthChange, because: string) => void;
 
+/** A change of the path to an endpoint. */
+export type PathChange =
+  /** Direct connections fail; new ones go through other boxes. */
+  | 'tunnelled'
+  /** Direct connections succeed again. */
+  | 'direct'
+  /** No other box reaches the endpoint any more either. */
+  | 'lost';
+
 /** Dependencies and callbacks of the checks. */
 export interface ReachabilityOptions {
   readonly table: EndpointTable;
-  readonly connections: Pick<EndpointConnections, 'check'>;
+  readonly connections: Pick<EndpointConnections, 'check' | 'checkDirectly' | 'retire'>;
   readonly now: () => number;
   /**
    * Whether a hall is under an evacuation order: its endpoints are not checked unless they have requests in flight.
    */
   readonly isEvacuated: (hall: string) => boolean;
   readonly onChange: OnHealthChange;
-  /** Called once a tick with the number of unreachable endpoints. */
-  readonly onCounted: (unreachable: number) => void;
+  readonly onPathChange: (row: EndpointRow, change: PathChange, because: string) => void;
+  /** Called once a tick. */
+  readonly onCounted: (counts: EndpointCounts) => void;
 }
 
 /** Runs the connection checks of one box. */
@@ -36,55 +55,108 @@
   /** Runs once a tick: starts the checks that are due. */
   tick(): void {
     const nowMs = this.options.now();
-    let unreachable = 0;
+    const counts = { total: 0, tunnelled: 0, unreachable: 0 };
     for (const row of this.options.table.byId.values()) {
-      if (row.health.type === 'unreachable') unreachable += 1;
-      if (!row.isBeingChecked && this.mayCheck(row) && isDue(row, nowMs)) void this.check(row);
+      counts.total += 1;
+      if (row.health.type === 'unreachable') counts.unreachable += 1;
+      else if (row.path.type === 'tunnel') counts.tunnelled += 1;
+      if (!row.isBeingChecked && this.mayCheck(row) && isDue(row, nowMs)) this.startCheck(row);
     }
-    this.options.onCounted(unreachable);
+    this.options.onCounted(counts);
+  }
+
+  /**
+   * Checks the endpoints of a hall after a connection timed out, which often means that the link to the whole hall is
+   * down.
+   */
+  checkHall(hall: string): void {
+    const nowMs = this.options.now();
+    for (const row of this.options.table.byId.values()) {
+      if (row.listing.hall === hall && nowMs - row.lastResponseAtMs >= RECENT_RESPONSE_MS)
+        this.checkGood(row);
+    }
+  }
+
+  /** Checks an endpoint that is considered reachable, because a connection to it failed. */
+  checkGood(row: EndpointRow): void {
+    const isDirect = row.health.type === 'good' && row.path.type === 'direct';
+    if (isDirect && !row.isBeingChecked && this.mayCheck(row)) this.startCheck(row);
+  }
+
+  /** Records that a direct connection to an endpoint failed while a tunnel succeeded. */
+  recordTunnelled(row: EndpointRow, because: DialFailure): void {
+    const { onChange, onPathChange, connections, now } = this.options;
+    const wasDirect = row.path.type === 'direct';
+    const change = markTunnelled(row, because, now());
+    if (wasDirect) onPathChange(row, 'tunnelled', because);
+    if (change !== undefined) onChange(row, change, 'tunnel');
+    if (!wasDirect) return;
+    if (isDirectPathSilent(row.path)) connections.retire(row.listing.id, 'direct');
+    this.checkHall(row.listing.hall);
+  }
+
+  /** Records that a direct connection succeeded to an endpoint that was reached through tunnels. */
+  recordDirect(row: EndpointRow): void {
+    if (row.path.type === 'direct') return;
+    row.path = DIRECT_PATH;
+    this.options.connections.retire(row.listing.id, 'tunnel');
+    this.options.onPathChange(row, 'direct', 'connected');
   }
 
   private mayCheck(row: EndpointRow): boolean {
     return row.inFlight > 0 || !this.options.isEvacuated(row.listing.hall);
   }
 
-  private async check(row: EndpointRow): Promise<void> {
+  private startCheck(row: EndpointRow): void {
     row.isBeingChecked = true;
+    const checked = row.path.type === 'tunnel' ? this.checkTunnelled(row) : this.check(row);
+    void checked.finally(() => (row.isBeingChecked = false));
+  }
+
+  /** Checks the direct path, and the endpoint itself if it has been silent for too long. */
+  private async checkTunnelled(row: EndpointRow): Promise<void> {
+    const { connections, now } = this.options;
+    const isSilentTooLong = isSilent(row, now());
+    if (row.path.type === 'tunnel')
+      row.path = { ...row.path, nextCheckMs: now() + UNREACHABLE_CHECK_INTERVAL_MS };
+    const direct = await connections.checkDirectly(row);
+    if (direct.ok) this.handleReachable(row);
+    else if (isSilentTooLong) await this.check(row);
+  }
+
+  private async check(row: EndpointRow): Promise<void> {
+    const { connections, now, onChange, onPathChange } = this.options;
     const wasUnreachable = row.health.type === 'unreachable';
-    const result = await this.options.connections.check(row);
-    row.isBeingChecked = false;
-    const nowMs = this.options.now();
-    if (result.ok) {
-      // A connection only proves that the host is reachable: requests in flight may still get no response.
-      const change = markReachable(row, nowMs);
-      if (change !== undefined) this.options.onChange(row, change, 'connection check');
-      return;
+    const result = await connections.check(row);
+    if (result.ok) return this.handleReachable(row);
+    const change = markUnreachable(row, now(), result.val === 'connectRefused');
+    if (row.path.type === 'tunnel') {
+      row.path = DIRECT_PATH;
+      onPathChange(row, 'lost', result.val);
     }
-    const change = markUnreachable(row, nowMs, result.val === 'connectRefused');
     if (result.val === 'connectTimedOut' && !wasUnreachable) this.checkHall(row.listing.hall);
-    if (change !== undefined) this.options.onChange(row, change, result.val);
+    if (change !== undefined) onChange(row, change, result.val);
   }
 
-  /**
-   * Checks the endpoints of a hall after a connection timed out, which often means that the link to the whole hall is
-   * down.
-   */
-  checkHall(hall: string): void {
-    const nowMs = this.options.now();
-    for (const row of this.options.table.byId.values()) {
-      const mayBeAffected =
-        row.listing.hall === hall && row.health.type === 'good' && !row.isBeingChecked && this.mayCheck(row);
-      if (mayBeAffected && nowMs - row.lastResponseAtMs >= RECENT_RESPONSE_MS) void this.check(row);
-    }
+  private handleReachable(row: EndpointRow): void {
+    // A connection only proves that the host is reachable: requests in flight may still get no response.
+    const change = markReachable(row, this.options.now());
+    if (change !== undefined) this.options.onChange(row, change, 'connection check');
   }
 }
 
 function isDue(row: EndpointRow, nowMs: number): boolean {
+  if (row.path.type === 'tunnel' && nowMs >= row.path.nextCheckMs) return true;
   switch (row.health.type) {
     case 'unreachable':
       return nowMs >= row.health.nextCheckMs;
     case 'good':
     case 'ejected':
-      return row.inFlight > 0 && nowMs - Math.max(row.lastResponseAtMs, row.busySinceMs) >= SILENCE_LIMIT_MS;
+      return isSilent(row, nowMs);
   }
 }
+
+/** Whether an endpoint with requests of this box in flight has sent nothing for too long. */
+function isSilent(row: EndpointRow, nowMs: number): boolean {
+  return row.inFlight > 0 && nowMs - Math.max(row.lastResponseAtMs, row.busySinceMs) >= SILENCE_LIMIT_MS;
+}
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -1,5 +1,7 @@
 /** The table of endpoints: the published listing of each, its health as observed by this box, and its load. */
 import type { ListedEndpoint } from '../records.js';
+import type { EndpointPath } from './endpointPath.js';
+import { DIRECT_PATH } from './endpointPath.js';
 import type { EndpointNotice } from './endpointNotice.js';
 import { EndpointNotices } from './endpointNotice.js';
 
@@ -22,6 +24,8 @@
   /** Hash of its id, by which boxes refer to it in their messages. */
   readonly tag: number;
   health: HealthState;
+  /** How new connections of this box reach it. */
+  path: EndpointPath;
   /** When this box added it to the table. */
   readonly listedAtMs: number;
   /** Requests of this box in flight at it. */
@@ -144,6 +148,7 @@
     listing,
     tag,
     health: { type: 'good' },
+    path: DIRECT_PATH,
     listedAtMs: nowMs,
     inFlight: 0,
     peersInFlight: 0,
--- /dev/null
+++ b/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
@@ -0,0 +1,36 @@
+import { TunnelCandidates } from '../tunnelCandidates.js';
+
+const near = ['a', 'b', 'c'].map((address) => ({ address, hall: 'mixco' }));
+const far = [
+  { address: 'd', hall: 'antigua' },
+  { address: 'e', hall: 'coban' },
+];
+
+let candidates: TunnelCandidates;
+
+beforeEach(() => {
+  candidates = new TunnelCandidates('mixco', () => 0.5);
+});
+
+const listHalls = (endpointHall: string, nowMs = 0): string[] =>
+  candidates.choose([...near, ...far], endpointHall, nowMs).map(({ hall }) => hall);
+
+test('a box of the own hall comes first, then one of another hall, at best the hall of the endpoint', () => {
+  expect(listHalls('antigua')).toEqual(['mixco', 'antigua', 'mixco']);
+  expect(listHalls('coban')).toEqual(['mixco', 'coban', 'mixco']);
+  expect(listHalls('mixco')).toEqual(['mixco', 'antigua', 'mixco']);
+});
+
+test('a box without a path to a hall is not asked for its endpoints for a while, but for those of others', () => {
+  for (const peer of near) candidates.recordProblem(peer, 'antigua', 'noPath', 0);
+  expect(listHalls('antigua')).toEqual(['antigua', 'coban']);
+  expect(listHalls('coban')).toEqual(['mixco', 'coban', 'mixco']);
+  expect(listHalls('antigua', 1_000)).toEqual(['mixco', 'antigua', 'mixco']);
+});
+
+test('a box that does not know tunnels is not asked for longer than one that serves none at the moment', () => {
+  candidates.recordProblem(far[0] ?? near[0]!, 'mixco', 'unsupported', 0);
+  candidates.recordProblem(far[1] ?? near[0]!, 'mixco', 'unavailable', 0);
+  expect(listHalls('mixco')).toEqual(['mixco', 'mixco', 'mixco']);
+  expect(listHalls('mixco', 1_000)).toEqual(['mixco', 'coban', 'mixco']);
+});
--- /dev/null
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -0,0 +1,86 @@
+/** Chooses the boxes that are asked for a tunnel to an endpoint. Does no I/O; the clock is passed in. */
+
+/** A box that may serve tunnels. */
+export interface TunnelPeer {
+  readonly address: string;
+  readonly hall: string;
+}
+
+/** Why a box did not serve a tunnel, as far as this says something about further requests to it. */
+export type TunnelPeerProblem =
+  /** It reaches no endpoint of that hall either. */
+  | 'noPath'
+  /** It serves none at the moment, or is not reached. */
+  | 'unavailable'
+  /** It does not know tunnels. */
+  | 'unsupported';
+
+/** Boxes that are asked for one connection. */
+export const MAX_TUNNEL_CANDIDATES = 3;
+/** How long a box is not asked again. */
+const AVOID_MS: Readonly<Record<TunnelPeerProblem, number>> = {
+  noPath: 1_000,
+  unavailable: 1_000,
+  unsupported: 30_000,
+};
+
+/** Orders the boxes that may serve tunnels, and remembers which of them did not. */
+export class TunnelCandidates {
+  private readonly avoidedUntilMs = new Map<string, number>();
+
+  /** @param random returns a number between 0 and 1 */
+  constructor(
+    private readonly hall: string,
+    private readonly random: () => number,
+  ) {}
+
+  /**
+   * The boxes to ask for a tunnel to an endpoint, in this order. Through a box of the own hall, or of the endpoint's, the bytes
+   * pass between halls as often as directly. The second one is of another hall than the own, which may be cut off as a whole.
+   *
+   * @param endpointHall hall of the endpoint
+   * @example candidates.choose(peers, 'antigua', nowMs) // one of the own hall, one of antigua, any other one
+   */
+  choose(peers: readonly TunnelPeer[], endpointHall: string, nowMs: number): TunnelPeer[] {
+    const usable = shuffle(
+      peers.filter((peer) => !this.isAvoided(peer, endpointHall, nowMs)),
+      this.random,
+    );
+    const near = usable.filter(({ hall }) => hall === this.hall);
+    const far = usable.filter(({ hall }) => hall !== this.hall);
+    const farByHall = [
+      ...far.filter(({ hall }) => hall === endpointHall),
+      ...far.filter(({ hall }) => hall !== endpointHall),
+    ];
+    const first = [...near.slice(0, 1), ...farByHall.slice(0, 1)];
+    return [...first, ...near.slice(1), ...farByHall.slice(1)].slice(0, MAX_TUNNEL_CANDIDATES);
+  }
+
+  /** Records that a box did not serve a tunnel to an endpoint of a hall. */
+  recordProblem(
+    { address }: TunnelPeer,
+    endpointHall: string,
+    problem: TunnelPeerProblem,
+    nowMs: number,
+  ): void {
+    this.forgetExpired(nowMs);
+    const key = problem === 'noPath' ? `${address} ${endpointHall}` : address;
+    this.avoidedUntilMs.set(key, nowMs + AVOID_MS[problem]);
+  }
+
+  private isAvoided({ address }: TunnelPeer, endpointHall: string, nowMs: number): boolean {
+    const keys = [address, `${address} ${endpointHall}`];
+    return keys.some((key) => nowMs < (this.avoidedUntilMs.get(key) ?? -Infinity));
+  }
+
+  private forgetExpired(nowMs: number): void {
+    for (const [key, untilMs] of this.avoidedUntilMs) if (untilMs <= nowMs) this.avoidedUntilMs.delete(key);
+  }
+}
+
+function shuffle<T>(values: readonly T[], random: () => number): T[] {
+  return values
+    .map((value) => ({ value, order: random() }))
+    .sort((a, b) => a.order - b.order)
+    .map(({ value }) => value);
+}
--- /dev/null
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -0,0 +1,150 @@
+/** Opens tunnels to endpoints through other boxes, which connect to the endpoints in place of this one. */
+import { connect } from 'node:net';
+import { Err, Ok } from '@hazelwalk/core';
+import type { Result } from '@hazelwalk/core';
+import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
+import type { EndpointRow } from '../tables/endpointTable.js';
+import { parseAddress } from '../peers/peerTransport.js';
+import type { TunnelPeer, TunnelPeerProblem } from './tunnelCandidates.js';
+import { TunnelCandidates } from './tunnelCandidates.js';
+import type { TunnelRefusal } from './tunnelFrames.js';
+import { formatTunnelName } from './tunnelFrames.js';
+import type { TunnelLog } from './tunnelLog.js';
+import { isTunnelLost, TunnelStream } from './tunnelStream.js';
+
+/** A box that has not answered after this is not waited for: it connects to the endpoint within a quarter of a second. */
+const OPEN_TIMEOUT_MS = 300;
+/** Idle time after which TCP keep-alive probes are sent. */
+const KEEP_ALIVE_PROBE_MS = 5_000;
+
+/** Why no tunnel was opened through a box. */
+export type TunnelFailure =
+  | TunnelRefusal
+  /** The box was not reached, or did not answer in time. */
+  | 'unanswered'
+  /** It closed the connection without an answer, as boxes of versions without tunnels do. */
+  | 'unsupported';
+
+/** An open tunnel. */
+export interface OpenTunnel {
+  readonly stream: TunnelStream;
+  /** Name of the tunnel in the logs of both boxes. */
+  readonly name: string;
+}
+
+/** Dependencies of the client. */
+export interface TunnelClientOptions {
+  readonly hall: string;
+  /** Address at which this box accepts peers. */
+  readonly readAddress: () => string;
+  /** Boxes that may serve tunnels. */
+  readonly listPeers: () => readonly TunnelPeer[];
+  readonly isEnabled: () => boolean;
+  /** Returns a number between 0 and 1. */
+  readonly random: () => number;
+  readonly now: () => number;
+  readonly log: TunnelLog;
+}
+
+/** Opens the tunnels of one box. */
+export class TunnelClient {
+  private readonly candidates: TunnelCandidates;
+  private lastNumber = 0;
+
+  constructor(private readonly options: TunnelClientOptions) {
+    this.candidates = new TunnelCandidates(options.hall, options.random);
+  }
+
+  /** The boxes to ask for a tunnel to an endpoint, in this order; none if tunnels are turned off. */
+  listCandidates(row: EndpointRow): TunnelPeer[] {
+    const { isEnabled, listPeers, now } = this.options;
+    return isEnabled() ? this.candidates.choose(listPeers(), row.listing.hall, now()) : [];
+  }
+
+  /**
+   * Opens a tunnel to an endpoint through a box.
+   *
+   * @example const opened = await client.open(peer, row); // Ok({ stream, name: '10.0.0.1:8229#7' })
+   */
+  async open(peer: TunnelPeer, row: EndpointRow): Promise<Result<OpenTunnel, TunnelFailure>> {
+    this.lastNumber += 1;
+    const number = this.lastNumber;
+    const name = formatTunnelName(this.options.readAddress(), number);
+    const opened = await this.request(peer, row, number);
+    this.options.log.recordOpened(name, row, peer, opened.ok ? 'open' : opened.val);
+    if (opened.err) {
+      this.recordFailure(peer, row, opened.val);
+      return opened;
+    }
+    const stream = opened.val;
+    stream.on('error', (error) => {
+      if (isTunnelLost(error)) this.recordFailure(peer, row, 'unanswered');
+    });
+    return Ok({ stream, name });
+  }
+
+  private request(
+    peer: TunnelPeer,
+    row: EndpointRow,
+    number: number,
+  ): Promise<Result<TunnelStream, TunnelFailure>> {
+    const address = this.options.readAddress();
+    return new Promise((resolve) => {
+      const socket = connect({ ...parseAddress(peer.address), noDelay: true });
+      socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+      const reader = new PeerFrameReader();
+      let isConnected = false;
+      const stopWaiting = (): void => {
+        clearTimeout(timer);
+        socket.removeAllListeners('data').removeAllListeners('close');
+      };
+      const fail = (failure: TunnelFailure): void => {
+        stopWaiting();
+        socket.destroy();
+        resolve(Err(failure));
+      };
+      const timer = setTimeout(() => fail('unanswered'), OPEN_TIMEOUT_MS);
+      socket.on('error', () => socket.destroy());
+      socket.once('connect', () => {
+        isConnected = true;
+        socket.write(encodePeerFrame({ type: 'tunnelRequest', address, number, endpointTag: row.tag }));
+      });
+      socket.once('close', () => fail(isConnected ? 'unsupported' : 'unanswered'));
+      socket.on('data', (chunk: Buffer) => {
+        const frames = reader.push(chunk);
+        const reply = frames.ok ? frames.val[0] : undefined;
+        if (frames.ok && reply === undefined) return;
+        if (reply?.type !== 'tunnelReply') return fail('unsupported');
+        if (reply.result !== 'open') return fail(reply.result);
+        stopWaiting();
+        resolve(Ok(new TunnelStream(socket, reader)));
+      });
+    });
+  }
+
+  private recordFailure(peer: TunnelPeer, row: EndpointRow, failure: TunnelFailure): void {
+    const problem = findPeerProblem(failure);
+    if (problem === undefined) return;
+    this.candidates.recordProblem(peer, row.listing.hall, problem, this.options.now());
+  }
+}
+
+/** What a failure says about further requests to the box; undefined if it concerns the endpoint alone. */
+function findPeerProblem(failure: TunnelFailure): TunnelPeerProblem | undefined {
+  switch (failure) {
+    case 'connectRefused':
+    case 'connectTimedOut':
+    case 'connectBroken':
+    case 'unknownEndpoint':
+      return undefined;
+    case 'noPath':
+      return 'noPath';
+    case 'stopping':
+    case 'full':
+    case 'turnedOff':
+    case 'unanswered':
+      return 'unavailable';
+    case 'unsupported':
+      return 'unsupported';
+  }
+}
--- /dev/null
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -0,0 +1,140 @@
+/**
+ * Extends connections of other boxes to endpoints that they do not reach themselves. The box that asks decides everything about
+ * the requests; this one only passes bytes on, over a direct connection of its own and never over another tunnel.
+ */
+import type { Socket } from 'node:net';
+import type { Result } from '@hazelwalk/core';
+import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
+import type { DialFailure } from '../tables/endpointPath.js';
+import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import { wasReset } from '../proxy/wasReset.js';
+import type { TunnelRefusal, TunnelRequest } from './tunnelFrames.js';
+import { formatTunnelName } from './tunnelFrames.js';
+import type { TunnelLog } from './tunnelLog.js';
+import { TunnelStream } from './tunnelStream.js';
+
+/** Tunnels that a box serves at a time; each takes two sockets. */
+const MAX_TUNNELS = 512;
+/** Endpoints to which a box connects to find out whether a refused connection is due to its own path. */
+const MAX_COMPARED_ENDPOINTS = 3;
+/** Idle time after which TCP keep-alive probes are sent: a box without power closes nothing. */
+const KEEP_ALIVE_PROBE_MS = 5_000;
+
+/** Dependencies of the server. */
+export interface TunnelServerOptions {
+  readonly table: Pick<EndpointTable, 'byId' | 'findByTag'>;
+  /** Connects to an endpoint directly. */
+  readonly dial: (row: EndpointRow) => Promise<Result<Socket, DialFailure>>;
+  readonly isEnabled: () => boolean;
+  readonly isStopping: () => boolean;
+  /** Called when a connection to an endpoint fails. */
+  readonly onDialFailed: (row: EndpointRow) => void;
+  readonly log: TunnelLog;
+  readonly now: () => number;
+}
+
+/** Serves the tunnels of other boxes. */
+export class TunnelServer {
+  private readonly open = new Set<TunnelStream>();
+  /** Tunnels whose connection to the endpoint is being established. */
+  private dialing = 0;
+
+  constructor(private readonly options: TunnelServerOptions) {}
+
+  /** Number of tunnels that are open. */
+  get size(): number {
+    return this.open.size;
+  }
+
+  /** Asks the other boxes to use their tunnels for no further request, as this box is about to stop. */
+  retireAll(): void {
+    for (const tunnel of this.open) tunnel.retire();
+  }
+
+  /**
+   * Handles a request for a tunnel.
+   *
+   * @param socket the connection on which it was received; nothing else reads from it
+   */
+  async serve(request: TunnelRequest, socket: Socket): Promise<void> {
+    const { table, log, onDialFailed, dial, isStopping } = this.options;
+    const row = table.findByTag(request.endpointTag);
+    const refusal = this.findRefusal(row);
+    if (refusal !== undefined || row === undefined) return refuse(socket, refusal ?? 'unknownEndpoint');
+    socket.pause();
+    this.dialing += 1;
+    const dialed = await dial(row);
+    this.dialing -= 1;
+    if (dialed.err) {
+      onDialFailed(row);
+      return refuse(socket, await this.findDialRefusal(row, dialed.val));
+    }
+    if (socket.destroyed || isStopping()) {
+      dialed.val.destroy();
+      return refuse(socket, 'stopping');
+    }
+    socket.setNoDelay().setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+    socket.write(encodePeerFrame({ type: 'tunnelReply', result: 'open' }));
+    const name = formatTunnelName(request.address, request.number);
+    log.recordServed(name, row, this.open.size + 1);
+    this.forward(new TunnelStream(socket, new PeerFrameReader()), dialed.val, name, row);
+  }
+
+  private findRefusal(row: EndpointRow | undefined): TunnelRefusal | undefined {
+    const { isEnabled, isStopping } = this.options;
+    if (!isEnabled()) return 'turnedOff';
+    if (isStopping()) return 'stopping';
+    if (this.open.size + this.dialing >= MAX_TUNNELS) return 'full';
+    if (row === undefined) return 'unknownEndpoint';
+    const isDark = row.health.type === 'unreachable' && !row.health.isProcessGone;
+    return isDark || row.path.type === 'tunnel' ? 'noPath' : undefined;
+  }
+
+  /**
+   * What a failed connection says about the endpoint. A refusal is its own only if this box still reaches another endpoint:
+   * where the box is cut off, too, connections to all of them may be refused.
+   */
+  private async findDialRefusal(row: EndpointRow, failure: DialFailure): Promise<TunnelRefusal> {
+    if (failure !== 'connectRefused') return failure;
+    const dialed = await Promise.all(this.listOthers(row).map((other) => this.options.dial(other)));
+    for (const other of dialed) if (other.ok) other.val.destroy();
+    return dialed.some((other) => other.ok) ? 'connectRefused' : 'noPath';
+  }
+
+  /** Endpoints that this box reached last. Several, as others may have ended together with this one. */
+  private listOthers(row: EndpointRow): EndpointRow[] {
+    return [...this.options.table.byId.values()]
+      .filter((other) => other !== row && other.health.type !== 'unreachable' && other.path.type === 'direct')
+      .sort((a, b) => b.lastResponseAtMs - a.lastResponseAtMs)
+      .slice(0, MAX_COMPARED_ENDPOINTS);
+  }
+
+  /** Passes bytes on in both directions, each no faster than its reader accepts them, until either side ends. */
+  private forward(tunnel: TunnelStream, endpoint: Socket, name: string, row: EndpointRow): void {
+    const { log, now } = this.options;
+    const openedAtMs = now();
+    this.open.add(tunnel);
+    tunnel.pipe(endpoint, { end: false });
+    endpoint.pipe(tunnel, { end: false });
+    endpoint.on('end', () => (wasReset(endpoint) ? tunnel.reset() : tunnel.end()));
+    endpoint.on('error', () => tunnel.reset());
+    endpoint.on('close', () => {
+      // After a regular end, what is still buffered is delivered first.
+      if (!tunnel.writableEnded) tunnel.destroy();
+    });
+    // The other box closes the tunnel where it would have closed a connection of its own.
+    tunnel.on('end', () => endpoint.destroy());
+    tunnel.on('error', () => endpoint.destroy());
+    tunnel.on('close', () => {
+      this.open.delete(tunnel);
+      endpoint.destroy();
+      const { receivedBytes, sentBytes } = tunnel;
+      log.recordServedEnd(name, row, this.open.size, { receivedBytes, sentBytes, ageMs: now() - openedAtMs });
+    });
+  }
+}
+
+function refuse(socket: Socket, refusal: TunnelRefusal): void {
+  socket.on('error', () => socket.destroy());
+  socket.end(encodePeerFrame({ type: 'tunnelReply', result: refusal }));
+}
--- /dev/null
+++ b/packages/router/src/tunnels/tunnelStream.ts
@@ -0,0 +1,126 @@
+/**
+ * One end of an open tunnel as a byte stream. Bytes travel in frames, so that the end of the connection to the endpoint differs
+ * from the loss of the tunnel itself: only then is a response without a length complete.
+ */
+import type { Socket } from 'node:net';
+import { Duplex } from 'node:stream';
+import type { PeerFrame } from '../peers/peerFrames.js';
+import { isTunnelFrame } from '../peers/peerFrames.js';
+import type { PeerFrameReader } from '../peers/peerFrameCodec.js';
+import { encodePeerFrame } from '../peers/peerFrameCodec.js';
+
+/** Bytes in one frame at most; the receiver buffers a frame until it is whole. */
+const MAX_DATA_BYTES = 65_536;
+
+/** Why a tunnel ended before its data did. */
+export class TunnelError extends Error {
+  constructor(
+    /** `lost`: the other box or the link to it failed; `reset`: the endpoint reset its connection. */
+    readonly reason: 'lost' | 'reset',
+  ) {
+    super(reason === 'lost' ? 'the tunnel was lost' : 'the endpoint reset the connection');
+  }
+}
+
+/**
+ * Whether an error says that a tunnel failed, and not the endpoint behind it.
+ *
+ * @example isTunnelLost(new TunnelError('lost')) // true
+ */
+export function isTunnelLost(error: unknown): boolean {
+  return error instanceof TunnelError && error.reason === 'lost';
+}
+
+/** One end of a tunnel. */
+export class TunnelStream extends Duplex {
+  /** Bytes received from the other box, and sent to it. */
+  receivedBytes = 0;
+  sentBytes = 0;
+  /** The other end reported the end of the data. */
+  private hasEnded = false;
+  /** Called when the other box asks to use the tunnel for no further request. */
+  onRetire: () => void = () => {};
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly reader: PeerFrameReader,
+  ) {
+    super();
+    socket.on('data', (chunk: Buffer) => this.handleChunk(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.handleClose());
+  }
+
+  /** Asks the other box to use the tunnel for no further request. */
+  retire(): void {
+    if (!this.socket.writableEnded) this.socket.write(encodePeerFrame({ type: 'tunnelRetire' }));
+  }
+
+  /** Reports that the endpoint reset its connection, and closes the tunnel. */
+  reset(): void {
+    if (!this.destroyed && !this.socket.writableEnded)
+      this.socket.end(encodePeerFrame({ type: 'tunnelEnd', isReset: true }));
+    this.destroy();
+  }
+
+  override _read(): void {
+    this.socket.resume();
+  }
+
+  override _write(chunk: Buffer, _encoding: BufferEncoding, done: (error?: Error | null) => void): void {
+    if (chunk.length === 0) return done();
+    this.sentBytes += chunk.length;
+    const handleWritten = (error?: Error | null): void => done(error ? new TunnelError('lost') : null);
+    for (let from = 0; from < chunk.length; from += MAX_DATA_BYTES) {
+      const end = from + MAX_DATA_BYTES;
+      const packet = encodePeerFrame({ type: 'tunnelData', bytes: chunk.subarray(from, end) });
+      this.socket.write(packet, end < chunk.length ? undefined : handleWritten);
+    }
+  }
+
+  override _writev(chunks: { chunk: Buffer }[], done: (error?: Error | null) => void): void {
+    this._write(Buffer.concat(chunks.map(({ chunk }) => chunk)), 'binary', done);
+  }
+
+  override _final(done: () => void): void {
+    this.socket.end(encodePeerFrame({ type: 'tunnelEnd', isReset: false }), done);
+  }
+
+  override _destroy(error: Error | null, done: (error: Error | null) => void): void {
+    // What was written before the end is still delivered.
+    if (this.socket.writableEnded) this.socket.destroySoon();
+    else this.socket.destroy();
+    done(error);
+  }
+
+  private handleChunk(chunk: Buffer): void {
+    const frames = this.reader.push(chunk);
+    if (frames.err) return void this.destroy(new TunnelError('lost'));
+    for (const frame of frames.val) this.handleFrame(frame);
+  }
+
+  private handleFrame(frame: PeerFrame): void {
+    if (!isTunnelFrame(frame)) return void this.destroy(new TunnelError('lost'));
+    switch (frame.type) {
+      case 'tunnelData':
+        this.receivedBytes += frame.bytes.length;
+        if (!this.push(frame.bytes)) this.socket.pause();
+        return;
+      case 'tunnelEnd':
+        if (frame.isReset) return void this.destroy(new TunnelError('reset'));
+        this.hasEnded = true;
+        this.push(null);
+        return;
+      case 'tunnelRetire':
+        return this.onRetire();
+      case 'tunnelRequest':
+      case 'tunnelReply':
+        this.destroy(new TunnelError('lost'));
+    }
+  }
+
+  private handleClose(): void {
+    // After a regular end, a reader that is behind still gets what has arrived.
+    if (!this.hasEnded && !this.destroyed) this.destroy(new TunnelError('lost'));
+  }
+}
