--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,6 +3,7 @@
  * bounds apply only while the parts concerned have been free of injected faults for a while.
  */
 import type { CallerRecord, Ledger, PlannedEvent, ProbeRequest, RunRecord, SoakRoute } from './ledger.js';
+import { checkCutOffBoxes } from './cutChecks.js';
 import { checkScarceService, isScarceRoute } from './scarceChecks.js';
 import type { Violation } from './violation.js';
 import { createViolation, isRejected, isServed, SETTLE_MS, TOLERANCE_MS } from './violation.js';
@@ -53,6 +54,7 @@
     ...checkLoadBound(ledger),
     ...checkRecovery(ledger),
     ...checkScarceService(ledger),
+    ...checkCutOffBoxes(ledger),
   ];
 }
 
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -4,6 +4,7 @@
 import { endProcess, pause } from '@hazelwalk/standins';
 import type { LinkFault, LinkProxy, Random } from '@hazelwalk/standins';
 import type { Ledger } from './ledger.js';
+import { LINK_CUTS, writeLinkCut } from './linkCut.js';
 import type { SoakBox, SoakEndpoint, SoakSite } from './site.js';
 
 /** Kinds of faults and of planned operations. */
@@ -26,11 +27,14 @@
 export const ANNOUNCEMENT_FAULT_KINDS = ['endpointAnnounce', 'endpointBackOff'] as const;
 /** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
 export const RESTORE_FAULT_KINDS = ['storeRestore'] as const;
+/** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
+export const CUT_FAULT_KINDS = ['boxCut'] as const;
 /** A kind of fault or of planned operation. */
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof ANNOUNCEMENT_FAULT_KINDS)[number]
-  | (typeof RESTORE_FAULT_KINDS)[number];
+  | (typeof RESTORE_FAULT_KINDS)[number]
+  | (typeof CUT_FAULT_KINDS)[number];
 
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
@@ -56,6 +60,8 @@
 const PROPAGATION_MS = 500;
 /** Entries that are not rewritten expire after three missed heartbeats. */
 const ENTRY_LIFETIME_MS = 3_600;
+/** Long enough for requests after the time in which a box detects the cut. */
+const CUT_MS = 6_000;
 const SERIES_LENGTH = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -84,6 +90,8 @@
         return this.onRandomBox((box) => this.stopBox(box));
       case 'boxReload':
         return this.onRandomBox(async (box) => void box.process?.child.kill('SIGHUP'));
+      case 'boxCut':
+        return this.cutBoxes();
       case 'endpointKill':
         return this.onRandomEndpoint((endpoint) => this.killEndpoint(endpoint));
       case 'endpointPause':
@@ -111,6 +119,22 @@
     }
   }
 
+  /** Cuts some boxes off from all endpoints, but not all of them. */
+  private async cutBoxes(): Promise<void> {
+    const count = 1 + Math.floor(this.random() * (this.site.boxes.length - 1));
+    const cut = this.pick(LINK_CUTS);
+    await this.runExclusively('links', () =>
+      this.runAsDisturbance('links', async () => {
+        const boxes = [...this.site.boxes].sort(() => this.random() - 0.5).slice(0, count);
+        const spans = boxes.map((box) => this.ledger.beginCut(box.name));
+        for (const { linkCutPath } of boxes) writeLinkCut(linkCutPath, cut);
+        await pause(CUT_MS);
+        for (const span of spans) span.toMs = Date.now();
+        for (const { linkCutPath } of boxes) writeLinkCut(linkCutPath, undefined);
+      }),
+    );
+  }
+
   private async killBox(box: SoakBox): Promise<void> {
     await this.runAsInterruption(box.name, async () => {
       if (box.process !== undefined) await endProcess(box.process.child, 'SIGKILL');
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -107,6 +107,8 @@
   readonly disturbances: Disturbance[] = [];
   /** Spans in which the process of a box was paused or restarted and may have lost its in-memory state. */
   readonly interruptions: Disturbance[] = [];
+  /** Spans in which a box was cut off from all endpoints. */
+  readonly cuts: Disturbance[] = [];
   readonly events: PlannedEvent[] = [];
 
   /** Records the start of a fault. The caller sets `toMs` when the fault ends. */
@@ -116,6 +118,13 @@
     return disturbance;
   }
 
+  /** Records that a box is cut off from all endpoints. The caller sets `toMs` when that ends. */
+  beginCut(box: string): Disturbance {
+    const cut = { entity: box, fromMs: Date.now(), toMs: Infinity };
+    this.cuts.push(cut);
+    return cut;
+  }
+
   /** Whether an entity had no fault in a span or within the settle time before it. */
   wasUndisturbed(entity: string, fromMs: number, toMs: number, settleMs: number): boolean {
     return !this.disturbances.some(
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -37,6 +37,11 @@
     default: false,
     describe: 'also restore the store from a backup',
   })
+  .option('cuts', {
+    type: 'boolean',
+    default: false,
+    describe: 'also cut boxes off from all endpoints',
+  })
   .option('scarce', {
     type: 'boolean',
     default: false,
@@ -80,6 +85,7 @@
     faultsMs: argv.seconds * MS_PER_S,
     hasAnnouncements: argv.announcements,
     hasRestores: argv.restores,
+    hasCuts: argv.cuts,
     isScarce: argv.scarce,
   });
   report(result);
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -4,7 +4,13 @@
 import { Caller, SCARCE_SHARES, sendRequest } from './callers.js';
 import { checkGuarantees } from './checks.js';
 import type { FaultKind } from './faults.js';
-import { ANNOUNCEMENT_FAULT_KINDS, FAULT_KINDS, FaultInjector, RESTORE_FAULT_KINDS } from './faults.js';
+import {
+  ANNOUNCEMENT_FAULT_KINDS,
+  CUT_FAULT_KINDS,
+  FAULT_KINDS,
+  FaultInjector,
+  RESTORE_FAULT_KINDS,
+} from './faults.js';
 import type { RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
 import { SCARCE_SLOTS, SoakSite, versionRouteName } from './site.js';
@@ -23,6 +29,8 @@
   readonly hasAnnouncements: boolean;
   /** Whether the store is also restored from a backup. */
   readonly hasRestores: boolean;
+  /** Whether boxes are also cut off from all endpoints. */
+  readonly hasCuts: boolean;
   /** Whether there is also a service with too few slots for its callers, and routes of different priority. */
   readonly isScarce: boolean;
 }
@@ -70,6 +78,7 @@
       ...FAULT_KINDS,
       ...(options.hasAnnouncements ? ANNOUNCEMENT_FAULT_KINDS : []),
       ...(options.hasRestores ? RESTORE_FAULT_KINDS : []),
+      ...(options.hasCuts ? CUT_FAULT_KINDS : []),
     ];
     await injectFaults(options.faultsMs, kinds, new FaultInjector(site, ledger, random), random, faults);
     ledger.events.push({ type: 'faultsOver', atMs: Date.now() });
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -16,6 +16,7 @@
 import { endProcess, LinkProxy, startProcess } from '@hazelwalk/standins';
 import type { StartedProcess } from '@hazelwalk/standins';
 import type { BoxAddress } from './callers.js';
+import { LINK_CUT_PRELOAD, LINK_CUT_VARIABLES, writeLinkCut } from './linkCut.js';
 import type { Ledger, RunRecord } from './ledger.js';
 
 const HALLS = ['mixco', 'antigua'] as const;
@@ -72,7 +73,10 @@
 /** A box: its address, its link to the store and its current process. */
 export interface SoakBox extends BoxAddress {
   readonly storeLink: LinkProxy;
+  readonly storeLinkPort: number;
   readonly settingsPath: string;
+  /** File that orders cuts of the links between the box and the endpoints. */
+  readonly linkCutPath: string;
   /** Number of starts of the box. */
   incarnation: number;
   process: StartedProcess<string> | undefined;
@@ -229,9 +233,9 @@
   async startBox(box: SoakBox): Promise<void> {
     box.incarnation += 1;
     box.process = await startProcess<string>(
-      [BOX_PROGRAM],
+      ['--import', LINK_CUT_PRELOAD, BOX_PROGRAM],
       (line) => (line.includes('"event":"started"') ? line : undefined),
-      { env: { HAZELWALK_BOOT: box.settingsPath }, onLine: (line) => box.log.push(line) },
+      { env: this.createEnvironment(box), onLine: (line) => box.log.push(line) },
     );
   }
 
@@ -246,6 +250,14 @@
     this.store.close();
   }
 
+  private createEnvironment({ settingsPath, linkCutPath, storeLinkPort }: SoakBox): NodeJS.ProcessEnv {
+    return {
+      HAZELWALK_BOOT: settingsPath,
+      [LINK_CUT_VARIABLES.file]: linkCutPath,
+      [LINK_CUT_VARIABLES.otherPorts]: [storeLinkPort, PEER_PORT].join(),
+    };
+  }
+
   private writeConfiguration(): void {
     const versionRoute = { ...ROUTES[0], name: versionRouteName(this.version) } as StandinRoute;
     const routes = [...ROUTES, versionRoute, ...(this.isScarce ? SCARCE_ROUTES : [])];
@@ -254,9 +266,12 @@
 
   private async addBox(index: number, boxes: number): Promise<void> {
     const storeLink = new LinkProxy(this.storePort);
-    const storeAddress = `127.0.0.1:${await storeLink.listen()}`;
+    const storeLinkPort = await storeLink.listen();
+    const storeAddress = `127.0.0.1:${storeLinkPort}`;
     const name = `box-${index + 1}`;
     const settingsPath = join(this.settingsFolder, `${name}.toml`);
+    const linkCutPath = join(this.settingsFolder, `${name}.cut`);
+    writeLinkCut(linkCutPath, undefined);
     const addressOf = (boxIndex: number): string => `${this.network}.${boxIndex + 1}`;
     const seeds = Array.from(
       { length: Math.min(SEEDS, boxes) },
@@ -274,7 +289,9 @@
       host: ip,
       port: CALLER_PORT,
       storeLink,
+      storeLinkPort,
       settingsPath,
+      linkCutPath,
       incarnation: 0,
       process: undefined,
       log: [],
