Brittle endpoints get no more than they have slots for

Cause: a service counts as short of room only after an endpoint has refused a request, and its slots are scheduled from then on; so at the beginning of a rush each box sends until it is refused.

Now a service whose endpoints state such a limit counts as short at once: its slots are scheduled, or load is shed, before anything is refused, and prompts pass brittle endpoints whose slots are in use.

--- a/packages/router/src/__tests__/endpointNotices.test.ts
+++ b/packages/router/src/__tests__/endpointNotices.test.ts
@@ -1,6 +1,6 @@
 import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
 import type { ResponseMetadata } from '../records.js';
-import { isLeaving, recordAnnouncements } from '../systems/endpointNotices.js';
+import { isBrittle, isLeaving, recordAnnouncements } from '../systems/endpointNotices.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 
 const createMetadata = (changes: Partial<ResponseMetadata>): ResponseMetadata => ({
@@ -41,6 +41,16 @@
   expect(row.notice.backOffUntilMs).toBe(4_200);
 });
 
+test('an endpoint is brittle for as long as its responses state how many rejections it survives', () => {
+  const [row] = createTable(1).rows;
+  if (row === undefined) throw new Error('no row');
+  expect(recordAnnouncements(row, createMetadata({ rejectionsPerS: 4 }), 0)).toEqual(['brittle']);
+  expect(recordAnnouncements(row, createMetadata({ rejectionsPerS: 3 }), 1)).toEqual([]);
+  expect(isBrittle(row)).toBe(true);
+  expect(recordAnnouncements(row, createMetadata({}), 2)).toEqual(['sturdy']);
+  expect(isBrittle(row)).toBe(false);
+});
+
 describe('a leave announcement', () => {
   let table: EndpointTable;
 
--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -49,6 +49,16 @@
   expect(rows.length).toBe(12);
 });
 
+test('a brittle endpoint has no capacity beyond its slots, whatever the mean load is', () => {
+  const { table, rows } = createTable(12);
+  const placement = createPlacement(table);
+  const preferred = placement.choose(createRequest('p'), NOW_MS)?.row;
+  for (const row of rows) row.inFlight = row.listing.slots;
+  expect(placement.choose(createRequest('p'), NOW_MS)?.row).toBe(preferred);
+  if (preferred !== undefined) preferred.notice.rejectionsPerS = 2;
+  expect(placement.choose(createRequest('p'), NOW_MS)?.row).not.toBe(preferred);
+});
+
 test('the load reported by peers counts like the local load', () => {
   const { table } = createTable(12);
   const placement = createPlacement(table);
--- a/packages/router/src/admission/boxAdmission.ts
+++ b/packages/router/src/admission/boxAdmission.ts
@@ -11,7 +11,7 @@
 import type { HopChange } from '../peers/slotRelay.js';
 import { SlotRelay } from '../peers/slotRelay.js';
 import { SheddingLog } from '../observability/sheddingLog.js';
-import { acceptsRequests } from '../systems/endpointNotices.js';
+import { acceptsRequests, isBrittle } from '../systems/endpointNotices.js';
 import type { PublishedState } from '../systems/publishedState.js';
 import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
@@ -116,8 +116,10 @@
     const view = readView();
     const services = new Set([...table.byId.values()].map(({ listing }) => listing.service));
     for (const service of services) {
-      const room = readServiceRoom(table.listService(service), view, nowMs);
-      this.gate.updateRoom(service, room);
+      const rows = table.listService(service);
+      this.gate.updateRoom(service, readServiceRoom(rows, view, nowMs));
+      // A refusal, which would show a shortage, comes too late for endpoints that do not survive many.
+      if (rows.some(isBrittle)) this.room.recordBrittle(service, nowMs);
     }
     this.gate.retain(services);
     metrics.shortServices.set(this.room.shortCount);
--- a/packages/router/src/capacity/roomWatch.ts
+++ b/packages/router/src/capacity/roomWatch.ts
@@ -18,11 +18,20 @@
 /** Weight of the latest use in the average: at two reports a second the average follows within a second. */
 const LATEST_WEIGHT = 0.5;
 
+/** Why a service counts as short of room. */
+export type ShortageReason =
+  /** Its averaged use is high. */
+  | 'use'
+  /** An endpoint refused a request for lack of room. */
+  | 'refusal'
+  /** Its endpoints state that they do not survive many refusals. */
+  | 'brittle';
+
 /** A service became short of room, or has ample room again. */
 export interface RoomChange {
   readonly service: string;
   readonly state: 'short' | 'ample';
-  readonly reason: 'use' | 'refusal' | 'quiet';
+  readonly reason: ShortageReason | 'quiet';
   readonly averageUse: number;
   /** The last known room; undefined before the first report. */
   readonly room: ServiceRoom | undefined;
@@ -65,6 +74,11 @@
     this.markShort(service, watched, 'refusal', nowMs);
   }
 
+  /** Records that endpoints of a service state that they do not survive many refusals. */
+  recordBrittle(service: string, nowMs: number): void {
+    this.markShort(service, this.getOrCreate(service), 'brittle', nowMs);
+  }
+
   /** Forgets the services that are not among these. */
   retain(services: ReadonlySet<string>): void {
     for (const service of this.services.keys()) if (!services.has(service)) this.services.delete(service);
@@ -93,12 +107,7 @@
     return [...this.services.values()].filter((watched) => watched.shortSeenAtMs !== undefined).length;
   }
 
-  private markShort(
-    service: string,
-    watched: WatchedService,
-    reason: 'use' | 'refusal',
-    nowMs: number,
-  ): void {
+  private markShort(service: string, watched: WatchedService, reason: ShortageReason, nowMs: number): void {
     const wasShort = watched.shortSeenAtMs !== undefined;
     watched.shortSeenAtMs = nowMs;
     if (!wasShort) this.report(service, watched, 'short', reason);
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -146,6 +146,8 @@
   readonly isLeaving: boolean;
   /** Back-off that the endpoint requests from this router; undefined if it requests none. */
   readonly backOffMs: number | undefined;
+  /** Rejections for lack of room that the endpoint survives in a second; undefined if it states no limit. */
+  readonly rejectionsPerS?: number | undefined;
   /** Load of the endpoint: `malformed` if the header cannot be read; undefined if there is none. */
   readonly load?: LoadReport | 'malformed' | undefined;
 }
--- a/packages/router/src/systems/endpointNotices.ts
+++ b/packages/router/src/systems/endpointNotices.ts
@@ -7,7 +7,11 @@
   /** The endpoint is about to leave. */
   | 'leaving'
   /** The endpoint asks this router to send no requests for a limited time. */
-  | 'backOff';
+  | 'backOff'
+  /** The endpoint ends for a while if it has to reject more requests than it states. */
+  | 'brittle'
+  /** It states no such limit any more. */
+  | 'sturdy';
 
 /**
  * Records the announcements in the headers of a response. Returns those that changed the recorded state.
@@ -16,7 +20,7 @@
  */
 export function recordAnnouncements(
   { notice }: EndpointRow,
-  { isLeaving, backOffMs = 0 }: ResponseMetadata,
+  { isLeaving, backOffMs = 0, rejectionsPerS }: ResponseMetadata,
   nowMs: number,
 ): EndpointNoticeChange[] {
   const changes: EndpointNoticeChange[] = [];
@@ -29,9 +33,21 @@
     notice.backOffUntilMs = nowMs + backOffMs;
     changes.push('backOff');
   }
+  if ((rejectionsPerS === undefined) !== (notice.rejectionsPerS === undefined))
+    changes.push(rejectionsPerS === undefined ? 'sturdy' : 'brittle');
+  notice.rejectionsPerS = rejectionsPerS;
   return changes;
 }
 
+/**
+ * Whether an endpoint ends for a while if it has to reject many requests: it gets no more than it has slots for.
+ *
+ * @example isBrittle(row) // true after a response that states how many rejections it survives
+ */
+export function isBrittle({ notice }: EndpointRow): boolean {
+  return notice.rejectionsPerS !== undefined;
+}
+
 /**
  * Whether an endpoint is about to leave, according to its listing or to its own announcement. It gets no new requests.
  *
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -16,7 +16,7 @@
 import { isUsable } from './endpointHealth.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
-import { isLeaving, readBackOffMs } from './endpointNotices.js';
+import { isBrittle, isLeaving, readBackOffMs } from './endpointNotices.js';
 import type { Evacuations } from './evacuations.js';
 import type { PromptHolders } from './promptHolders.js';
 import { MAX_HOLDERS } from './promptHolders.js';
@@ -312,7 +312,10 @@
   private listWithCapacity(rows: readonly EndpointRow[], means: ServiceMeans): EndpointRow[] | undefined {
     const { factor, allowance } = LOAD_CAPS[this.options.readLoadPath()];
     const cap = factor * means.load + allowance;
-    const withCapacity = rows.filter((row) => (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap);
+    const hasCapacity = (row: EndpointRow): boolean =>
+      (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap &&
+      (!isBrittle(row) || readFleetLoad(row) < row.listing.slots);
+    const withCapacity = rows.filter(hasCapacity);
     return withCapacity.length > 0 ? withCapacity : undefined;
   }
 
--- a/packages/router/src/tables/endpointNotice.ts
+++ b/packages/router/src/tables/endpointNotice.ts
@@ -6,6 +6,8 @@
   isLeaving: boolean;
   /** Time until which the endpoint asks this router to send no requests; 0 if it has never asked. */
   backOffUntilMs: number;
+  /** Rejections for lack of room that the endpoint survives in a second; undefined if it has stated no limit. */
+  rejectionsPerS?: number | undefined;
   /** Start time of the process that made the announcements; undefined while no listing has stated one. */
   bornMs: number | undefined;
 }
