Placement: load cap, ranking and cache sources are modules of their own

No change of behaviour; tests of placement, hot prompts, load bound, cold endpoints, regions and evacuations pass unchanged but for two imports.

--- a/packages/router/src/__fixtures__/virtualRouter.ts
+++ b/packages/router/src/__fixtures__/virtualRouter.ts
@@ -9,7 +9,7 @@
 import { ColdEndpointLimiter } from '../systems/coldEndpointLimiter.js';
 import { Evacuations } from '../systems/evacuations.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
-import type { LoadPath } from '../systems/placement.js';
+import type { LoadPath } from '../systems/loadCap.js';
 import { Placement } from '../systems/placement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHolders } from '../systems/promptHolders.js';
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -1,6 +1,6 @@
 import { createHasher } from '@hazelwalk/core';
 import { createColdEndpointLimiter, createTable } from '../__fixtures__/createEndpoints.js';
-import type { LoadPath } from '../systems/placement.js';
+import type { LoadPath } from '../systems/loadCap.js';
 import { Evacuations } from '../systems/evacuations.js';
 import { Placement } from '../systems/placement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -14,32 +14,18 @@
 import type { ColdEndpointLimiter } from './coldEndpointLimiter.js';
 import { drawLowerOfTwo, drawOne, divertIfOverloaded } from './drawEndpoint.js';
 import { isUsable } from './endpointHealth.js';
+import { CacheSources } from './cacheSources.js';
+import type { LoadPath, ServiceMeans } from './loadCap.js';
+import { listWithCapacity, readMeans, readSlowness } from './loadCap.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
-import { isBrittle, isLeaving, readBackOffMs } from './endpointNotices.js';
+import { isLeaving, readBackOffMs } from './endpointNotices.js';
 import type { Evacuations } from './evacuations.js';
+import { PromptRanking } from './promptRanking.js';
+import { shuffle } from './shuffle.js';
 import type { PromptHolders } from './promptHolders.js';
 import { MAX_HOLDERS } from './promptHolders.js';
 
-/** How the loads of other boxes arrive: from each box directly, or as relayed sums, which are older. */
-export type LoadPath = 'direct' | 'relayed';
-
-/** Highest load of an endpoint: a multiple of the mean load, plus a constant. */
-interface LoadCap {
-  readonly factor: number;
-  readonly allowance: number;
-}
-
-/**
- * The deployment's bound is twice the mean plus three. How close to it the cap can be depends on the age of the
- * loads: 0.3 s if they arrive directly, and up to a second as sums, in which time a hot prompt adds some requests to
- * its preferred endpoint.
- */
-const LOAD_CAPS: Readonly<Record<LoadPath, LoadCap>> = {
-  direct: { factor: 1.8, allowance: 2.4 },
-  relayed: { factor: 1.7, allowance: 2 },
-};
-
 /** Properties of a request that placement depends on. */
 export interface PlacementRequest {
   readonly service: string;
@@ -113,17 +99,6 @@
   readonly cacheSource: EndpointRow | undefined;
 }
 
-/** An endpoint listed this much later than another one may lack prompts that the other one holds. */
-const NEWCOMER_LEAD_MS = 1_000;
-/** After this time a new endpoint has received the prompts in use. */
-const NEWCOMER_MS = 30_000;
-
-/** Mean load and mean pace of the endpoints of a service. */
-interface ServiceMeans {
-  readonly load: number;
-  readonly pace: number;
-}
-
 /** Settings and dependencies of placement. */
 export interface PlacementOptions {
   readonly table: EndpointTable;
@@ -147,7 +122,19 @@
 
 /** Chooses the endpoints for the requests of one box. */
 export class Placement {
-  constructor(private readonly options: PlacementOptions) {}
+  private readonly ranking: PromptRanking;
+  private readonly cacheSources: CacheSources;
+
+  constructor(private readonly options: PlacementOptions) {
+    const { hasher, table, evacuations } = options;
+    this.ranking = new PromptRanking(hasher);
+    this.cacheSources = new CacheSources({
+      table,
+      evacuations,
+      ranking: this.ranking,
+      filterAllowed: (rows, request) => this.listAllowed(rows, request),
+    });
+  }
 
   /** Chooses an endpoint and records the request as sent; undefined if none can take the request. */
   choose(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
@@ -223,10 +210,7 @@
     const preferred = this.choosePreferred(rows, prompt, means, width);
     if (preferred === undefined) return undefined;
     const { row, way } = preferred;
-    const cacheSource = holderTags.has(row.tag)
-      ? undefined
-      : (this.findHolder(row, request, prompt, holderTags, nowMs) ??
-        this.guessHolder(row, request, prompt, nowMs));
+    const cacheSource = this.cacheSources.find({ chosen: row, request, prompt, holderTags }, nowMs);
     // A few holders of a hot prompt suffice as cache sources: recording each endpoint it is spread over would cause
     // endless reports.
     if (way !== 'hot' || holderTags.size < MAX_HOLDERS) promptHolders.record(key, row.tag);
@@ -287,91 +271,27 @@
     means: ServiceMeans,
     width: number,
   ): Pick<PlacementChoice, 'row' | 'way'> | undefined {
-    const { random } = this.options;
-    const withCapacity = this.listWithCapacity(rows, means) ?? this.listWithCapacity(rows, readMeans(rows));
+    const { random, readLoadPath } = this.options;
+    const path = readLoadPath();
+    const withCapacity = listWithCapacity(rows, means, path) ?? listWithCapacity(rows, readMeans(rows), path);
     if (withCapacity === undefined) {
       const readWeightedLoad = (row: EndpointRow): number => readFleetLoad(row) * readSlowness(row, means);
       const least = drawLowerOfTwo(rows, readWeightedLoad, random);
       return least === undefined ? undefined : { row: least, way: 'noRoom' };
     }
     if (width > 1) {
-      const first = this.listBestRanked(withCapacity, prompt, width);
+      const first = this.ranking.listFirst(withCapacity, prompt, width);
       const drawn = drawOne(first, random);
       if (drawn === undefined) return undefined;
       const readNext = (row: EndpointRow): number => (readFleetLoad(row) + 1) * readSlowness(row, means);
       return { row: divertIfOverloaded(drawn, first, readNext, 0, random), way: 'hot' };
     }
     // Ranking hashes every endpoint. Most preferred endpoints have capacity, and then one ranking suffices.
-    const preferred = this.findBestRanked(rows, prompt);
+    const preferred = this.ranking.findFirst(rows, prompt);
     if (preferred !== undefined && withCapacity.includes(preferred)) return { row: preferred, way: 'home' };
-    const next = this.findBestRanked(withCapacity, prompt);
+    const next = this.ranking.findFirst(withCapacity, prompt);
     return next === undefined ? undefined : { row: next, way: 'overflow' };
   }
-
-  /** Endpoints that have capacity for one more request; undefined if none has. */
-  private listWithCapacity(rows: readonly EndpointRow[], means: ServiceMeans): EndpointRow[] | undefined {
-    const { factor, allowance } = LOAD_CAPS[this.options.readLoadPath()];
-    const cap = factor * means.load + allowance;
-    const hasCapacity = (row: EndpointRow): boolean =>
-      (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap &&
-      (!isBrittle(row) || readFleetLoad(row) < row.listing.slots);
-    const withCapacity = rows.filter(hasCapacity);
-    return withCapacity.length > 0 ? withCapacity : undefined;
-  }
-
-  /** A known holder of the prompt that is reachable, if only to fetch the prompt from it. */
-  private findHolder(
-    chosen: EndpointRow,
-    request: PlacementRequest,
-    prompt: string,
-    holderTags: ReadonlySet<number>,
-    nowMs: number,
-  ): EndpointRow | undefined {
-    const reachable = this.listReachable(request, nowMs);
-    return this.findBestRanked(
-      reachable.filter((row) => row !== chosen && holderTags.has(row.tag)),
-      prompt,
-    );
-  }
-
-  /**
-   * An endpoint that probably holds a prompt without known holders: the preferred endpoint if another one was chosen,
-   * otherwise, if the chosen one is new, the best ranked of those listed before it.
-   */
-  private guessHolder(
-    chosen: EndpointRow,
-    request: PlacementRequest,
-    prompt: string,
-    nowMs: number,
-  ): EndpointRow | undefined {
-    const reachable = this.listReachable(request, nowMs);
-    const preferred = this.findBestRanked(reachable, prompt);
-    if (preferred !== undefined && preferred !== chosen) return preferred;
-    if (nowMs - chosen.listedAtMs > NEWCOMER_MS) return undefined;
-    const older = reachable.filter((row) => row.listedAtMs + NEWCOMER_LEAD_MS < chosen.listedAtMs);
-    return this.findBestRanked(older, prompt);
-  }
-
-  private listReachable(request: PlacementRequest, nowMs: number): EndpointRow[] {
-    const { table, evacuations } = this.options;
-    return this.listAllowed(table.listService(request.service), request)
-      .filter((row) => row.health.type !== 'unreachable' && !row.isLapsed)
-      .filter((row) => evacuations.mayServeCache(row.listing.hall, nowMs));
-  }
-
-  /** The first endpoints in the order that all boxes share for a prompt. */
-  private listBestRanked(rows: readonly EndpointRow[], prompt: string, count: number): EndpointRow[] {
-    return rows
-      .map((row) => ({ row, score: this.options.hasher.h32(prompt, row.tag) }))
-      .sort((a, b) => b.score - a.score)
-      .slice(0, count)
-      .map(({ row }) => row);
-  }
-
-  /** The first endpoint in the order that all boxes share for a prompt. */
-  private findBestRanked(rows: readonly EndpointRow[], prompt: string): EndpointRow | undefined {
-    return pickLeast(rows, (row) => -this.options.hasher.h32(prompt, row.tag));
-  }
 }
 
 function describeChoice(
@@ -393,40 +313,3 @@
   const usable = untried.filter((row) => isUsable(row, nowMs));
   return usable.length > 0 ? usable : untried;
 }
-
-function readMeans(rows: readonly EndpointRow[]): ServiceMeans {
-  let load = 0;
-  let pace = 0;
-  for (const row of rows) {
-    load += readFleetLoad(row);
-    pace += row.pace;
-  }
-  return { load: load / rows.length, pace: pace / rows.length };
-}
-
-/** How much slower an endpoint is than the mean of its service; 1 if it is not slower. */
-function readSlowness(row: EndpointRow, { pace }: ServiceMeans): number {
-  return Math.max(1, row.pace / pace);
-}
-
-function shuffle(rows: readonly EndpointRow[], random: () => number): EndpointRow[] {
-  return rows
-    .map((row) => ({ row, order: random() }))
-    .sort((a, b) => a.order - b.order)
-    .map(({ row }) => row);
-}
-
-function pickLeast(
-  rows: readonly EndpointRow[],
-  score: (row: EndpointRow) => number,
-): EndpointRow | undefined {
-  let best: EndpointRow | undefined;
-  let bestScore = Infinity;
-  for (const row of rows) {
-    const rowScore = score(row);
-    if (best !== undefined && rowScore >= bestScore) continue;
-    best = row;
-    bestScore = rowScore;
-  }
-  return best;
-}
--- a/packages/router/src/tunnels/tunnelCandidates.ts
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -1,5 +1,7 @@
 /** Chooses the boxes that are asked for a tunnel to an endpoint. Does no I/O; the clock is passed in. */
 
+import { shuffle } from '../systems/shuffle.js';
+
 /** A box that may serve tunnels. */
 export interface TunnelPeer {
   readonly address: string;
@@ -77,10 +79,3 @@
     for (const [key, untilMs] of this.avoidedUntilMs) if (untilMs <= nowMs) this.avoidedUntilMs.delete(key);
   }
 }
-
-function shuffle<T>(values: readonly T[], random: () => number): T[] {
-  return values
-    .map((value) => ({ value, order: random() }))
-    .sort((a, b) => a.order - b.order)
-    .map(({ value }) => value);
-}
