--- a/packages/router/src/admission/serviceSchedule.ts
+++ b/packages/router/src/admission/serviceSchedule.ts
@@ -5,18 +5,18 @@
  * pushed it back.
  */
 import { EndedTickets } from './endedTickets.js';
-import { canUseAny, canUseEndpoint, pickEndpoint } from './endpointChoice.js';
+import { canUseAny, pickEndpoint } from './endpointChoice.js';
 import { HoldTimes } from './holdTimes.js';
 import type { Arrival, RememberedRequest } from './rememberedReturns.js';
 import { RememberedReturns } from './rememberedReturns.js';
 import type { ReturnPlan } from './returnPlanner.js';
 import { MAX_SHARE_OF_PATIENCE, ReturnPlanner, ROUND_TRIP_MS } from './returnPlanner.js';
-import { CompletionCounter, expectRatePerMs } from './serviceRate.js';
 import type { EndpointUse, Grant } from './slotLedger.js';
 import { SlotLedger } from './slotLedger.js';
 import type { SchedulableEndpoint, SlotAnswer, SlotRelease, SlotRequest } from './slotMessages.js';
 import { readTicketKey } from './slotMessages.js';
 import { SlotQueue } from './slotQueue.js';
+import { readWholeTargetMs, WaitEstimates } from './waitEstimates.js';
 import type { WaitingRequest } from './waitingRequest.js';
 
 /** Requests that may wait at once. */
@@ -31,15 +31,6 @@
 const WAIT_MARGIN = 1.5;
 /** Part of its patience that a request is accepted to wait; others that miss their target may still go before it. */
 const ACCEPTED_SHARE_OF_PATIENCE = 0.6;
-/** While hold times are only assumed, requests may end this many times faster: none is rejected that may be in time. */
-const POSSIBLE_RATE_FACTOR = 5;
-/**
- * Most of the time to its target that is kept for the response; what waited longer is overdue. While all slots are used,
- * whoever is served has waited for what is left: with less kept for the response, most would be served late.
- */
-const MAX_RESPONSE_SHARE = 0.75;
-/** Part of the target for the way of the request to its slot and of the response to the caller. */
-const TRAVEL_SHARE = 0.1;
 /** A failure within this part of the usual time is one of the endpoint; later ones may be due to the request. */
 const QUICK_FAILURE_SHARE = 0.25;
 /** Interval at which the times of waiting requests are checked. */
@@ -60,25 +51,22 @@
   readonly rejected: number;
 }
 
-/** Time from the arrival at the first box to the target; a repeated request has only a part of it left. */
-function readWholeTargetMs({ targetMs, waitedMs }: SlotRequest): number {
-  return targetMs + waitedMs;
-}
-
 /** Schedule of the slots of one service. */
 export class ServiceSchedule {
   private readonly ledger = new SlotLedger();
   private readonly queue = new SlotQueue();
   private readonly waitingByKey = new Map<string, WaitingRequest>();
   private readonly holds = new HoldTimes();
-  private readonly completions = new CompletionCounter();
+  private readonly estimates = new WaitEstimates({
+    ledger: this.ledger,
+    queue: this.queue,
+    holds: this.holds,
+  });
   private readonly planner: ReturnPlanner;
   private readonly returns = new RememberedReturns();
   private readonly ended = new EndedTickets();
   private answers: SlotAnswer[] = [];
   private nowMs = 0;
-  /** Rate at which the service ends requests while all slots are used. */
-  private ratePerMs = 0;
   private requestedAtMs = -Infinity;
   /** Until then a predecessor's requests and grants count. */
   private settlesAtMs = -Infinity;
@@ -152,7 +140,7 @@
       waiting: this.queue.size,
       granted: this.ledger.size,
       slots: this.ledger.slots,
-      drainPerS: this.ratePerMs * 1_000,
+      drainPerS: this.estimates.ratePerMs * 1_000,
       rejected: this.rejectedCount,
     };
   }
@@ -161,12 +149,12 @@
   private update(nowMs: number, change: () => void): SlotAnswer[] {
     this.nowMs = nowMs;
     this.answers = [];
-    this.updateRate();
+    this.estimates.update(nowMs);
     change();
-    this.updateRate();
+    this.estimates.update(nowMs);
     this.grantFreeSlots();
     if (nowMs - this.reviewedAtMs >= REVIEW_INTERVAL_MS) this.reviewWaiting();
-    this.completions.setFull(this.ledger.isFull(nowMs));
+    this.estimates.setFull(this.ledger.isFull(nowMs));
     return this.answers;
   }
 
@@ -218,15 +206,15 @@
   }
 
   private enqueue(waiting: WaitingRequest): void {
-    this.queue.add(waiting, this.meetsTarget(waiting, 0) ? 'punctual' : 'overdue');
+    this.queue.add(waiting, this.estimates.meetsTarget(waiting, 0, this.nowMs) ? 'punctual' : 'overdue');
     this.waitingByKey.set(readTicketKey(waiting.request), waiting);
   }
 
   private acceptOrReject(waiting: WaitingRequest): void {
-    if (!this.meetsTarget(waiting, this.estimateWaitMs(waiting) * WAIT_MARGIN))
-      this.queue.moveToOverdue(waiting);
+    const likelyMs = this.estimates.estimateWaitMs(waiting, this.nowMs) * WAIT_MARGIN;
+    if (!this.estimates.meetsTarget(waiting, likelyMs, this.nowMs)) this.queue.moveToOverdue(waiting);
     const acceptedMs = (waiting.latestStartAtMs - this.nowMs) * this.readAcceptedShare(waiting);
-    if (this.estimateLeastWaitMs(waiting) > acceptedMs) return this.reject(waiting);
+    if (this.estimates.estimateLeastWaitMs(waiting, this.nowMs) > acceptedMs) return this.reject(waiting);
     if (this.queue.size > MAX_WAITING) this.rejectLast();
     if (!this.queue.has(waiting)) return;
     const promptness = this.queue.isPunctual(waiting) ? 'punctual' : 'overdue';
@@ -239,51 +227,18 @@
     if (last !== undefined) this.reject(last);
   }
 
-  /** Whether a request that starts after a time is likely to end in time. */
-  private meetsTarget({ request, targetAtMs }: WaitingRequest, waitMs: number): boolean {
-    const wholeMs = readWholeTargetMs(request);
-    const likelyMs = this.holds.readLongMs() + wholeMs * TRAVEL_SHARE;
-    const responseMs = Math.min(likelyMs, wholeMs * MAX_RESPONSE_SHARE);
-    return this.nowMs + waitMs + responseMs <= targetAtMs;
-  }
-
   /** One that a predecessor accepted is rejected only if it starts too late, like those that wait here. */
   private readAcceptedShare({ request }: WaitingRequest): number {
     const mayBeAccepted = request.waitedMs > 0 && this.nowMs < this.settlesAtMs;
     return mayBeAccepted ? 1 : ACCEPTED_SHARE_OF_PATIENCE;
   }
 
-  private estimateWaitMs(waiting: WaitingRequest): number {
-    return this.queue.estimateWaitMs(waiting, this.readRatePerMs(waiting.request), this.nowMs);
-  }
-
-  /** Wait for which a request is rejected: the expected one, or the least possible one if too little is known. */
-  private estimateLeastWaitMs(waiting: WaitingRequest): number {
-    const factor = this.holds.isKnown ? 1 : POSSIBLE_RATE_FACTOR;
-    return this.queue.estimateWaitMs(waiting, this.readRatePerMs(waiting.request) * factor, this.nowMs);
-  }
-
-  /** Rate at which the endpoints that a request can use end requests. */
-  private readRatePerMs(request: SlotRequest): number {
-    if (request.excluded.length === 0 || this.ratePerMs === 0) return this.ratePerMs;
-    const uses = this.ledger.listUse(this.nowMs);
-    const usable = uses.filter((use) => canUseEndpoint(request, use));
-    const expectedPerMs = expectRatePerMs(uses, this.holds, this.nowMs);
-    return this.ratePerMs * (expectRatePerMs(usable, this.holds, this.nowMs) / expectedPerMs);
-  }
-
-  private updateRate(): void {
-    const expectedPerMs = expectRatePerMs(this.ledger.listUse(this.nowMs), this.holds, this.nowMs);
-    this.completions.advance(this.nowMs, expectedPerMs);
-    this.ratePerMs = this.completions.readPerMs(expectedPerMs);
-  }
-
   /** Moves requests that missed their target behind the others, and rejects those that cannot start in time. */
   private reviewWaiting(): void {
     this.reviewedAtMs = this.nowMs;
     for (const waiting of this.queue.list()) {
       if (waiting.latestStartAtMs <= this.nowMs) this.reject(waiting);
-      else if (this.queue.isPunctual(waiting) && !this.meetsTarget(waiting, 0))
+      else if (this.queue.isPunctual(waiting) && !this.estimates.meetsTarget(waiting, 0, this.nowMs))
         this.queue.moveToOverdue(waiting);
     }
     const estimateIntervalMs = this.queue.size * ESTIMATE_INTERVAL_PER_WAITING_MS;
@@ -295,7 +250,7 @@
     this.estimatedAtMs = this.nowMs;
     const uses = this.ledger.listUse(this.nowMs);
     for (const waiting of this.queue.list()) {
-      const startsAtMs = this.nowMs + this.estimateLeastWaitMs(waiting);
+      const startsAtMs = this.nowMs + this.estimates.estimateLeastWaitMs(waiting, this.nowMs);
       if (!this.canStart(waiting, uses) || startsAtMs > waiting.latestStartAtMs) this.reject(waiting);
     }
   }
@@ -333,10 +288,10 @@
       case 'served':
         this.ledger.recordServed(grant.endpointTag);
         this.holds.record(grant.endpointTag, heldMs, this.nowMs);
-        return this.completions.recordCompletion();
+        return this.estimates.recordCompletion();
       case 'failed':
         this.recordFailure(grant.endpointTag, heldMs);
-        return this.completions.recordCompletion();
+        return this.estimates.recordCompletion();
       case 'refused':
         return this.ledger.limitAfterRefusal(grant.endpointTag, this.nowMs);
       case 'unused':
@@ -386,7 +341,7 @@
     const { rank } = request;
     const patienceMs = latestStartAtMs - this.nowMs;
     const backlog = this.queue.countAtLeastAsUrgent(rank);
-    const { ratePerMs } = this;
+    const { ratePerMs } = this.estimates;
     return this.planner.plan({ rank, patienceMs, backlog, ratePerMs }, this.nowMs);
   }
 
@@ -396,7 +351,10 @@
 
   private answerQueued(waiting: WaitingRequest): void {
     const { box, number } = waiting.request;
-    const expectedWaitMs = Math.min(this.estimateWaitMs(waiting), waiting.latestStartAtMs - this.nowMs);
+    const expectedWaitMs = Math.min(
+      this.estimates.estimateWaitMs(waiting, this.nowMs),
+      waiting.latestStartAtMs - this.nowMs,
+    );
     this.answers.push({ box, number, type: 'queued', expectedWaitMs });
   }
 
