--- a/packages/router/src/admission/admission.ts
+++ b/packages/router/src/admission/admission.ts
@@ -38,12 +38,12 @@
     };
 
 /** A request that waits for its decision, or was let through. */
-export interface AdmissionTicket {
+export interface AdmissionHandle {
   /** Ends the wait, or reports how the request ended that was let through. Further calls have no effect. */
   release(outcome: SlotOutcome): void;
 }
 
 /** Decides about requests; the decision may come before the call returns. */
 export interface AdmissionGate {
-  enter(request: AdmissionRequest, onDecision: (decision: AdmissionDecision) => void): AdmissionTicket;
+  enter(request: AdmissionRequest, onDecision: (decision: AdmissionDecision) => void): AdmissionHandle;
 }
--- a/packages/router/src/admission/serviceAdmission.ts
+++ b/packages/router/src/admission/serviceAdmission.ts
@@ -8,7 +8,7 @@
 import { readUse } from '../capacity/serviceRoom.js';
 import type { FeatureSwitches } from '../featureSwitches.js';
 import type { SheddingLog } from '../observability/sheddingLog.js';
-import type { AdmissionDecision, AdmissionGate, AdmissionRequest, AdmissionTicket } from './admission.js';
+import type { AdmissionDecision, AdmissionGate, AdmissionRequest, AdmissionHandle } from './admission.js';
 import { ExpectedDurations } from './expectedDurations.js';
 import type { LoadShedder } from './loadShedder.js';
 import type { LoadShedding } from './loadShedding.js';
@@ -35,11 +35,11 @@
 
 type OnDecision = (decision: AdmissionDecision) => void;
 
-const NO_TICKET: AdmissionTicket = { release: () => {} };
+const NO_HANDLE: AdmissionHandle = { release: () => {} };
 
-function proceed(onDecision: OnDecision): AdmissionTicket {
+function proceed(onDecision: OnDecision): AdmissionHandle {
   onDecision({ type: 'proceed', endpointTag: undefined });
-  return NO_TICKET;
+  return NO_HANDLE;
 }
 
 /** The gate of one box. */
@@ -68,7 +68,7 @@
     }
   }
 
-  enter(request: AdmissionRequest, onDecision: OnDecision): AdmissionTicket {
+  enter(request: AdmissionRequest, onDecision: OnDecision): AdmissionHandle {
     const { features, room, countEndpoints } = this.options;
     if (room.isShort(request.service)) {
       const { endpoints, slots } = countEndpoints(request.service);
@@ -82,23 +82,23 @@
     return proceed(onDecision);
   }
 
-  private requestSlot(request: AdmissionRequest, onDecision: OnDecision): AdmissionTicket {
+  private requestSlot(request: AdmissionRequest, onDecision: OnDecision): AdmissionHandle {
     const { slots, now } = this.options;
     const { service } = request;
     const wait = this.startWait(service, onDecision);
     const latestStartAtMs = this.durations.findLatestStart(service, request);
-    const ticket = slots.apply({ request, latestStartAtMs, onDecision: wait.decide });
+    const handle = slots.apply({ request, latestStartAtMs, onDecision: wait.decide });
     return {
       release: (outcome) => {
         if (outcome === 'served' && wait.decidedAtMs !== undefined)
           this.durations.record(service, now() - wait.decidedAtMs);
         wait.end();
-        ticket.release(outcome);
+        handle.release(outcome);
       },
     };
   }
 
-  private shed(request: AdmissionRequest, onDecision: OnDecision): AdmissionTicket {
+  private shed(request: AdmissionRequest, onDecision: OnDecision): AdmissionHandle {
     const { shedding, sheddingLog, now, schedule } = this.options;
     this.sheddableServices.add(request.service);
     const latestStartAtMs = this.durations.findLatestStart(request.service, request);
--- a/packages/router/src/admission/slotClient.ts
+++ b/packages/router/src/admission/slotClient.ts
@@ -2,7 +2,7 @@
  * Requests slots for the requests of one box. A request whose scheduling box is silent is sent without a slot, so that a
  * failure of the scheduling costs a few tens of milliseconds once and then nothing.
  */
-import type { AdmissionDecision, AdmissionRequest, AdmissionTicket } from './admission.js';
+import type { AdmissionDecision, AdmissionRequest, AdmissionHandle } from './admission.js';
 import type { SlotAnswer, SlotOutcome, SlotRelease, SlotRequest } from './slotMessages.js';
 
 /** How long a request waits for an answer to a message: several ways between halls, and little of any target. */
@@ -41,25 +41,25 @@
   readonly onDecision: (decision: AdmissionDecision) => void;
 }
 
-type TicketPhase =
+type PendingPhase =
   /** A message is under way and has no answer yet. */
   | { readonly type: 'asking' }
   | { readonly type: 'queued' }
   | { readonly type: 'granted'; readonly atMs: number }
   | { readonly type: 'over' };
 
-interface Ticket extends SlotApplication {
+interface PendingSlot extends SlotApplication {
   number: number;
   readonly content: string;
-  phase: TicketPhase;
+  phase: PendingPhase;
   /** Expected when it was last answered; undefined if it was never queued. */
   expectedWaitMs: number | undefined;
   cancelTimer: () => void;
 }
 
-/** The tickets of one box. */
+/** The slot requests of one box. */
 export class SlotClient {
-  private readonly tickets = new Map<number, Ticket>();
+  private readonly pendingByNumber = new Map<number, PendingSlot>();
   private readonly silentUntilMs = new Map<string, number>();
   private nextNumber: number;
 
@@ -68,8 +68,8 @@
   }
 
   /** Requests a slot; the decision may come before this returns. */
-  apply(application: SlotApplication): AdmissionTicket {
-    const ticket: Ticket = {
+  apply(application: SlotApplication): AdmissionHandle {
+    const pending: PendingSlot = {
       ...application,
       number: this.takeNumber(),
       content: application.request.readContent(),
@@ -77,48 +77,48 @@
       expectedWaitMs: undefined,
       cancelTimer: () => {},
     };
-    this.tickets.set(ticket.number, ticket);
-    this.ask(ticket);
-    return { release: (outcome) => this.release(ticket, outcome) };
+    this.pendingByNumber.set(pending.number, pending);
+    this.ask(pending);
+    return { release: (outcome) => this.release(pending, outcome) };
   }
 
   /** Handles an answer of the scheduling box. */
   handleAnswer(answer: SlotAnswer): void {
-    const ticket = this.tickets.get(answer.number);
+    const pending = this.pendingByNumber.get(answer.number);
     // A grant that is repeated, or comes twice, changes nothing.
-    if (ticket === undefined || ticket.phase.type === 'granted') return;
-    const { service } = ticket.request;
+    if (pending === undefined || pending.phase.type === 'granted') return;
+    const { service } = pending.request;
     if (answer.type !== 'queued') this.options.onEvent(answer.type, service);
-    else if (ticket.expectedWaitMs === undefined) this.options.onEvent('queued', service);
+    else if (pending.expectedWaitMs === undefined) this.options.onEvent('queued', service);
     switch (answer.type) {
       case 'granted':
-        ticket.cancelTimer();
-        ticket.phase = { type: 'granted', atMs: this.options.now() };
-        return ticket.onDecision({ type: 'proceed', endpointTag: answer.endpointTag });
+        pending.cancelTimer();
+        pending.phase = { type: 'granted', atMs: this.options.now() };
+        return pending.onDecision({ type: 'proceed', endpointTag: answer.endpointTag });
       case 'queued':
-        ticket.expectedWaitMs = answer.expectedWaitMs;
-        ticket.phase = { type: 'queued' };
-        return this.setTimer(ticket, REPEAT_MS, () => this.ask(ticket));
+        pending.expectedWaitMs = answer.expectedWaitMs;
+        pending.phase = { type: 'queued' };
+        return this.setTimer(pending, REPEAT_MS, () => this.ask(pending));
       case 'rejected':
-        return this.reject(ticket, answer.retryAfterMs);
+        return this.reject(pending, answer.retryAfterMs);
     }
   }
 
   /** Repeats the waiting requests of a service at once, since another box schedules it now. */
   repeatWaiting(service: string): void {
     this.silentUntilMs.delete(service);
-    for (const ticket of [...this.tickets.values()]) {
-      const isWaiting = ticket.phase.type === 'asking' || ticket.phase.type === 'queued';
-      if (isWaiting && ticket.request.service === service) this.renumber(ticket);
+    for (const pending of [...this.pendingByNumber.values()]) {
+      const isWaiting = pending.phase.type === 'asking' || pending.phase.type === 'queued';
+      if (isWaiting && pending.request.service === service) this.renumber(pending);
     }
   }
 
-  /** Requests a slot anew under another number: a box answers no ticket that was withdrawn from it. */
-  private renumber(ticket: Ticket): void {
-    this.withdraw(ticket);
-    ticket.number = this.takeNumber();
-    this.tickets.set(ticket.number, ticket);
-    this.ask(ticket);
+  /** Requests a slot anew under another number: a box answers no number that was withdrawn from it. */
+  private renumber(pending: PendingSlot): void {
+    this.withdraw(pending);
+    pending.number = this.takeNumber();
+    this.pendingByNumber.set(pending.number, pending);
+    this.ask(pending);
   }
 
   private takeNumber(): number {
@@ -126,16 +126,16 @@
     return this.nextNumber - 1;
   }
 
-  private ask(ticket: Ticket): void {
+  private ask(pending: PendingSlot): void {
     const { now, relay } = this.options;
-    const { service } = ticket.request;
-    if (now() < (this.silentUntilMs.get(service) ?? 0)) return this.proceedWithoutSlot(ticket);
-    ticket.phase = { type: 'asking' };
-    this.setTimer(ticket, ANSWER_TIMEOUT_MS, () => this.handleTimeout(ticket));
-    relay.request(this.createMessage(ticket));
+    const { service } = pending.request;
+    if (now() < (this.silentUntilMs.get(service) ?? 0)) return this.proceedWithoutSlot(pending);
+    pending.phase = { type: 'asking' };
+    this.setTimer(pending, ANSWER_TIMEOUT_MS, () => this.handleTimeout(pending));
+    relay.request(this.createMessage(pending));
   }
 
-  private createMessage({ number, content, request, latestStartAtMs }: Ticket): SlotRequest {
+  private createMessage({ number, content, request, latestStartAtMs }: PendingSlot): SlotRequest {
     const nowMs = this.options.now();
     return {
       box: this.options.readAddress(),
@@ -154,53 +154,53 @@
     };
   }
 
-  private handleTimeout(ticket: Ticket): void {
-    if (ticket.phase.type !== 'asking') return;
-    const { service } = ticket.request;
+  private handleTimeout(pending: PendingSlot): void {
+    if (pending.phase.type !== 'asking') return;
+    const { service } = pending.request;
     this.options.onEvent('unanswered', service);
     this.silentUntilMs.set(service, this.options.now() + SILENCE_MS);
-    this.proceedWithoutSlot(ticket);
+    this.proceedWithoutSlot(pending);
   }
 
   /** The request is withdrawn first, so that a grant that is under way is given back. */
-  private proceedWithoutSlot(ticket: Ticket): void {
-    this.withdraw(ticket);
-    ticket.phase = { type: 'over' };
-    ticket.onDecision({ type: 'proceed', endpointTag: undefined });
+  private proceedWithoutSlot(pending: PendingSlot): void {
+    this.withdraw(pending);
+    pending.phase = { type: 'over' };
+    pending.onDecision({ type: 'proceed', endpointTag: undefined });
   }
 
-  private reject(ticket: Ticket, retryAfterMs: number): void {
-    ticket.cancelTimer();
-    ticket.phase = { type: 'over' };
-    this.tickets.delete(ticket.number);
-    ticket.onDecision({ type: 'reject', retryAfterMs, expectedWaitMs: ticket.expectedWaitMs });
+  private reject(pending: PendingSlot, retryAfterMs: number): void {
+    pending.cancelTimer();
+    pending.phase = { type: 'over' };
+    this.pendingByNumber.delete(pending.number);
+    pending.onDecision({ type: 'reject', retryAfterMs, expectedWaitMs: pending.expectedWaitMs });
   }
 
-  private release(ticket: Ticket, outcome: SlotOutcome): void {
-    const { phase } = ticket;
+  private release(pending: PendingSlot, outcome: SlotOutcome): void {
+    const { phase } = pending;
     switch (phase.type) {
       case 'asking':
       case 'queued':
-        this.withdraw(ticket);
+        this.withdraw(pending);
         break;
       case 'granted':
-        this.sendRelease(ticket, outcome, outcome === 'unused' ? 0 : this.options.now() - phase.atMs);
+        this.sendRelease(pending, outcome, outcome === 'unused' ? 0 : this.options.now() - phase.atMs);
         break;
       case 'over':
         return;
     }
-    ticket.phase = { type: 'over' };
+    pending.phase = { type: 'over' };
   }
 
-  private withdraw(ticket: Ticket): void {
-    this.sendRelease(ticket, 'unused', 0);
+  private withdraw(pending: PendingSlot): void {
+    this.sendRelease(pending, 'unused', 0);
   }
 
-  private sendRelease(ticket: Ticket, outcome: SlotOutcome, heldMs: number): void {
+  private sendRelease(pending: PendingSlot, outcome: SlotOutcome, heldMs: number): void {
     const { readAddress, relay } = this.options;
-    const { number, request } = ticket;
-    ticket.cancelTimer();
-    this.tickets.delete(number);
+    const { number, request } = pending;
+    pending.cancelTimer();
+    this.pendingByNumber.delete(number);
     relay.release({
       box: readAddress(),
       number,
@@ -211,12 +211,12 @@
   }
 
   /** An answer that waits in a socket still counts when the timer fires late. */
-  private setTimer(ticket: Ticket, delayMs: number, callback: () => void): void {
+  private setTimer(pending: PendingSlot, delayMs: number, callback: () => void): void {
     const { schedule, afterReads } = this.options;
-    ticket.cancelTimer();
+    pending.cancelTimer();
     let isCancelled = false;
     const cancel = schedule(delayMs, () => afterReads(() => !isCancelled && callback()));
-    ticket.cancelTimer = () => {
+    pending.cancelTimer = () => {
       isCancelled = true;
       cancel();
     };
--- a/packages/router/src/membership/__tests__/failureDetector.test.ts
+++ b/packages/router/src/membership/__tests__/failureDetector.test.ts
@@ -68,7 +68,7 @@
       to,
       frame: { type: 'probeRequest', address: OWN, target: 'a', sequence: 5 },
     })),
-    { type: 'down', address: 'a', because: 'unheard' },
+    { type: 'down', address: 'a', reason: 'unheard' },
     { type: 'sendToHall', frame: { type: 'boxDown', address: 'a', incarnation: 1 } },
   ]);
 });
--- a/packages/router/src/membership/failureDetector.ts
+++ b/packages/router/src/membership/failureDetector.ts
@@ -32,7 +32,7 @@
   /** Send to every box of the hall. */
   | { readonly type: 'sendToHall'; readonly frame: PeerFrame }
   /** The box is down and must not be relied on: `unheard` if it sent no ack, `told` if another box reported it. */
-  | { readonly type: 'down'; readonly address: string; readonly because: 'unheard' | 'told' }
+  | { readonly type: 'down'; readonly address: string; readonly reason: 'unheard' | 'told' }
   | { readonly type: 'up'; readonly address: string }
   /** Other boxes reach the box, this one does not: its link may be dead. */
   | { readonly type: 'reconnectLink'; readonly address: string };
@@ -255,11 +255,11 @@
     return [...this.markDown(address, incarnation, 'unheard'), { type: 'sendToHall', frame }];
   }
 
-  private markDown(address: string, incarnation: number, because: 'unheard' | 'told'): DetectorEffect[] {
+  private markDown(address: string, incarnation: number, reason: 'unheard' | 'told'): DetectorEffect[] {
     const isNew = !this.down.has(address);
     this.down.set(address, Math.max(incarnation, this.down.get(address) ?? 0));
     this.pendingProbes.delete(address);
-    return isNew ? [{ type: 'down', address, because }] : [];
+    return isNew ? [{ type: 'down', address, reason }] : [];
   }
 
   /** Refutes a report that this box is down, with a higher incarnation. */
--- a/packages/router/src/peers/__fixtures__/slotFleet.ts
+++ b/packages/router/src/peers/__fixtures__/slotFleet.ts
@@ -1,7 +1,7 @@
 /** Boxes that request, relay and schedule slots in virtual time; frames and views can be disturbed. */
 import { createHasher } from '@hazelwalk/core';
 import { Timeline } from '@hazelwalk/standins';
-import type { AdmissionDecision, AdmissionTicket } from '../../admission/admission.js';
+import type { AdmissionDecision, AdmissionHandle } from '../../admission/admission.js';
 import { SlotClient } from '../../admission/slotClient.js';
 import type { SlotRequestEvent } from '../../admission/slotClient.js';
 import type { SchedulableEndpoint } from '../../admission/slotMessages.js';
@@ -18,7 +18,7 @@
 export interface FleetRequest {
   readonly box: FleetBox;
   readonly enteredAtMs: number;
-  ticket: AdmissionTicket | undefined;
+  ticket: AdmissionHandle | undefined;
   decision: AdmissionDecision | undefined;
   decidedAtMs: number;
 }
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -320,7 +320,7 @@
           this.sendToHall(this.options.hall, effect.frame);
           break;
         case 'down':
-          this.handlers.onStateChange(effect.address, 'down', effect.because);
+          this.handlers.onStateChange(effect.address, 'down', effect.reason);
           break;
         case 'up':
           this.handlers.onStateChange(effect.address, 'up', 'newer life');
--- a/packages/router/src/proxy/admissionPhase.ts
+++ b/packages/router/src/proxy/admissionPhase.ts
@@ -3,18 +3,18 @@
   AdmissionDecision,
   AdmissionGate,
   AdmissionRequest,
-  AdmissionTicket,
+  AdmissionHandle,
 } from '../admission/admission.js';
 
-/** The decision about a request, with the ticket by which the end of its attempt is reported. */
+/** The decision about a request, with the handle by which the end of its attempt is reported. */
 export interface Admission {
   readonly decision: AdmissionDecision;
-  readonly ticket: AdmissionTicket;
+  readonly handle: AdmissionHandle;
 }
 
 /** At most one admission that one request waits for. */
 export class AdmissionPhase {
-  private waiting: AdmissionTicket | undefined;
+  private waiting: AdmissionHandle | undefined;
 
   constructor(private readonly gate: AdmissionGate) {}
 
@@ -25,18 +25,18 @@
   /** Asks for admission; `onDecided` may be called before this returns. */
   enter(request: AdmissionRequest, onDecided: (admission: Admission) => void): void {
     let early: AdmissionDecision | undefined;
-    const pending: { ticket: AdmissionTicket | undefined } = { ticket: undefined };
-    const ticket = this.gate.enter(request, (decision) => {
-      if (pending.ticket === undefined) {
+    const pending: { handle: AdmissionHandle | undefined } = { handle: undefined };
+    const handle = this.gate.enter(request, (decision) => {
+      if (pending.handle === undefined) {
         early = decision;
         return;
       }
-      if (this.waiting === pending.ticket) this.waiting = undefined;
-      onDecided({ decision, ticket: pending.ticket });
+      if (this.waiting === pending.handle) this.waiting = undefined;
+      onDecided({ decision, handle: pending.handle });
     });
-    pending.ticket = ticket;
-    if (early === undefined) this.waiting = ticket;
-    else onDecided({ decision: early, ticket });
+    pending.handle = handle;
+    if (early === undefined) this.waiting = handle;
+    else onDecided({ decision: early, handle });
   }
 
   /** Stops waiting, because the request has ended or another attempt is answering. */
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -23,7 +23,7 @@
   readonly requestQuarantine: RequestQuarantine;
   readonly arrivedAtMs: number;
   readonly readExpiry: () => number;
-  readonly isSettled: () => boolean;
+  readonly hasEnded: () => boolean;
   readonly createLogFields: () => ExchangeLogFields;
   /** Ends the request, unless another attempt is in progress. */
   readonly giveUp: (code: ResultCode, pickRetryMs: () => number) => void;
@@ -58,8 +58,8 @@
    * @param resumeAfter id of the last event that the caller has received, if a stream is resumed
    */
   open(assignment: Assignment, resumeAfter: string | undefined): void {
-    const { requestQuarantine, isSettled, giveUp } = this.options;
-    if (isSettled() || this.isWaiting) return;
+    const { requestQuarantine, hasEnded, giveUp } = this.options;
+    if (hasEnded() || this.isWaiting) return;
     const quarantinedMs = requestQuarantine.readRemainingMs();
     if (quarantinedMs > 0) return giveUp('requestQuarantined', () => quarantinedMs);
     if (requestQuarantine.waitForDecision(() => this.open(assignment, resumeAfter))) return;
@@ -71,17 +71,17 @@
   private handleAdmission(
     assignment: Assignment,
     resumeAfter: string | undefined,
-    { decision, ticket }: Admission,
+    { decision, handle }: Admission,
   ): void {
-    const { attempts, requestQuarantine, readExpiry, isSettled, giveUp } = this.options;
+    const { attempts, requestQuarantine, readExpiry, hasEnded, giveUp } = this.options;
     const pickAwayMs = (): number => pickReturnMs(this.context, assignment.service, readExpiry());
-    if (isSettled()) return ticket.release('unused');
+    if (hasEnded()) return handle.release('unused');
     if (decision.type === 'reject') return this.reject(assignment, decision);
     const isPlacedRandomly = requestQuarantine.mustPlaceRandomly();
     const { endpointTag: grantedTag } = decision;
-    const opened = attempts.open(assignment, { resumeAfter, isPlacedRandomly, grantedTag, ticket });
+    const opened = attempts.open(assignment, { resumeAfter, isPlacedRandomly, grantedTag, handle });
     if (opened.ok) return;
-    ticket.release('unused');
+    handle.release('unused');
     if (grantedTag === undefined || this.unusableGrants >= MAX_UNUSABLE_GRANTS)
       return giveUp(opened.val.reason, () => pickRetryAfterFailureMs(opened.val, pickAwayMs));
     // The next request for a slot excludes the endpoint.
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
-import type { AdmissionTicket } from '../admission/admission.js';
+import type { AdmissionHandle } from '../admission/admission.js';
 import type { CallerRequest, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { PlacementChoice, PlacementFailure, PlacementRequest } from '../systems/placement.js';
@@ -52,7 +52,7 @@
   /** Tag of the endpoint whose slot was granted; undefined if any endpoint may be chosen. */
   readonly grantedTag: number | undefined;
   /** Learns how the attempt ended. */
-  readonly ticket: AdmissionTicket;
+  readonly handle: AdmissionHandle;
 }
 
 /** All attempts of one request. */
@@ -67,7 +67,7 @@
   /** Attempts that sent the request to their endpoint. */
   private sentCount = 0;
   private readonly triedIds = new Set<string>();
-  private readonly tickets = new Map<Attempt, AdmissionTicket>();
+  private readonly handles = new Map<Attempt, AdmissionHandle>();
 
   constructor(
     private readonly context: RouterContext,
@@ -161,7 +161,7 @@
     });
     this.live.push(attempt);
     this.lastAttempt = attempt;
-    this.tickets.set(attempt, plan.ticket);
+    this.handles.set(attempt, plan.handle);
     void attempt.start();
     return Ok(undefined);
   }
@@ -182,8 +182,8 @@
     if (at < 0) return;
     this.live.splice(at, 1);
     this.context.metrics.attempts.inc({ end });
-    this.tickets.get(attempt)?.release(findSlotOutcome({ end, wasSent: attempt.sentAtMs > 0, lacksRoom }));
-    this.tickets.delete(attempt);
+    this.handles.get(attempt)?.release(findSlotOutcome({ end, wasSent: attempt.sentAtMs > 0, lacksRoom }));
+    this.handles.delete(attempt);
   }
 
   private findAbortReason(): AbortReason | undefined {
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -59,7 +59,7 @@
   readonly tunnels?: Pick<TunnelClient, 'listCandidates' | 'open'> | undefined;
   readonly now: () => number;
   /** Called when a direct connection failed while a tunnel succeeded. */
-  readonly onTunnelled?: ((row: EndpointRow, because: DialFailure) => void) | undefined;
+  readonly onTunnelled?: ((row: EndpointRow, reason: DialFailure) => void) | undefined;
   /** Called when a direct connection succeeded to an endpoint that was reached through tunnels. */
   readonly onDirect?: ((row: EndpointRow) => void) | undefined;
 }
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -11,7 +11,6 @@
 import type { ResponseDelivery } from './responseDelivery.js';
 import { createDelivery } from './responseDelivery.js';
 import type { Attempt, AttemptEvent, BreakReason, ResponseHead, UnsentReason } from './attempt.js';
-import { assignRequest } from './assignment.js';
 import type { Assignment } from './assignment.js';
 import { findHealthSignal, isLackOfRoom } from './attempt.js';
 import type { AttemptEnd } from './attemptEnd.js';
@@ -20,7 +19,7 @@
 import type { ExchangeLogFields, RetryReason } from './exchangeLog.js';
 import { logBreak, logRetry } from './exchangeLog.js';
 import { pickReturnMs, pickRetryAfterMs } from './refusal.js';
-import { readRequestBody } from './requestBody.js';
+import { RequestIntake } from './requestIntake.js';
 import { RequestEnding } from './requestEnding.js';
 import type { RequestOutcome } from './requestEnding.js';
 import { RequestQuarantine } from './requestQuarantine.js';
@@ -30,8 +29,6 @@
 
 /** Deadline of a request that states none; the timeout of its route applies as well. */
 const DEFAULT_DEADLINE_MS = 30_000;
-/** How long a request waits for a box that has just started and has no configuration or no endpoints yet. */
-const INITIALIZATION_WAIT_MS = 1_000;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** One request in progress. */
@@ -43,8 +40,7 @@
   private delivery: ResponseDelivery | undefined;
   private winner: Attempt | undefined;
   private lastActivityAtMs = 0;
-  /** Its body is read, but the box has no configuration or no endpoints yet. */
-  private isWaitingForInitialization = false;
+  private readonly intake: RequestIntake;
   private readonly requestQuarantine: RequestQuarantine;
   private readonly ending: RequestEnding;
   private readonly opener: AttemptOpener;
@@ -56,6 +52,14 @@
     private readonly request: CallerRequest,
   ) {
     this.arrivedAtMs = context.now();
+    this.intake = new RequestIntake(context, {
+      req,
+      request,
+      arrivedAtMs: this.arrivedAtMs,
+      hasEnded: () => this.ending.hasEnded,
+      onAssigned: (assignment, body) => this.handleAssigned(assignment, body),
+      onRefused: (code) => this.ending.refuse(code, code === 'notReady' ? this.pickReturnMs() : 0),
+    });
     this.attempts = new AttemptSet(context, {
       req,
       request,
@@ -72,7 +76,7 @@
       requestQuarantine: this.requestQuarantine,
       arrivedAtMs: this.arrivedAtMs,
       readExpiry: () => this.expiresAtMs,
-      isSettled: () => this.ending.isSettled,
+      hasEnded: () => this.ending.hasEnded,
       createLogFields: () => this.createLogFields(),
       giveUp: (code, pickRetryMs) => this.giveUp(code, pickRetryMs),
     });
@@ -81,7 +85,7 @@
       res,
       request,
       hasResponseStarted: () => this.delivery?.hasStarted === true,
-      onSettled: (outcome) => this.handleSettled(outcome),
+      onEnded: (outcome) => this.handleEnded(outcome),
       createLogFields: () => this.createLogFields(),
     });
   }
@@ -94,18 +98,14 @@
     res.on('close', () => this.handleCallerClosed());
     res.on('drain', () => this.winner?.resume());
     req.on('error', () => this.handleCallerClosed());
-    readRequestBody(req, {
-      readLimit: () => context.readIndex()?.configuration.limits.maxBodyBytes ?? Infinity,
-      onTooLarge: () => this.ending.refuse('bodyTooLarge', 0),
-      onComplete: (body) => this.handleBody(body),
-    });
+    this.intake.start();
   }
 
   /** Runs once a tick: handles timeouts and unresponsive endpoints. */
   tick(nowMs: number): void {
-    if (this.ending.isSettled) return;
+    if (this.ending.hasEnded) return;
     if (nowMs >= this.expiresAtMs) return this.expire();
-    if (this.isWaitingForInitialization) return this.waitForInitialization(nowMs);
+    if (this.intake.isWaiting) return this.intake.waitForInitialization(nowMs);
     for (const attempt of [...this.attempts.live]) this.checkSilence(attempt, nowMs);
   }
 
@@ -115,25 +115,9 @@
     for (const attempt of this.attempts.live) if (attempt.sentAtMs > 0) attempt.sentAtMs += pausedMs;
   }
 
-  private handleBody(body: Buffer | undefined): void {
-    if (this.ending.isSettled) return;
+  private handleAssigned(assignment: Assignment, body: Buffer | undefined): void {
+    const { context } = this;
     this.attempts.body = body;
-    this.waitForInitialization(this.context.now());
-  }
-
-  /** Continues as soon as the box has a configuration and endpoints; refuses the request if that takes too long. */
-  private waitForInitialization(nowMs: number): void {
-    const isInitialized = this.context.isInitialized();
-    this.isWaitingForInitialization = !isInitialized && nowMs - this.arrivedAtMs < INITIALIZATION_WAIT_MS;
-    if (!this.isWaitingForInitialization) this.matchRoute();
-  }
-
-  private matchRoute(): void {
-    const { context, req, request } = this;
-    const matched = assignRequest(context, req, request);
-    if (matched.err)
-      return this.ending.refuse(matched.val, matched.val === 'notReady' ? this.pickReturnMs() : 0);
-    const assignment = matched.val;
     this.assignment = assignment;
     this.expiresAtMs = Math.min(this.expiresAtMs, this.arrivedAtMs + assignment.route.timeoutMs);
     context.metrics.requests.inc({ service: assignment.service });
@@ -146,7 +130,7 @@
   }
 
   private handleEvent(attempt: Attempt, event: AttemptEvent): void {
-    if (this.ending.isSettled) return;
+    if (this.ending.hasEnded) return;
     switch (event.type) {
       case 'sent':
         return this.handleSent(attempt);
@@ -259,7 +243,7 @@
     if (!delivery.isComplete()) return this.handleBroken(attempt, 'connectionLost', 'ended inside an event');
     this.requestQuarantine.recordResponse(delivery.status);
     delivery.finish();
-    this.ending.settle('answered');
+    this.ending.end('answered');
   }
 
   private handleBroken(attempt: Attempt, reason: BreakReason | 'resumeRefused', detail: string): void {
@@ -283,7 +267,7 @@
    * waiting if the endpoint is silent and may go on.
    */
   private retryOrFail(attempt: Attempt, reason: 'broken' | 'silent', detail: string, silentMs = 0): void {
-    if (this.ending.isSettled || this.hasOtherWayThan(attempt)) return;
+    if (this.ending.hasEnded || this.hasOtherWayThan(attempt)) return;
     const { assignment, delivery } = this;
     if (assignment === undefined) return;
     if (!isRepeatable(assignment.route)) return this.ending.fail(detail);
@@ -378,30 +362,27 @@
   }
 
   private handleCallerClosed(): void {
-    if (this.ending.isSettled) return;
+    if (this.ending.hasEnded) return;
     this.abandonAll('caller left');
-    this.ending.settle('callerGone');
+    this.ending.end('callerGone');
   }
 
-  private handleSettled(outcome: RequestOutcome): void {
+  private handleEnded(outcome: RequestOutcome): void {
     this.opener.withdraw();
     this.abandonAll(outcome);
     this.context.exchanges.delete(this);
   }
 
-  private readonly createLogFields = (): ExchangeLogFields => {
-    const { assignment } = this;
-    return {
-      requestId: this.request.requestId,
-      content: this.requestQuarantine.knownFingerprint,
-      route: assignment?.route.name,
-      service: assignment?.service,
-      team: assignment?.team?.name,
-      endpoint: this.winner?.row.listing.id ?? this.attempts.lastTriedId,
-      ...this.attempts.createLogFields(),
-      ageMs: Math.round(this.context.now() - this.arrivedAtMs),
-    };
-  };
+  private readonly createLogFields = (): ExchangeLogFields => ({
+    requestId: this.request.requestId,
+    content: this.requestQuarantine.knownFingerprint,
+    route: this.assignment?.route.name,
+    service: this.assignment?.service,
+    team: this.assignment?.team?.name,
+    endpoint: this.winner?.row.listing.id ?? this.attempts.lastTriedId,
+    ...this.attempts.createLogFields(),
+    ageMs: Math.round(this.context.now() - this.arrivedAtMs),
+  });
 
   private abandon(attempt: Attempt, end: AttemptEnd): void {
     this.drop(attempt, end);
--- a/packages/router/src/proxy/requestEnding.ts
+++ b/packages/router/src/proxy/requestEnding.ts
@@ -16,7 +16,7 @@
   /** Whether a part of the response was sent to the caller. */
   readonly hasResponseStarted: () => boolean;
   /** Called once, before the caller gets the last bytes. */
-  readonly onSettled: (outcome: RequestOutcome) => void;
+  readonly onEnded: (outcome: RequestOutcome) => void;
   readonly createLogFields: () => ExchangeLogFields;
 }
 
@@ -32,15 +32,15 @@
     private readonly options: RequestEndingOptions,
   ) {}
 
-  get isSettled(): boolean {
+  get hasEnded(): boolean {
     return this.isOver;
   }
 
   /** Ends a request whose caller needs no response from the router. */
-  settle(outcome: RequestOutcome, detail?: string): void {
+  end(outcome: RequestOutcome, detail?: string): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.options.onSettled(outcome);
+    this.options.onEnded(outcome);
     logOutcome(this.context, this.options.createLogFields(), outcome, detail);
   }
 
@@ -51,7 +51,7 @@
   fail(detail: string, code: ResultCode = 'endpointBroke'): void {
     if (this.isOver) return;
     const hasStarted = this.options.hasResponseStarted();
-    this.settle(code, detail);
+    this.end(code, detail);
     if (hasStarted) this.options.res.destroy();
     else this.respond({ code, ran: 'unknown', retryAfterMs: 0 }, false);
   }
@@ -59,7 +59,7 @@
   /** Ends a request that did not run and will not run. */
   refuse(code: ResultCode, retryAfterMs: number, detail?: string): void {
     if (this.isOver) return;
-    this.settle(code, detail);
+    this.end(code, detail);
     this.respond({ code, ran: 'no', retryAfterMs }, !this.options.req.complete);
   }
 
--- /dev/null
+++ b/packages/router/src/proxy/requestIntake.ts
@@ -0,0 +1,68 @@
+/** Reads a request of a caller and finds its route. */
+import type { IncomingMessage } from 'node:http';
+import type { ResultCode } from '@hazelwalk/core';
+import type { CallerRequest } from '../records.js';
+import type { RouterContext } from '../routerContext.js';
+import type { Assignment } from './assignment.js';
+import { assignRequest } from './assignment.js';
+import { readRequestBody } from './requestBody.js';
+
+/** How long a request waits for a box that has just started and has no configuration or no endpoints yet. */
+const INITIALIZATION_WAIT_MS = 1_000;
+
+/** The request, and what becomes of it. */
+export interface RequestIntakeOptions {
+  readonly req: IncomingMessage;
+  readonly request: CallerRequest;
+  readonly arrivedAtMs: number;
+  readonly hasEnded: () => boolean;
+  /** Called once its body is read and its route is found. */
+  readonly onAssigned: (assignment: Assignment, body: Buffer | undefined) => void;
+  readonly onRefused: (code: ResultCode) => void;
+}
+
+/** The intake of one request. */
+export class RequestIntake {
+  private body: Buffer | undefined;
+  /** The body is read, but the box has no configuration or no endpoints yet. */
+  private isWaitingForInitialization = false;
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly options: RequestIntakeOptions,
+  ) {}
+
+  /** Whether the request waits for the box. */
+  get isWaiting(): boolean {
+    return this.isWaitingForInitialization;
+  }
+
+  /** Starts to read the body. */
+  start(): void {
+    const { req, hasEnded, onRefused } = this.options;
+    readRequestBody(req, {
+      readLimit: () => this.context.readIndex()?.configuration.limits.maxBodyBytes ?? Infinity,
+      onTooLarge: () => onRefused('bodyTooLarge'),
+      onComplete: (body) => {
+        if (hasEnded()) return;
+        this.body = body;
+        this.waitForInitialization(this.context.now());
+      },
+    });
+  }
+
+  /** Continues as soon as the box has a configuration and endpoints; refuses the request if that takes too long. */
+  waitForInitialization(nowMs: number): void {
+    const isInitialized = this.context.isInitialized();
+    this.isWaitingForInitialization =
+      !isInitialized && nowMs - this.options.arrivedAtMs < INITIALIZATION_WAIT_MS;
+    if (!this.isWaitingForInitialization) this.assign();
+  }
+
+  private assign(): void {
+    const { req, request, onAssigned, onRefused } = this.options;
+    const assigned = assignRequest(this.context, req, request);
+    if (assigned.err) return onRefused(assigned.val);
+    onAssigned(assigned.val, this.body);
+  }
+}
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -114,7 +114,7 @@
         open: (peer, row) => this.tunnels.client.open(peer, row),
       },
       now,
-      onTunnelled: (row, because) => this.reachability.recordTunnelled(row, because),
+      onTunnelled: (row, reason) => this.reachability.recordTunnelled(row, reason),
       onDirect: (row) => this.reachability.recordDirect(row),
     });
     this.connections = new EndpointConnections({
--- a/packages/router/src/systems/endpointHealth.ts
+++ b/packages/router/src/systems/endpointHealth.ts
@@ -134,10 +134,10 @@
  */
 export function markTunnelled(
   row: EndpointRow,
-  because: DialFailure,
+  reason: DialFailure,
   nowMs: number,
 ): HealthChange | undefined {
-  row.path = { type: 'tunnel', because, nextCheckMs: nowMs + UNREACHABLE_CHECK_INTERVAL_MS };
+  row.path = { type: 'tunnel', reason, nextCheckMs: nowMs + UNREACHABLE_CHECK_INTERVAL_MS };
   row.failureRate = 0;
   row.consecutiveFailures = 0;
   if (row.health.type === 'ejected') row.health = { type: 'good' };
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -22,7 +22,7 @@
 const RECENT_RESPONSE_MS = 250;
 
 /** Called when the health of an endpoint changes. */
-export type OnHealthChange = (row: EndpointRow, change: HealthChange, because: string) => void;
+export type OnHealthChange = (row: EndpointRow, change: HealthChange, reason: string) => void;
 
 /** A change of the path to an endpoint. */
 export type PathChange =
@@ -43,7 +43,7 @@
    */
   readonly isEvacuated: (hall: string) => boolean;
   readonly onChange: OnHealthChange;
-  readonly onPathChange: (row: EndpointRow, change: PathChange, because: string) => void;
+  readonly onPathChange: (row: EndpointRow, change: PathChange, reason: string) => void;
   /** Called once a tick. */
   readonly onCounted: (counts: EndpointCounts) => void;
 }
@@ -84,11 +84,11 @@
   }
 
   /** Records that a direct connection to an endpoint failed while a tunnel succeeded. */
-  recordTunnelled(row: EndpointRow, because: DialFailure): void {
+  recordTunnelled(row: EndpointRow, reason: DialFailure): void {
     const { onChange, onPathChange, connections, now } = this.options;
     const wasDirect = row.path.type === 'direct';
-    const change = markTunnelled(row, because, now());
-    if (wasDirect) onPathChange(row, 'tunnelled', because);
+    const change = markTunnelled(row, reason, now());
+    if (wasDirect) onPathChange(row, 'tunnelled', reason);
     if (change !== undefined) onChange(row, change, 'tunnel');
     if (!wasDirect) return;
     if (isDirectPathSilent(row.path)) connections.retire(row.listing.id, 'direct');
--- a/packages/router/src/tables/endpointPath.ts
+++ b/packages/router/src/tables/endpointPath.ts
@@ -12,7 +12,7 @@
 export type EndpointPath =
   | { readonly type: 'direct' }
   /** Direct connections fail, but another box reaches the endpoint. Checked directly again at `nextCheckMs`. */
-  | { readonly type: 'tunnel'; readonly because: DialFailure; readonly nextCheckMs: number };
+  | { readonly type: 'tunnel'; readonly reason: DialFailure; readonly nextCheckMs: number };
 
 /** The direct path. */
 export const DIRECT_PATH: EndpointPath = { type: 'direct' };
@@ -24,5 +24,5 @@
  * @example isDirectPathSilent({ type: 'direct' }) // false
  */
 export function isDirectPathSilent(path: EndpointPath): boolean {
-  return path.type === 'tunnel' && path.because === 'connectTimedOut';
+  return path.type === 'tunnel' && path.reason === 'connectTimedOut';
 }
