--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -69,6 +69,7 @@
   result: 54,
   bytes: 55,
   isReset: 56,
+  others: 57,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -9,7 +9,8 @@
 import type { Result } from '@hazelwalk/core';
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
-import type { TunnelClient, TunnelFailure } from '../tunnels/tunnelClient.js';
+import type { TunnelFailure } from '../tunnels/tunnelCandidates.js';
+import type { TunnelClient } from '../tunnels/tunnelClient.js';
 import { raceConnections } from './raceConnections.js';
 import { wasReset } from './wasReset.js';
 
--- a/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
+++ b/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
@@ -28,6 +28,14 @@
   expect(listHalls('antigua', 1_000)).toEqual(['mixco', 'antigua', 'mixco']);
 });
 
+test('boxes that a refusal named are asked for a while, before other ones without a path are asked again', () => {
+  const named = { address: 'f', hall: 'antigua' };
+  candidates.addReferred([named], 0);
+  for (const peer of [...near, ...far]) candidates.recordProblem(peer, 'antigua', 'noPath', 0);
+  expect(candidates.choose([...near, ...far], 'antigua', 500)).toEqual([named]);
+  expect(candidates.choose([], 'antigua', 60_000)).toEqual([]);
+});
+
 test('a box that does not know tunnels is not asked for longer than one that serves none at the moment', () => {
   candidates.recordProblem(far[0] ?? near[0]!, 'mixco', 'unsupported', 0);
   candidates.recordProblem(far[1] ?? near[0]!, 'mixco', 'unavailable', 0);
--- a/packages/router/src/tunnels/boxTunnels.ts
+++ b/packages/router/src/tunnels/boxTunnels.ts
@@ -52,6 +52,7 @@
     this.server = new TunnelServer({
       table,
       dial: dialSocket,
+      listPeers: () => mesh.listTunnelPeers(),
       isEnabled,
       isStopping,
       onDialFailed,
--- a/packages/router/src/tunnels/tunnelCandidates.ts
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -1,6 +1,7 @@
 /** Chooses the boxes that are asked for a tunnel to an endpoint. Does no I/O; the clock is passed in. */
 
 import { shuffle } from '../systems/shuffle.js';
+import type { TunnelRefusal } from './tunnelFrames.js';
 
 /** A box that may serve tunnels. */
 export interface TunnelPeer {
@@ -8,6 +9,14 @@
   readonly hall: string;
 }
 
+/** Why no tunnel was opened through a box. */
+export type TunnelFailure =
+  | TunnelRefusal
+  /** The box was not reached, or did not answer in time. */
+  | 'unanswered'
+  /** It closed the connection without an answer, as boxes of versions without tunnels do. */
+  | 'unsupported';
+
 /** Why a box did not serve a tunnel, as far as this says something about further requests to it. */
 export type TunnelPeerProblem =
   /** It reaches no endpoint of that hall either. */
@@ -26,9 +35,20 @@
   unsupported: 30_000,
 };
 
+/** How long a box that another one named is known. */
+const REFERRAL_MS = 5_000;
+/** Boxes that are known because others named them. */
+const MAX_REFERRED = 16;
+
+interface Referral {
+  readonly peer: TunnelPeer;
+  readonly untilMs: number;
+}
+
 /** Orders the boxes that may serve tunnels, and remembers which of them did not. */
 export class TunnelCandidates {
   private readonly avoidedUntilMs = new Map<string, number>();
+  private readonly referrals = new Map<string, Referral>();
 
   /** @param random returns a number between 0 and 1 */
   constructor(
@@ -44,8 +64,9 @@
    * @example candidates.choose(peers, 'antigua', nowMs) // one of the own hall, one of antigua, any other one
    */
   choose(peers: readonly TunnelPeer[], endpointHall: string, nowMs: number): TunnelPeer[] {
+    const known = new Map([...this.listReferred(nowMs), ...peers].map((peer) => [peer.address, peer]));
     const usable = shuffle(
-      peers.filter((peer) => !this.isAvoided(peer, endpointHall, nowMs)),
+      [...known.values()].filter((peer) => !this.isAvoided(peer, endpointHall, nowMs)),
       this.random,
     );
     const near = usable.filter(({ hall }) => hall === this.hall);
@@ -70,6 +91,20 @@
     this.avoidedUntilMs.set(key, nowMs + AVOID_MS[problem]);
   }
 
+  /**
+   * Adds boxes that another one named as it refused a tunnel: in a large fleet a box knows few boxes of other halls, which may
+   * all be cut off like itself.
+   */
+  addReferred(peers: readonly TunnelPeer[], nowMs: number): void {
+    for (const peer of peers) this.referrals.set(peer.address, { peer, untilMs: nowMs + REFERRAL_MS });
+    const surplus = [...this.referrals.keys()].slice(0, Math.max(0, this.referrals.size - MAX_REFERRED));
+    for (const address of surplus) this.referrals.delete(address);
+  }
+
+  private listReferred(nowMs: number): TunnelPeer[] {
+    return [...this.referrals.values()].filter(({ untilMs }) => nowMs < untilMs).map(({ peer }) => peer);
+  }
+
   private isAvoided({ address }: TunnelPeer, endpointHall: string, nowMs: number): boolean {
     const keys = [address, `${address} ${endpointHall}`];
     return keys.some((key) => nowMs < (this.avoidedUntilMs.get(key) ?? -Infinity));
@@ -79,3 +114,27 @@
     for (const [key, untilMs] of this.avoidedUntilMs) if (untilMs <= nowMs) this.avoidedUntilMs.delete(key);
   }
 }
+
+/**
+ * What a failure says about further requests to the box; undefined if it concerns the endpoint alone.
+ *
+ * @example findPeerProblem('connectRefused') // undefined
+ */
+export function findPeerProblem(failure: TunnelFailure): TunnelPeerProblem | undefined {
+  switch (failure) {
+    case 'connectRefused':
+    case 'connectTimedOut':
+    case 'connectBroken':
+    case 'unknownEndpoint':
+      return undefined;
+    case 'noPath':
+      return 'noPath';
+    case 'stopping':
+    case 'full':
+    case 'turnedOff':
+    case 'unanswered':
+      return 'unavailable';
+    case 'unsupported':
+      return 'unsupported';
+  }
+}
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -5,9 +5,8 @@
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import { parseAddress } from '../peers/peerTransport.js';
-import type { TunnelPeer, TunnelPeerProblem } from './tunnelCandidates.js';
-import { TunnelCandidates } from './tunnelCandidates.js';
-import type { TunnelRefusal } from './tunnelFrames.js';
+import type { TunnelFailure, TunnelPeer } from './tunnelCandidates.js';
+import { findPeerProblem, TunnelCandidates } from './tunnelCandidates.js';
 import { formatTunnelName } from './tunnelFrames.js';
 import type { TunnelLog } from './tunnelLog.js';
 import { isTunnelLost, TunnelStream } from './tunnelStream.js';
@@ -17,14 +16,6 @@
 /** Idle time after which TCP keep-alive probes are sent. */
 const KEEP_ALIVE_PROBE_MS = 5_000;
 
-/** Why no tunnel was opened through a box. */
-export type TunnelFailure =
-  | TunnelRefusal
-  /** The box was not reached, or did not answer in time. */
-  | 'unanswered'
-  /** It closed the connection without an answer, as boxes of versions without tunnels do. */
-  | 'unsupported';
-
 /** An open tunnel. */
 export interface OpenTunnel {
   readonly stream: TunnelStream;
@@ -115,7 +106,10 @@
         const reply = frames.ok ? frames.val[0] : undefined;
         if (frames.ok && reply === undefined) return;
         if (reply?.type !== 'tunnelReply') return fail('unsupported');
-        if (reply.result !== 'open') return fail(reply.result);
+        if (reply.result !== 'open') {
+          this.candidates.addReferred(reply.others ?? [], this.options.now());
+          return fail(reply.result);
+        }
         stopWaiting();
         resolve(Ok(new TunnelStream(socket, reader)));
       });
@@ -128,23 +122,3 @@
     this.candidates.recordProblem(peer, row.listing.hall, problem, this.options.now());
   }
 }
-
-/** What a failure says about further requests to the box; undefined if it concerns the endpoint alone. */
-function findPeerProblem(failure: TunnelFailure): TunnelPeerProblem | undefined {
-  switch (failure) {
-    case 'connectRefused':
-    case 'connectTimedOut':
-    case 'connectBroken':
-    case 'unknownEndpoint':
-      return undefined;
-    case 'noPath':
-      return 'noPath';
-    case 'stopping':
-    case 'full':
-    case 'turnedOff':
-    case 'unanswered':
-      return 'unavailable';
-    case 'unsupported':
-      return 'unsupported';
-  }
-}
--- a/packages/router/src/tunnels/tunnelFrames.ts
+++ b/packages/router/src/tunnels/tunnelFrames.ts
@@ -36,6 +36,8 @@
 export const tunnelReplySchema = z.object({
   type: z.literal('tunnelReply'),
   result: z.enum(['open', ...TUNNEL_REFUSALS]),
+  /** With a refusal: boxes that serve tunnels, as far as the sender knows. */
+  others: z.array(z.object({ address: z.string(), hall: z.string() })).optional(),
 });
 
 /** Bytes to or from the endpoint. */
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -7,7 +7,10 @@
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import { shuffle } from '../systems/shuffle.js';
 import { wasReset } from '../proxy/wasReset.js';
+import type { TunnelPeer } from './tunnelCandidates.js';
+import { findPeerProblem, MAX_TUNNEL_CANDIDATES } from './tunnelCandidates.js';
 import type { TunnelRefusal, TunnelRequest } from './tunnelFrames.js';
 import { formatTunnelName } from './tunnelFrames.js';
 import type { TunnelLog } from './tunnelLog.js';
@@ -25,6 +28,8 @@
   readonly table: Pick<EndpointTable, 'byId' | 'findByTag'>;
   /** Connects to an endpoint directly. */
   readonly dial: (row: EndpointRow) => Promise<Result<Socket, DialFailure>>;
+  /** Boxes that serve tunnels. */
+  readonly listPeers: () => readonly TunnelPeer[];
   readonly isEnabled: () => boolean;
   readonly isStopping: () => boolean;
   /** Called when a connection to an endpoint fails. */
@@ -60,18 +65,19 @@
     const { table, log, onDialFailed, dial, isStopping } = this.options;
     const row = table.findByTag(request.endpointTag);
     const refusal = this.findRefusal(row);
-    if (refusal !== undefined || row === undefined) return refuse(socket, refusal ?? 'unknownEndpoint');
+    if (refusal !== undefined || row === undefined)
+      return this.refuse(request, socket, refusal ?? 'unknownEndpoint');
     socket.pause();
     this.dialing += 1;
     const dialed = await dial(row);
     this.dialing -= 1;
     if (dialed.err) {
       onDialFailed(row);
-      return refuse(socket, await this.findDialRefusal(row, dialed.val));
+      return this.refuse(request, socket, await this.findDialRefusal(row, dialed.val));
     }
     if (socket.destroyed || isStopping()) {
       dialed.val.destroy();
-      return refuse(socket, 'stopping');
+      return this.refuse(request, socket, 'stopping');
     }
     socket.setNoDelay().setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
     socket.write(encodePeerFrame({ type: 'tunnelReply', result: 'open' }));
@@ -80,6 +86,18 @@
     this.forward(new TunnelStream(socket, new PeerFrameReader()), dialed.val, name, row);
   }
 
+  /** Refuses a tunnel; names boxes that may serve it if the endpoint is not the reason. */
+  private refuse({ address }: TunnelRequest, socket: Socket, result: TunnelRefusal): void {
+    const others = findPeerProblem(result) === undefined ? undefined : this.listOtherServers(address);
+    socket.on('error', () => socket.destroy());
+    socket.end(encodePeerFrame({ type: 'tunnelReply', result, others }));
+  }
+
+  private listOtherServers(requester: string): TunnelPeer[] {
+    const peers = this.options.listPeers().filter(({ address }) => address !== requester);
+    return shuffle(peers, Math.random).slice(0, MAX_TUNNEL_CANDIDATES);
+  }
+
   private findRefusal(row: EndpointRow | undefined): TunnelRefusal | undefined {
     const { isEnabled, isStopping } = this.options;
     if (!isEnabled()) return 'turnedOff';
@@ -133,8 +151,3 @@
     });
   }
 }
-
-function refuse(socket: Socket, refusal: TunnelRefusal): void {
-  socket.on('error', () => socket.destroy());
-  socket.end(encodePeerFrame({ type: 'tunnelReply', result: refusal }));
-}
