Reachability: an endpoint whose last tunnel failed is checked through other boxes again

While no other box served tunnels, an endpoint that was reached through them became unreachable at a box that was cut off, and stayed so after others served tunnels again: callers got 503 for as long as the cut lasted. Cause: for an endpoint whose path is a tunnel only the direct path was checked, unless requests were in flight there.

--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -113,15 +113,15 @@
     void checked.finally(() => (row.isBeingChecked = false));
   }
 
-  /** Checks the direct path, and the endpoint itself if it has been silent for too long. */
+  /** Checks the direct path, and the endpoint itself if it is silent or the last tunnel to it failed. */
   private async checkTunnelled(row: EndpointRow): Promise<void> {
     const { connections, now } = this.options;
-    const isSilentTooLong = isSilent(row, now());
+    const isInDoubt = row.health.type === 'unreachable' || isSilent(row, now());
     if (row.path.type === 'tunnel')
       row.path = { ...row.path, nextCheckMs: now() + UNREACHABLE_CHECK_INTERVAL_MS };
     const direct = await connections.checkDirectly(row);
     if (direct.ok) this.handleReachable(row);
-    else if (isSilentTooLong) await this.check(row);
+    else if (isInDoubt) await this.check(row);
   }
 
   private async check(row: EndpointRow): Promise<void> {
