--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -157,9 +157,9 @@
    * gets no heartbeats.
    */
   listTunnelPeers(): TunnelPeer[] {
-    const peers = this.listReachable().filter(
-      ({ servesTunnels = false, isStopping }) => servesTunnels && !isStopping,
-    );
+    const peers = this.listReachable()
+      .filter(({ servesTunnels = false, isStopping }) => servesTunnels && !isStopping)
+      .map(({ address, hall }) => ({ address, hall }));
     if (this.isFullMesh) return peers;
     const contacts = this.directory.listContacts();
     return [...peers, ...contacts.filter(({ address }) => this.peers.findIncarnation(address) === undefined)];
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -11,6 +11,7 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { TunnelFailure } from '../tunnels/tunnelCandidates.js';
 import type { TunnelClient } from '../tunnels/tunnelClient.js';
+import { KEEP_ALIVE_PROBE_MS } from './keepAlive.js';
 import { raceConnections } from './raceConnections.js';
 import { wasReset } from './wasReset.js';
 
@@ -19,8 +20,6 @@
  * down.
  */
 const CONNECT_TIMEOUT_MS = 250;
-/** Idle time after which TCP keep-alive probes are sent. */
-const KEEP_ALIVE_PROBE_MS = 5_000;
 /** A way that has not led to a connection after this gets company: the next one is tried beside it. */
 const NEXT_WAY_DELAY_MS = 100;
 /** A request goes to another endpoint after this. */
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -230,7 +230,7 @@
       now,
       isStopping,
       dialSocket: (row) => this.dialer.dialSocket(row),
-      onDialFailed: (row) => this.reachability.checkGood(row),
+      onDialFailed: (row) => this.reachability.verify(row),
       onAbilityChange: () => this.heartbeatSender.sendToHall(),
     });
     const { slotRelay } = this.admission;
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -72,13 +72,12 @@
   checkHall(hall: string): void {
     const nowMs = this.options.now();
     for (const row of this.options.table.byId.values()) {
-      if (row.listing.hall === hall && nowMs - row.lastResponseAtMs >= RECENT_RESPONSE_MS)
-        this.checkGood(row);
+      if (row.listing.hall === hall && nowMs - row.lastResponseAtMs >= RECENT_RESPONSE_MS) this.verify(row);
     }
   }
 
-  /** Checks an endpoint that is considered reachable, because a connection to it failed. */
-  checkGood(row: EndpointRow): void {
+  /** Checks an endpoint that is considered directly reachable, as a connection to it or to another one of its hall failed. */
+  verify(row: EndpointRow): void {
     const isDirect = row.health.type === 'good' && row.path.type === 'direct';
     if (isDirect && !row.isBeingChecked && this.mayCheck(row)) this.startCheck(row);
   }
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -4,6 +4,7 @@
 import type { Result } from '@hazelwalk/core';
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
+import { KEEP_ALIVE_PROBE_MS } from '../proxy/keepAlive.js';
 import { parseAddress } from '../peers/peerTransport.js';
 import type { TunnelFailure, TunnelPeer } from './tunnelCandidates.js';
 import { findPeerProblem, TunnelCandidates } from './tunnelCandidates.js';
@@ -13,8 +14,6 @@
 
 /** A box that has not answered after this is not waited for: it connects to the endpoint within a quarter of a second. */
 const OPEN_TIMEOUT_MS = 300;
-/** Idle time after which TCP keep-alive probes are sent. */
-const KEEP_ALIVE_PROBE_MS = 5_000;
 
 /** An open tunnel. */
 export interface OpenTunnel {
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -8,6 +8,7 @@
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { shuffle } from '../systems/shuffle.js';
+import { KEEP_ALIVE_PROBE_MS } from '../proxy/keepAlive.js';
 import { wasReset } from '../proxy/wasReset.js';
 import type { TunnelPeer } from './tunnelCandidates.js';
 import { findPeerProblem, MAX_TUNNEL_CANDIDATES } from './tunnelCandidates.js';
@@ -20,8 +21,6 @@
 const MAX_TUNNELS = 512;
 /** Endpoints to which a box connects to find out whether a refused connection is due to its own path. */
 const MAX_COMPARED_ENDPOINTS = 3;
-/** Idle time after which TCP keep-alive probes are sent: a box without power closes nothing. */
-const KEEP_ALIVE_PROBE_MS = 5_000;
 
 /** Dependencies of the server. */
 export interface TunnelServerOptions {
@@ -114,9 +113,13 @@
    */
   private async findDialRefusal(row: EndpointRow, failure: DialFailure): Promise<TunnelRefusal> {
     if (failure !== 'connectRefused') return failure;
-    const dialed = await Promise.all(this.listOthers(row).map((other) => this.options.dial(other)));
-    for (const other of dialed) if (other.ok) other.val.destroy();
-    return dialed.some((other) => other.ok) ? 'connectRefused' : 'noPath';
+    for (const other of this.listOthers(row)) {
+      const dialed = await this.options.dial(other);
+      if (dialed.err) continue;
+      dialed.val.destroy();
+      return 'connectRefused';
+    }
+    return 'noPath';
   }
 
   /** Endpoints that this box reached last. Several, as others may have ended together with this one. */
