--- a/packages/router/src/admission/slotClient.ts
+++ b/packages/router/src/admission/slotClient.ts
@@ -113,7 +113,7 @@
     }
   }
 
-  /** Requests a slot anew under another number: a box answers no number that was withdrawn from it. */
+  /** Requests a slot again under another number: a box answers no number that was withdrawn from it. */
   private renumber(pending: PendingSlot): void {
     this.withdraw(pending);
     pending.number = this.takeNumber();
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -13,6 +13,7 @@
   tunnelRequestSchema,
   tunnelRetireSchema,
 } from '../tunnels/tunnelFrames.js';
+import { crashedRunSchema, crashReportsSchema, quarantinedRequestSchema } from './crashFrames.js';
 import { slotAnswersSchema, slotReleasesSchema, slotRequestsSchema } from './slotFrames.js';
 
 /**
@@ -45,28 +46,6 @@
   })
   .optional() satisfies z.ZodType<PlatformReport | undefined>;
 
-/** A run of a request that was in flight when its endpoint crashed. */
-const crashedRunReport = z.object({
-  /** Fingerprint of the request. */
-  content: z.string(),
-  endpointTag: z.number(),
-  /** Identifies the reporter: a number that the reporting box draws at its start. */
-  witness: z.number(),
-  /** When the request was sent to the endpoint and when it ended, on the clock of the reporter. */
-  sentAtMs: z.number(),
-  endedAtMs: z.number(),
-  /** Time between its end and the sending of the frame. */
-  endedAgoMs: z.number(),
-});
-
-/** A quarantined request, which is no longer sent to endpoints. */
-const quarantinedRequest = z.object({
-  /** Fingerprint of the request. */
-  content: z.string(),
-  /** How long ago it last crashed an endpoint. */
-  endedAgoMs: z.number(),
-});
-
 const heartbeat = z.object({
   type: z.literal('heartbeat'),
   /** Hall of the sender. */
@@ -103,9 +82,9 @@
   /** Whether the sender opens tunnels to endpoints for other boxes. Omitted by earlier versions, which do not. */
   servesTunnels: z.boolean().optional(),
   /** On a new link: runs that were in flight when their endpoints crashed; absent if there are none. */
-  crashes: z.array(crashedRunReport).optional(),
+  crashes: z.array(crashedRunSchema).optional(),
   /** On a new link: quarantined requests; absent if there are none. */
-  condemned: z.array(quarantinedRequest).optional(),
+  condemned: z.array(quarantinedRequestSchema).optional(),
 });
 const heartbeatAck = z.object({
   /** Sent back on the link on which a heartbeat was received, to confirm that the link works. */
@@ -289,15 +268,6 @@
   /** Ranks of the boxes of the hall to which the receiver relays the frame. */
   passTo: numberList,
 });
-const crashReports = z.object({
-  type: z.literal('crashNews'),
-  /** How often the reports were relayed before. */
-  hops: z.number(),
-  crashes: z.array(crashedRunReport),
-  condemned: z.array(quarantinedRequest),
-  /** Fingerprints of requests that an endpoint answered completely. */
-  cleared: z.array(z.string()),
-});
 /** Schema of a decoded frame. */
 export const peerFrameSchema = z.discriminatedUnion('type', [
   heartbeat,
@@ -317,7 +287,7 @@
   boxLoads,
   hallLoads,
   fleetLoads,
-  crashReports,
+  crashReportsSchema,
   slotRequestsSchema,
   slotAnswersSchema,
   slotReleasesSchema,
@@ -362,12 +332,6 @@
 export type HallLoads = z.infer<typeof hallLoads>;
 /** Sum of the loads of the fleet, sent to the boxes of a hall by its aggregator. */
 export type FleetLoads = z.infer<typeof fleetLoads>;
-/** Report of a run that was in flight when its endpoint crashed. */
-export type CrashedRunReport = z.infer<typeof crashedRunReport>;
-/** Report of a quarantined request. */
-export type QuarantinedRequest = z.infer<typeof quarantinedRequest>;
-/** Reports on requests that may crash their endpoints. */
-export type CrashReports = z.infer<typeof crashReports>;
 /** A frame between boxes. */
 export type PeerFrame = z.infer<typeof peerFrameSchema>;
 
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -153,7 +153,7 @@
   }
 
   /**
-   * Boxes that may serve tunnels: reachable peers that say so, and contacts in other halls of a large fleet, from which this box
+   * Boxes that may serve tunnels: reachable peers whose heartbeats state it, and contacts in other halls of a large fleet, from which this box
    * gets no heartbeats.
    */
   listTunnelPeers(): TunnelPeer[] {
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -16,7 +16,7 @@
 export type BreakReason =
   /** The connection ended before the response did, or the response was not valid HTTP. */
   | 'connectionLost'
-  /** The tunnel to the endpoint was lost: the other box or the link to it failed, which says nothing about the endpoint. */
+  /** The tunnel to the endpoint was lost: the other box or the link to it failed, which is no evidence about the endpoint. */
   | 'tunnelLost'
   /** The response carries the id of another request, or none. */
   | 'foreignAnswer'
--- a/packages/router/src/proxy/wasReset.ts
+++ b/packages/router/src/proxy/wasReset.ts
@@ -1,4 +1,4 @@
-/** Tells whether a connection was reset. */
+/** Detects that a connection was reset. */
 import type { Socket } from 'node:net';
 
 /**
--- a/packages/router/src/quarantine/__tests__/lateCrashReports.test.ts
+++ b/packages/router/src/quarantine/__tests__/lateCrashReports.test.ts
@@ -2,7 +2,8 @@
  * Guards against a fourth crash: a request crashed two endpoints, and the box that sends it for the third time received the
  * reports of these crashes late.
  */
-import type { CrashReports, Heartbeat } from '../../peers/peerFrames.js';
+import type { CrashReports } from '../../peers/crashFrames.js';
+import type { Heartbeat } from '../../peers/peerFrames.js';
 import { DECISION_DELAY_MS, Quarantine } from '../quarantine.js';
 import type { CrashReportDelays } from '../quarantineRelay.js';
 import { QuarantineRelay } from '../quarantineRelay.js';
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -7,7 +7,8 @@
  * was down or cut off gets the reports that it missed in a snapshot on the link that comes up afterwards.
  */
 import { findHallPosition } from '../membership/hallPosition.js';
-import type { CrashedRunReport, CrashReports, Heartbeat, QuarantinedRequest } from '../peers/peerFrames.js';
+import type { CrashedRunReport, CrashReports, QuarantinedRequest } from '../peers/crashFrames.js';
+import type { Heartbeat } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { CrashedRun } from './crashedRuns.js';
 import type { Quarantine } from './quarantine.js';
--- a/packages/router/src/tunnels/tunnelCandidates.ts
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -17,7 +17,7 @@
   /** It closed the connection without an answer, as boxes of versions without tunnels do. */
   | 'unsupported';
 
-/** Why a box did not serve a tunnel, as far as this says something about further requests to it. */
+/** Why a box did not serve a tunnel, where further requests to it would fail as well. */
 export type TunnelPeerProblem =
   /** It reaches no endpoint of that hall either. */
   | 'noPath'
@@ -116,7 +116,7 @@
 }
 
 /**
- * What a failure says about further requests to the box; undefined if it concerns the endpoint alone.
+ * Finds the problem of the box that a failure shows; undefined if the failure concerns the endpoint alone.
  *
  * @example findPeerProblem('connectRefused') // undefined
  */
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -108,7 +108,7 @@
   }
 
   /**
-   * What a failed connection says about the endpoint. A refusal is its own only if this box still reaches another endpoint:
+   * Finds what a failed connection shows about the endpoint. A refusal is its own only if this box still reaches another one:
    * where the box is cut off, too, connections to all of them may be refused.
    */
   private async findDialRefusal(row: EndpointRow, failure: DialFailure): Promise<TunnelRefusal> {
--- a/packages/router/src/tunnels/tunnelStream.ts
+++ b/packages/router/src/tunnels/tunnelStream.ts
@@ -23,7 +23,7 @@
 }
 
 /**
- * Whether an error says that a tunnel failed, and not the endpoint behind it.
+ * Whether an error means that a tunnel failed, and not the endpoint behind it.
  *
  * @example isTunnelLost(new TunnelError('lost')) // true
  */
--- a/packages/soak/src/linkCutPreload.ts
+++ b/packages/soak/src/linkCutPreload.ts
@@ -1,5 +1,5 @@
 /**
- * Loaded into the process of a box before the box itself: cuts its connections to endpoints while a file says so, as a fault of
+ * Loaded into the process of a box before the box itself: cuts its connections to endpoints while a file orders it, as a fault of
  * this box's links would. Connections to the store and to other boxes stay.
  */
 import { readFileSync } from 'node:fs';
