Tunnels: a box that served one lately is asked first, and again after it missed an answer

Traced in the log: the only box that reached the endpoints missed some answers under load, was then avoided for a second, and the others asked boxes that were cut off too (noPath).

--- a/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
+++ b/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
@@ -36,6 +36,16 @@
   expect(candidates.choose([], 'antigua', 60_000)).toEqual([]);
 });
 
+test('a box that served a tunnel lately comes first of its hall, and is still asked after it missed one answer', () => {
+  const [, , proven = near[0]!] = near;
+  expect(candidates.choose(near, 'mixco', 0)[0]).not.toBe(proven);
+  candidates.recordOpened(proven, 0);
+  candidates.recordProblem(proven, 'mixco', 'unavailable', 100);
+  expect(candidates.choose(near, 'mixco', 200)[0]).toBe(proven);
+  candidates.recordProblem(proven, 'mixco', 'unavailable', 60_000);
+  expect(candidates.choose(near, 'mixco', 60_100)).not.toContain(proven);
+});
+
 test('a box that does not know tunnels is not asked for longer than one that serves none at the moment', () => {
   candidates.recordProblem(far[0] ?? near[0]!, 'mixco', 'unsupported', 0);
   candidates.recordProblem(far[1] ?? near[0]!, 'mixco', 'unavailable', 0);
--- a/packages/router/src/tunnels/tunnelCandidates.ts
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -35,6 +35,8 @@
   unsupported: 30_000,
 };
 
+/** A box that served a tunnel within this time is preferred, and one answer that it misses is put down to its load. */
+const PROVEN_MS = 5_000;
 /** How long a box that another one named is known. */
 const REFERRAL_MS = 5_000;
 /** Boxes that are known because others named them. */
@@ -49,6 +51,8 @@
 export class TunnelCandidates {
   private readonly avoidedUntilMs = new Map<string, number>();
   private readonly referrals = new Map<string, Referral>();
+  /** When a tunnel was last opened through each box. */
+  private readonly openedAtMs = new Map<string, number>();
 
   /** @param random returns a number between 0 and 1 */
   constructor(
@@ -69,6 +73,7 @@
       [...known.values()].filter((peer) => !this.isAvoided(peer, endpointHall, nowMs)),
       this.random,
     );
+    usable.sort((a, b) => Number(this.isProven(b, nowMs)) - Number(this.isProven(a, nowMs)));
     const near = usable.filter(({ hall }) => hall === this.hall);
     const far = usable.filter(({ hall }) => hall !== this.hall);
     const farByHall = [
@@ -79,14 +84,17 @@
     return [...first, ...near.slice(1), ...farByHall.slice(1)].slice(0, MAX_TUNNEL_CANDIDATES);
   }
 
+  /** Records that a tunnel was opened through a box. */
+  recordOpened({ address }: TunnelPeer, nowMs: number): void {
+    this.openedAtMs.set(address, nowMs);
+    this.avoidedUntilMs.delete(address);
+  }
+
   /** Records that a box did not serve a tunnel to an endpoint of a hall. */
-  recordProblem(
-    { address }: TunnelPeer,
-    endpointHall: string,
-    problem: TunnelPeerProblem,
-    nowMs: number,
-  ): void {
+  recordProblem(peer: TunnelPeer, endpointHall: string, problem: TunnelPeerProblem, nowMs: number): void {
+    const { address } = peer;
     this.forgetExpired(nowMs);
+    if (problem === 'unavailable' && this.isProven(peer, nowMs)) return;
     const key = problem === 'noPath' ? `${address} ${endpointHall}` : address;
     this.avoidedUntilMs.set(key, nowMs + AVOID_MS[problem]);
   }
@@ -105,6 +113,10 @@
     return [...this.referrals.values()].filter(({ untilMs }) => nowMs < untilMs).map(({ peer }) => peer);
   }
 
+  private isProven({ address }: TunnelPeer, nowMs: number): boolean {
+    return nowMs - (this.openedAtMs.get(address) ?? -Infinity) < PROVEN_MS;
+  }
+
   private isAvoided({ address }: TunnelPeer, endpointHall: string, nowMs: number): boolean {
     const keys = [address, `${address} ${endpointHall}`];
     return keys.some((key) => nowMs < (this.avoidedUntilMs.get(key) ?? -Infinity));
@@ -112,6 +124,8 @@
 
   private forgetExpired(nowMs: number): void {
     for (const [key, untilMs] of this.avoidedUntilMs) if (untilMs <= nowMs) this.avoidedUntilMs.delete(key);
+    for (const [address, atMs] of this.openedAtMs)
+      if (nowMs - atMs >= PROVEN_MS) this.openedAtMs.delete(address);
   }
 }
 
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -66,6 +66,7 @@
       this.recordFailure(peer, row, opened.val);
       return opened;
     }
+    this.candidates.recordOpened(peer, this.options.now());
     const stream = opened.val;
     stream.on('error', (error) => {
       if (isTunnelLost(error)) this.recordFailure(peer, row, 'unanswered');
