--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -24,6 +24,8 @@
 const NEXT_WAY_DELAY_MS = 100;
 /** A request goes to another endpoint after this. */
 const ALL_WAYS_TIMEOUT_MS = 300;
+/** The same for an endpoint that is reached through tunnels: other endpoints are mostly reached no sooner. */
+const TUNNELLED_TIMEOUT_MS = 1_000;
 /** After tunnels to an endpoint failed, they are not tried again for this long; doubles with each time in a row. */
 const MIN_TUNNEL_PAUSE_MS = 250;
 const MAX_TUNNEL_PAUSE_MS = 4_000;
@@ -98,7 +100,7 @@
       isTunnelFirst ? [...tunnelWays, direct] : [direct, ...tunnelWays],
       {
         staggerMs: NEXT_WAY_DELAY_MS,
-        limitMs: ALL_WAYS_TIMEOUT_MS,
+        limitMs: isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
         isFinal: ({ way, failure }) => way === 'tunnel' && failure === 'connectRefused',
         discard: ({ socket }) => socket.destroy(),
       },
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -12,8 +12,8 @@
 import type { TunnelLog } from './tunnelLog.js';
 import { isTunnelLost, TunnelStream } from './tunnelStream.js';
 
-/** A box that has not answered after this is not waited for: it connects to the endpoint within a quarter of a second. */
-const OPEN_TIMEOUT_MS = 300;
+/** A box that has not answered after this is not waited for: it is overloaded or not reached. */
+const OPEN_TIMEOUT_MS = 1_000;
 
 /** An open tunnel. */
 export interface OpenTunnel {
