Endpoint dialer: boxes are looked up for tunnels only when a tunnel is tried

Each new direct connection listed the reachable boxes, ordered them at random and dropped the result, as most direct connections succeed at once. The race takes its ways from an iterable now, each when it is its turn. No change of behaviour; tests of the race, tunnels and crash checks pass unchanged.

--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -86,8 +86,7 @@
    */
   async connect(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
     const { onTunnelled } = this.options;
-    const attempt: { failure?: DialFailure; isTunnelled?: boolean } = {};
-    const tunnelWays = this.listTunnelWays(row);
+    const attempt: { failure?: DialFailure; isTunnelled?: boolean; hasTriedTunnels?: boolean } = {};
     const direct: Way = async () => {
       const dialed = await this.connectDirectly(row);
       if (dialed.ok) return dialed;
@@ -96,17 +95,20 @@
       return Err({ way: 'direct', failure: dialed.val });
     };
     const isTunnelFirst = row.path.type === 'tunnel';
-    const connected = await raceConnections(
-      isTunnelFirst ? [...tunnelWays, direct] : [direct, ...tunnelWays],
-      {
-        staggerMs: NEXT_WAY_DELAY_MS,
-        limitMs: isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
-        isFinal: ({ way, failure }) => way === 'tunnel' && failure === 'connectRefused',
-        discard: ({ socket }) => socket.destroy(),
-      },
-    );
+    // Most direct connections succeed, and then no box is looked up for a tunnel.
+    const listTunnelWays = (): Way[] => {
+      const ways = this.listTunnelWays(row);
+      attempt.hasTriedTunnels = ways.length > 0;
+      return ways;
+    };
+    const connected = await raceConnections(orderWays(direct, listTunnelWays, isTunnelFirst), {
+      staggerMs: NEXT_WAY_DELAY_MS,
+      limitMs: isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
+      isFinal: ({ way, failure }) => way === 'tunnel' && failure === 'connectRefused',
+      discard: ({ socket }) => socket.destroy(),
+    });
     if (connected.err) {
-      this.pauseTunnels(row, tunnelWays.length > 0);
+      if (attempt.hasTriedTunnels === true) this.pauseTunnels(row);
       return Err(summarizeFailures(connected.val));
     }
     if (connected.val.tunnel !== undefined) {
@@ -159,14 +161,20 @@
     });
   }
 
-  private pauseTunnels(row: EndpointRow, wereTried: boolean): void {
-    if (!wereTried) return;
+  private pauseTunnels(row: EndpointRow): void {
     const before = this.pauses.get(row)?.lengthMs ?? MIN_TUNNEL_PAUSE_MS / 2;
     const lengthMs = Math.min(MAX_TUNNEL_PAUSE_MS, before * 2);
     this.pauses.set(row, { lengthMs, untilMs: this.options.now() + lengthMs });
   }
 }
 
+/** The ways to connect in the order in which they are tried; tunnels are listed only when it is their turn. */
+function* orderWays(direct: Way, listTunnelWays: () => Way[], isTunnelFirst: boolean): Generator<Way> {
+  if (!isTunnelFirst) yield direct;
+  yield* listTunnelWays();
+  if (isTunnelFirst) yield direct;
+}
+
 /** The failure of the direct way, unless other boxes saw something else than a refusal. */
 function summarizeFailures(failures: readonly WayFailure[]): DialFailure {
   const direct = failures.find(({ way }) => way === 'direct')?.failure as DialFailure | undefined;
--- a/packages/router/src/proxy/raceConnections.ts
+++ b/packages/router/src/proxy/raceConnections.ts
@@ -16,16 +16,17 @@
 /**
  * Connects in the first way that succeeds; otherwise returns the failures so far, in the order in which they occurred.
  *
- * @param ways tried in this order
+ * @param ways tried in this order; each is taken from the iterable only when it is its turn
  * @example const connected = await raceConnections([connectDirectly, connectThroughPeer], options);
  */
 export function raceConnections<T, F>(
-  ways: readonly (() => Promise<Result<T, F>>)[],
+  ways: Iterable<() => Promise<Result<T, F>>>,
   { staggerMs, limitMs, isFinal, discard }: RaceOptions<T, F>,
 ): Promise<Result<T, readonly F[]>> {
   return new Promise((resolve) => {
+    const remaining = ways[Symbol.iterator]();
     const failures: F[] = [];
-    let started = 0;
+    let pending = 0;
     let isOver = false;
     let staggerTimer: NodeJS.Timeout | undefined;
     const finish = (result: Result<T, readonly F[]>): void => {
@@ -37,17 +38,21 @@
     const limitTimer = setTimeout(() => finish(Err(failures)), limitMs);
     const startNext = (): void => {
       clearTimeout(staggerTimer);
-      const connect = ways[started];
-      if (connect === undefined) return;
-      started += 1;
-      if (started < ways.length) staggerTimer = setTimeout(startNext, staggerMs);
-      void connect().then(handleResult);
+      const next = remaining.next();
+      if (next.done === true) {
+        if (pending === 0) finish(Err(failures));
+        return;
+      }
+      pending += 1;
+      staggerTimer = setTimeout(startNext, staggerMs);
+      void next.value().then(handleResult);
     };
     const handleResult = (result: Result<T, F>): void => {
+      pending -= 1;
       if (result.ok) return isOver ? discard(result.val) : finish(Ok(result.val));
       if (isOver) return;
       failures.push(result.val);
-      if (isFinal(result.val) || failures.length === ways.length) finish(Err(failures));
+      if (isFinal(result.val)) finish(Err(failures));
       else startNext();
     };
     startNext();
