Connections: one function dials over TCP; pools know nothing of tunnels

The dialer and the tunnel client each opened TCP connections with the same options: dialTcp serves both. The pools asked whether a connection is a tunnel to learn of its retirement; the connection itself offers a handler now. The path was checked twice before a direct connection was recorded, a pool that is missing was passed on instead of returning, and a served tunnel was logged with a count to which one was added.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -4,7 +4,7 @@
 export * from './httpDialect.js';
 export * from './records.js';
 export * from './routerOptions.js';
-export type { Dial } from './proxy/endpointDialer.js';
+export type { Dial } from './proxy/dialTcp.js';
 export { Client } from './proxy/httpClient.js';
 export type { EndpointChange } from './systems/endpointDirectory.js';
 export type { EvacuationChange } from './systems/evacuations.js';
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -153,8 +153,8 @@
   }
 
   /**
-   * Boxes that may serve tunnels: reachable peers whose heartbeats state it, and contacts in other halls of a large fleet, from which this box
-   * gets no heartbeats.
+   * Boxes that may serve tunnels: reachable peers whose heartbeats state it, and contacts in other halls of a large fleet, from
+   * which this box gets no heartbeats.
    */
   listTunnelPeers(): TunnelPeer[] {
     const peers = this.listReachable()
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -11,7 +11,6 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { DialedConnection } from './endpointDialer.js';
 import { EndpointDialer } from './endpointDialer.js';
-import { TunnelStream } from '../tunnels/tunnelStream.js';
 import { Client } from './httpClient.js';
 
 /** Idle connections are closed after this, or earlier if the endpoint announced a shorter time. */
@@ -109,8 +108,9 @@
   /** Uses the open connections of one kind to an endpoint for no further request. */
   retire(endpointId: string, kind: 'direct' | 'tunnel'): void {
     const pool = this.pools.get(endpointId);
-    for (const connection of [...(pool?.open ?? [])]) {
-      if ((connection.tunnel === undefined) === (kind === 'direct')) this.retireConnection(connection, pool);
+    if (pool === undefined) return;
+    for (const connection of [...pool.open]) {
+      if ((connection.tunnel === undefined) === (kind === 'direct')) retireConnection(connection, pool);
     }
   }
 
@@ -170,7 +170,7 @@
       isRetired: false,
     };
     pool.open.add(connection);
-    if (socket instanceof TunnelStream) socket.onRetire = () => this.retireConnection(connection, pool);
+    connection.setRetireHandler(() => retireConnection(connection, pool));
     socket.once('close', () => {
       pool.openCount -= 1;
       pool.open.delete(connection);
@@ -178,11 +178,12 @@
     });
     return Ok(connection);
   }
+}
 
-  private retireConnection(connection: EndpointConnection, pool: EndpointPool | undefined): void {
-    connection.isRetired = true;
-    if (pool !== undefined && removeIdle(pool, connection)) connection.socket.destroy();
-  }
+/** Uses a connection for no further request; closes it if it is idle. */
+function retireConnection(connection: EndpointConnection, pool: EndpointPool): void {
+  connection.isRetired = true;
+  if (removeIdle(pool, connection)) connection.socket.destroy();
 }
 
 /** Counts open connections without those that are about to end: after a cut they may hang until their requests expire. */
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -2,7 +2,6 @@
  * Connects to endpoints: directly, or through another box where direct connections fail. A box that is cut off from endpoints
  * serves its callers that way; for all decisions a tunnel is a connection of this box like any other.
  */
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { Err, Ok } from '@hazelwalk/core';
@@ -11,7 +10,8 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { TunnelFailure } from '../tunnels/tunnelCandidates.js';
 import type { TunnelClient } from '../tunnels/tunnelClient.js';
-import { KEEP_ALIVE_PROBE_MS } from './keepAlive.js';
+import type { Dial } from './dialTcp.js';
+import { dialTcp } from './dialTcp.js';
 import { raceConnections } from './raceConnections.js';
 import { wasReset } from './wasReset.js';
 
@@ -30,13 +30,6 @@
 const MIN_TUNNEL_PAUSE_MS = 250;
 const MAX_TUNNEL_PAUSE_MS = 4_000;
 
-/** Starts to connect to a host and port. */
-export type Dial = (address: { readonly host: string; readonly port: number }) => Socket;
-
-/** Connects over TCP. Idle connections are probed, so that a lost link closes them. */
-const dialTcp: Dial = ({ host, port }) =>
-  connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS });
-
 /** An established connection to an endpoint. */
 export interface DialedConnection {
   readonly socket: Duplex;
@@ -44,6 +37,8 @@
   readonly tunnel: string | undefined;
   /** Whether it ended by a reset. */
   readonly wasReset: () => boolean;
+  /** Sets what is called when the other end asks for no further request on it; a direct connection never does. */
+  readonly setRetireHandler: (onRetire: () => void) => void;
 }
 
 /** Why one way to connect failed. */
@@ -62,7 +57,7 @@
   readonly now: () => number;
   /** Called when a direct connection failed while a tunnel succeeded. */
   readonly onTunnelled?: ((row: EndpointRow, reason: DialFailure) => void) | undefined;
-  /** Called when a direct connection succeeded to an endpoint that was reached through tunnels. */
+  /** Called when a direct connection succeeded. */
   readonly onDirect?: ((row: EndpointRow) => void) | undefined;
 }
 
@@ -123,9 +118,14 @@
   async connectDirectly(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
     const dialed = await this.dialSocket(row);
     if (dialed.err) return dialed;
-    if (row.path.type === 'tunnel') this.options.onDirect?.(row);
+    this.options.onDirect?.(row);
     const socket = dialed.val;
-    return Ok({ socket, tunnel: undefined, wasReset: () => wasReset(socket) });
+    return Ok({
+      socket,
+      tunnel: undefined,
+      wasReset: () => wasReset(socket),
+      setRetireHandler: () => {},
+    });
   }
 
   /** Opens a TCP connection to an endpoint. */
@@ -157,7 +157,12 @@
       const opened = await tunnels.open(peer, row);
       if (opened.err) return Err({ way: 'tunnel', failure: opened.val } as const);
       const { stream, name } = opened.val;
-      return Ok({ socket: stream, tunnel: name, wasReset: () => stream.errored !== null });
+      return Ok({
+        socket: stream,
+        tunnel: name,
+        wasReset: () => stream.errored !== null,
+        setRetireHandler: (onRetire) => void (stream.onRetire = onRetire),
+      });
     });
   }
 
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -3,7 +3,7 @@
 import type { FeatureSet } from './featureSwitches.js';
 import type { HttpDialect } from './httpDialect.js';
 import type { RouterFrame } from './peers/peerFrames.js';
-import type { Dial } from './proxy/endpointDialer.js';
+import type { Dial } from './proxy/dialTcp.js';
 import type { FleetConfiguration } from './records.js';
 import type { ColdBound } from './systems/coldEndpointLimiter.js';
 import type { Publication } from './systems/publishedState.js';
--- a/packages/router/src/systems/reachability.ts
+++ b/packages/router/src/systems/reachability.ts
@@ -94,7 +94,7 @@
     this.checkHall(row.listing.hall);
   }
 
-  /** Records that a direct connection succeeded to an endpoint that was reached through tunnels. */
+  /** Records that a direct connection succeeded: the endpoint is reached through tunnels no more. */
   recordDirect(row: EndpointRow): void {
     if (row.path.type === 'direct') return;
     row.path = DIRECT_PATH;
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -1,10 +1,9 @@
 /** Opens tunnels to endpoints through other boxes, which connect to the endpoints in place of this one. */
-import { connect } from 'node:net';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
-import { KEEP_ALIVE_PROBE_MS } from '../proxy/keepAlive.js';
+import { dialTcp } from '../proxy/dialTcp.js';
 import { parseAddress } from '../peers/peerTransport.js';
 import type { TunnelFailure, TunnelPeer } from './tunnelCandidates.js';
 import { findPeerProblem, TunnelCandidates } from './tunnelCandidates.js';
@@ -81,8 +80,7 @@
   ): Promise<Result<TunnelStream, TunnelFailure>> {
     const address = this.options.readAddress();
     return new Promise((resolve) => {
-      const socket = connect({ ...parseAddress(peer.address), noDelay: true });
-      socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+      const socket = dialTcp(parseAddress(peer.address));
       const reader = new PeerFrameReader();
       let isConnected = false;
       const stopWaiting = (): void => {
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -8,7 +8,7 @@
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { shuffle } from '../systems/shuffle.js';
-import { KEEP_ALIVE_PROBE_MS } from '../proxy/keepAlive.js';
+import { KEEP_ALIVE_PROBE_MS } from '../proxy/dialTcp.js';
 import { wasReset } from '../proxy/wasReset.js';
 import type { TunnelPeer } from './tunnelCandidates.js';
 import { findPeerProblem, MAX_TUNNEL_CANDIDATES } from './tunnelCandidates.js';
@@ -81,8 +81,8 @@
     socket.setNoDelay().setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
     socket.write(encodePeerFrame({ type: 'tunnelReply', result: 'open' }));
     const name = formatTunnelName(request.address, request.number);
-    log.recordServed(name, row, this.open.size + 1);
     this.forward(new TunnelStream(socket, new PeerFrameReader()), dialed.val, name, row);
+    log.recordServed(name, row, this.open.size);
   }
 
   /** Refuses a tunnel; names boxes that may serve it if the endpoint is not the reason. */
