--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,10 +1,10 @@
 /** Injects faults into a site through signals, links and the store. The seed determines the kinds and the targets; faults overlap. */
 import type { ChildProcess } from 'node:child_process';
 import type { StoreFault } from '@hazelwalk/platform/standins';
-import { endProcess, pause } from '@hazelwalk/standins';
+import { endProcess, LINK_CUTS, pause } from '@hazelwalk/standins';
 import type { LinkFault, LinkProxy, Random } from '@hazelwalk/standins';
 import type { Ledger } from './ledger.js';
-import { LINK_CUTS, writeLinkCut } from './linkCut.js';
+import { writeLinkCut } from './linkCut.js';
 import type { SoakBox, SoakEndpoint, SoakSite } from './site.js';
 
 /** Kinds of faults and of planned operations. */
--- a/packages/soak/src/linkCut.ts
+++ b/packages/soak/src/linkCut.ts
@@ -1,11 +1,8 @@
 /** Cuts of a box's links to all endpoints: how the soak orders them, and the process of the box reads the order. */
 import { writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
-
-/** What a cut does to connections: open ones hang, are reset or live on; new ones hang, or are refused. */
-export const LINK_CUTS = ['hang', 'reset', 'refuse'] as const;
-/** What a cut does to connections. */
-export type LinkCut = (typeof LINK_CUTS)[number];
+import type { LinkCut } from '@hazelwalk/standins/linkCut';
+import { LINK_CUTS } from '@hazelwalk/standins/linkCut';
 
 /** Environment variables of a box's process: the file with the order, and the ports that a cut leaves alone. */
 export const LINK_CUT_VARIABLES = {
--- a/packages/soak/src/linkCutPreload.ts
+++ b/packages/soak/src/linkCutPreload.ts
@@ -5,12 +5,11 @@
 import { readFileSync } from 'node:fs';
 import type { SocketConnectOpts } from 'node:net';
 import { Socket } from 'node:net';
-import type { LinkCut } from './linkCut.js';
+import type { LinkCut } from '@hazelwalk/standins/linkCut';
+import { CLOSED_PORT } from '@hazelwalk/standins/linkCut';
 import { LINK_CUT_VARIABLES, readLinkCut } from './linkCut.js';
 
 const POLL_MS = 50;
-/** A port on which nothing listens. */
-const CLOSED_PORT = 1;
 
 const { [LINK_CUT_VARIABLES.file]: file = '', [LINK_CUT_VARIABLES.otherPorts]: otherPorts = '' } =
   process.env;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,6 +2,7 @@
 export * from './childProcess.js';
 export * from './deployment.js';
 export { pause } from './httpTools.js';
+export * from './linkCut.js';
 export * from './linkProxy.js';
 export * from './random.js';
 export * from './timeline.js';
--- a/packages/standins/src/linkProxy.ts
+++ b/packages/standins/src/linkProxy.ts
@@ -58,6 +58,17 @@
     for (const { from } of this.directions) from.resetAndDestroy();
   }
 
+  /** Resets every open connection, and each new one until `heal` is called. */
+  cut(): void {
+    this.setFault({ type: 'refuse' });
+    this.resetAll();
+  }
+
+  /** Ends any fault. */
+  heal(): void {
+    this.setFault({ type: 'none' });
+  }
+
   /** Closes the proxy and all its connections. */
   close(): void {
     this.server.close();
