Soak: times are those of the monotonic clock

A caller gives up after 6 s, so its own timer had not run for that long; and all eight streams lasted 10,761 to 10,763 ms, the 200 ms that a stream takes and one more offset.

Cause: callers, endpoints and faults were timed with the wall clock, which was set forward by 10.55 s during the run; timers and boxes use the monotonic clock and saw nothing.

Change: one clock, which all processes of a machine share. The check and its bound stay. The first line of faults.txt says which wall clock time a record's time is, as boxes log in wall clock time.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,7 +1,7 @@
 /** Callers with persistent connections, each of which sends one request at a time to the boxes of a site. */
 import { Agent, request as httpRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
-import { createCallerHeaders, readSeal } from '@hazelwalk/platform/standins';
+import { createCallerHeaders, readMonotonicMs, readSeal } from '@hazelwalk/platform/standins';
 import { pause } from '@hazelwalk/standins';
 import type { Random } from '@hazelwalk/standins';
 import type { CallerOutcome, Ledger, SoakRoute } from './ledger.js';
@@ -67,9 +67,9 @@
   private async sendOne(box: BoxAddress, route: SoakRoute): Promise<number> {
     this.sentCount += 1;
     const requestId = `${this.name}-${this.sentCount}`;
-    const sentAtMs = Date.now();
+    const sentAtMs = readMonotonicMs();
     const outcome = await sendRequest(box, `/${route}/x`, requestId, DEADLINE_MS, this.findAgent(box));
-    const endedAtMs = Date.now();
+    const endedAtMs = readMonotonicMs();
     if (this.isClosed) return 0;
     const record = { requestId, route, box: box.name, sentAtMs, endedAtMs, deadlineMs: DEADLINE_MS, outcome };
     this.ledger.requests.push(record);
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,5 +1,6 @@
 /** Injects faults into a site through signals, links and the store. The seed determines the kinds and the targets; faults overlap. */
 import type { ChildProcess } from 'node:child_process';
+import { readMonotonicMs } from '@hazelwalk/platform/standins';
 import type { StoreFault } from '@hazelwalk/platform/standins';
 import { endProcess, LINK_CUTS, pause } from '@hazelwalk/standins';
 import type { LinkFault, LinkProxy, Random } from '@hazelwalk/standins';
@@ -129,7 +130,7 @@
         const spans = boxes.map((box) => this.ledger.beginCut(box.name));
         for (const { linkCutPath } of boxes) writeLinkCut(linkCutPath, cut);
         await pause(CUT_MS);
-        for (const span of spans) span.toMs = Date.now();
+        for (const span of spans) span.toMs = readMonotonicMs();
         for (const { linkCutPath } of boxes) writeLinkCut(linkCutPath, undefined);
       }),
     );
@@ -145,7 +146,7 @@
 
   private async stopBox(box: SoakBox): Promise<void> {
     if (box.process === undefined) return;
-    this.ledger.events.push({ type: 'boxStop', box: box.name, atMs: Date.now() });
+    this.ledger.events.push({ type: 'boxStop', box: box.name, atMs: readMonotonicMs() });
     await endProcess(box.process.child, 'SIGTERM');
     await this.runAsInterruption(box.name, () => this.site.startBox(box));
   }
@@ -153,7 +154,7 @@
   private async pauseBox(box: SoakBox): Promise<void> {
     const interruption = this.ledger.beginInterruption(box.name);
     await this.pauseProcess(box.name, box.process?.child);
-    interruption.toMs = Date.now();
+    interruption.toMs = readMonotonicMs();
   }
 
   private async pauseProcess(entity: string, child: ChildProcess | undefined): Promise<void> {
@@ -280,13 +281,13 @@
   private async runAsDisturbance(entity: string, action: () => Promise<void>): Promise<void> {
     const disturbance = this.ledger.beginDisturbance(entity);
     await action();
-    disturbance.toMs = Date.now();
+    disturbance.toMs = readMonotonicMs();
   }
 
   /** Records a disturbance of a box and an interruption of its process while the action runs. */
   private async runAsInterruption(box: string, action: () => Promise<void>): Promise<void> {
     const interruption = this.ledger.beginInterruption(box);
     await this.runAsDisturbance(box, action);
-    interruption.toMs = Date.now();
+    interruption.toMs = readMonotonicMs();
   }
 }
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -1,4 +1,8 @@
-/** Records of callers, endpoints and planned operations, which the checks evaluate after the run. Times are Unix milliseconds. */
+/**
+ * Records of callers, endpoints and planned operations, which the checks evaluate after the run. Times are milliseconds of the
+ * machine's monotonic clock: a step of the wall clock must not look like a late response.
+ */
+import { readMonotonicMs } from '@hazelwalk/platform/standins';
 
 /** Routes that the soak sends requests to. */
 export type SoakRoute = 'safe' | 'claim' | 'streamResumable' | 'streamOnce' | ScarceRoute;
@@ -113,14 +117,14 @@
 
   /** Records the start of a fault. The caller sets `toMs` when the fault ends. */
   beginDisturbance(entity: string): Disturbance {
-    const disturbance = { entity, fromMs: Date.now(), toMs: Infinity };
+    const disturbance = { entity, fromMs: readMonotonicMs(), toMs: Infinity };
     this.disturbances.push(disturbance);
     return disturbance;
   }
 
   /** Records that a box is cut off from all endpoints. The caller sets `toMs` when that ends. */
   beginCut(box: string): Disturbance {
-    const cut = { entity: box, fromMs: Date.now(), toMs: Infinity };
+    const cut = { entity: box, fromMs: readMonotonicMs(), toMs: Infinity };
     this.cuts.push(cut);
     return cut;
   }
@@ -135,7 +139,7 @@
 
   /** Records that the process of a box is paused or restarted. The caller sets `toMs` when that ends. */
   beginInterruption(box: string): Disturbance {
-    const interruption = { entity: box, fromMs: Date.now(), toMs: Infinity };
+    const interruption = { entity: box, fromMs: readMonotonicMs(), toMs: Infinity };
     this.interruptions.push(interruption);
     return interruption;
   }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,6 +2,7 @@
 /** `npm run soak`: runs boxes and endpoints on loopback under random faults; exits with 1 if a guarantee was violated. */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { readMonotonicMs } from '@hazelwalk/platform/standins';
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import type { SoakResult } from './runSeed.js';
@@ -65,7 +66,9 @@
 function keepLogs(result: SoakResult): void {
   const folder = join(argv.keep, `seed-${result.seed}`);
   mkdirSync(folder, { recursive: true });
-  writeFileSync(join(folder, 'faults.txt'), `${result.faults.join('\n')}\n`);
+  // The logs of the boxes are in wall clock time, the records are not.
+  const clocks = `${new Date().toISOString()} is ${readMonotonicMs()} ms`;
+  writeFileSync(join(folder, 'faults.txt'), `${[clocks, ...result.faults].join('\n')}\n`);
   writeFileSync(join(folder, 'violations.json'), JSON.stringify(result.violations, undefined, 2));
   writeRecords(join(folder, 'runs.jsonl'), result.runRecords);
   writeRecords(join(folder, 'stalls.jsonl'), result.stalls);
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -1,4 +1,5 @@
 /** Runs one seed of the soak: starts a site and callers, injects overlapping faults, waits for recovery and runs the checks. */
+import { readMonotonicMs } from '@hazelwalk/platform/standins';
 import { createRandom, pause } from '@hazelwalk/standins';
 import type { Random } from '@hazelwalk/standins';
 import { Caller, SCARCE_SHARES, sendRequest } from './callers.js';
@@ -81,7 +82,7 @@
       ...(options.hasCuts ? CUT_FAULT_KINDS : []),
     ];
     await injectFaults(options.faultsMs, kinds, new FaultInjector(site, ledger, random), random, faults);
-    ledger.events.push({ type: 'faultsOver', atMs: Date.now() });
+    ledger.events.push({ type: 'faultsOver', atMs: readMonotonicMs() });
     await pause(RECOVERY_WAIT_MS);
     stopLoad();
   } finally {
@@ -131,7 +132,7 @@
     site.boxes.map(async (box) => {
       const { version } = site;
       const { incarnation } = box;
-      const sentAtMs = Date.now();
+      const sentAtMs = readMonotonicMs();
       const requestId = `probe-${box.name}-${sentAtMs}`;
       ledger.probeRequests.push({ requestId, box: box.name, sentAtMs });
       const outcome = await sendRequest(
@@ -158,12 +159,12 @@
   random: Random,
   faultLog: string[],
 ): Promise<void> {
-  const startedAtMs = Date.now();
+  const startedAtMs = readMonotonicMs();
   const activeFaults = new Set<Promise<void>>();
-  while (Date.now() - startedAtMs < durationMs) {
+  while (readMonotonicMs() - startedAtMs < durationMs) {
     if (activeFaults.size < MAX_CONCURRENT_FAULTS) {
       const kind = kinds[Math.floor(random() * kinds.length)] as FaultKind;
-      faultLog.push(`${Date.now() - startedAtMs} ms ${kind}`);
+      faultLog.push(`${readMonotonicMs() - startedAtMs} ms ${kind}`);
       const fault: Promise<void> = injector.inject(kind).finally(() => activeFaults.delete(fault));
       activeFaults.add(fault);
     }
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -10,6 +10,7 @@
   createEndpointEntry,
   createStandinConfiguration,
   formatBoxSettings,
+  readMonotonicMs,
   StandinStore,
 } from '@hazelwalk/platform/standins';
 import type { StandinRoute } from '@hazelwalk/platform/standins';
@@ -145,7 +146,11 @@
   publishConfiguration(): void {
     this.version += 1;
     this.writeConfiguration();
-    this.ledger.events.push({ type: 'configurationPublished', version: this.version, atMs: Date.now() });
+    this.ledger.events.push({
+      type: 'configurationPublished',
+      version: this.version,
+      atMs: readMonotonicMs(),
+    });
   }
 
   /** Starts an endpoint and adds its entry to the store. */
@@ -300,7 +305,7 @@
 
   private recordLeaving(endpoint: SoakEndpoint): void {
     endpoint.isLeaving = true;
-    this.ledger.events.push({ type: 'endpointLeaves', endpoint: endpoint.id, atMs: Date.now() });
+    this.ledger.events.push({ type: 'endpointLeaves', endpoint: endpoint.id, atMs: readMonotonicMs() });
   }
 
   private handleEndpointLine(id: string, line: string): void {
