Brittle engines: their slots are scheduled, and no request is sent to wait at a brittle endpoint

Seen: with six engines that survive two rejections a second, two slots each, and 30 or 80 callers with prompts at ten boxes, the engines fell over 18 times in 6 s (2.6 allowed); callers found "noEndpoint" 770 times, 252 requests were served. Cause: requests with prompts got no slots, also where their service counts as short because its endpoints are brittle; each box placed them by loads that are 0.3 s old, and where none had capacity by the lesser of two. Besides, a schedule grants a quarter more than there are slots, which wait at the endpoint; a brittle one may let none wait.

Now prompts get slots where the service is brittle and has at most 256; they name the first four endpoints of their order that have capacity, so that they go to the engine that holds them if it has a slot. A brittle endpoint is granted its slots only.

--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -49,6 +49,16 @@
   expect(rows.length).toBe(12);
 });
 
+test('the endpoints that suit a prompt best are those with capacity, in the order of the prompt', () => {
+  const { table } = createTable(12);
+  const placement = createPlacement(table);
+  const first = placement.choose(createRequest('p'), NOW_MS)?.row;
+  const tags = placement.listPreferredTags(createRequest('p'), NOW_MS);
+  expect(tags[0]).toBe(first?.tag);
+  if (first !== undefined) first.inFlight = 10;
+  expect(placement.listPreferredTags(createRequest('p'), NOW_MS).slice(0, 3)).toEqual(tags.slice(1));
+});
+
 test('a brittle endpoint has no capacity beyond its slots, whatever the mean load is', () => {
   const { table, rows } = createTable(12);
   const placement = createPlacement(table);
--- a/packages/router/src/admission/__tests__/serviceAdmission.test.ts
+++ b/packages/router/src/admission/__tests__/serviceAdmission.test.ts
@@ -35,6 +35,7 @@
   readonly decisions: AdmissionDecision[] = [];
   shed: LoadSheddingDecision[] = [];
   slots = 20;
+  isBrittle = false;
   waiting = 0;
   withdrawn = 0;
   readonly ended: number[] = [];
@@ -57,7 +58,7 @@
       retain: () => {},
     },
     sheddingLog: { recordShare: () => {}, recordRejected: () => {} },
-    countEndpoints: () => ({ endpoints: 2, slots: this.slots }),
+    describeService: () => ({ endpoints: 2, slots: this.slots, isBrittle: this.isBrittle }),
     now: () => this.timeline.nowMs,
     schedule: (delayMs, callback) => {
       let isCancelled = false;
@@ -112,6 +113,17 @@
   expect(gate.decisions).toEqual([PROCEED]);
 });
 
+/** Guards against prompts that make brittle engines fall over: 18 falls where 2 were allowed. */
+test('brittle service short of room: prompts get slots as well', () => {
+  const gate = new Gate();
+  gate.room.recordRefusal('app', 0);
+  gate.enter({ hasPrompt: true });
+  expect(gate.applications).toEqual([]);
+  gate.isBrittle = true;
+  gate.enter({ hasPrompt: true });
+  expect(gate.applications.length).toBe(1);
+});
+
 test('large service short of room: a request waits in its box and is decided about again, then rejected', () => {
   const gate = new Gate();
   gate.slots = 300;
--- a/packages/router/src/admission/__tests__/slotScheduler.test.ts
+++ b/packages/router/src/admission/__tests__/slotScheduler.test.ts
@@ -53,6 +53,12 @@
   return scheduler;
 }
 
+test('a brittle endpoint gets no more than it has slots for', () => {
+  const scheduler = createScheduler([{ isBrittle: true }]);
+  expect(listGranted(requestAll(scheduler, [1, 2, 3, 4, 5]))).toEqual([1, 2, 3, 4]);
+  expect(listGranted(release(scheduler, 1, 'served'))).toEqual([5]);
+});
+
 test('a repeated request gets the same answer, and none after its release', () => {
   const scheduler = createFullScheduler();
   expect(requestAll(scheduler, [1])).toEqual([
--- a/packages/router/src/admission/boxAdmission.ts
+++ b/packages/router/src/admission/boxAdmission.ts
@@ -16,6 +16,7 @@
 import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { LoadShedder } from './loadShedder.js';
+import type { ServiceDescription } from './serviceAdmission.js';
 import { ServiceAdmission } from './serviceAdmission.js';
 import { SlotClient } from './slotClient.js';
 import type { SchedulableEndpoint, SlotScheduling } from './slotMessages.js';
@@ -81,7 +82,7 @@
       slots: this.client,
       shedding,
       sheddingLog: new SheddingLog(options.log, metrics),
-      countEndpoints: (service) => this.countEndpoints(service),
+      describeService: (service) => this.describeService(service),
       now,
       schedule,
       onWaiting: (service, change, waitedMs) => this.recordWaiting(service, change, waitedMs),
@@ -134,8 +135,9 @@
     const { table, state, now } = this.options;
     const nowMs = now();
     const isLimitedWhileCold = state.index?.findService(service)?.coldStart !== undefined;
-    return table
-      .listService(service)
+    const rows = table.listService(service);
+    const isServiceBrittle = rows.some(isBrittle);
+    return rows
       .filter((row) => row.health.type !== 'unreachable' && acceptsRequests(row, nowMs))
       .filter(({ listing }) => !state.evacuations.isEvacuated(listing.hall))
       .filter(({ coldUntilMs }) => !isLimitedWhileCold || nowMs >= coldUntilMs)
@@ -143,12 +145,14 @@
         tag: row.tag,
         slotsInEffect: readSlotsInEffect(row),
         reportedInFlight: readFleetLoad(row),
+        isBrittle: isServiceBrittle,
       }));
   }
 
-  private countEndpoints(service: string): { readonly endpoints: number; readonly slots: number } {
+  private describeService(service: string): ServiceDescription {
     const rows = this.options.table.listService(service);
-    return { endpoints: rows.length, slots: rows.reduce((sum, { listing }) => sum + listing.slots, 0) };
+    const slots = rows.reduce((sum, { listing }) => sum + listing.slots, 0);
+    return { endpoints: rows.length, slots, isBrittle: rows.some(isBrittle) };
   }
 
   private handleHopChange({ service, hop, previous, isPreviousLost }: HopChange): void {
--- a/packages/router/src/admission/serviceAdmission.ts
+++ b/packages/router/src/admission/serviceAdmission.ts
@@ -1,7 +1,7 @@
 /**
  * Decides about each request of a caller by the room of its service. With ample room it is sent at once and costs
  * nothing. If a small service is short of room, a box schedules its slots; if a large one is, or one whose endpoints hold
- * prompts, each box sheds load.
+ * prompts and are not brittle, each box sheds load.
  */
 import type { RoomWatch } from '../capacity/roomWatch.js';
 import type { ServiceRoom } from '../capacity/serviceRoom.js';
@@ -17,6 +17,14 @@
 /** Most slots that one box schedules: some ten thousand requests a second of some tens of milliseconds. */
 const MAX_SCHEDULED_SLOTS = 256;
 
+/** A service as its endpoints list it. */
+export interface ServiceDescription {
+  readonly endpoints: number;
+  readonly slots: number;
+  /** Whether its endpoints end for a while if they have to reject many requests. */
+  readonly isBrittle: boolean;
+}
+
 /** Dependencies and callbacks of the gate. */
 export interface ServiceAdmissionOptions {
   readonly features: FeatureSwitches;
@@ -24,8 +32,7 @@
   readonly slots: Pick<SlotClient, 'apply'>;
   readonly shedding: LoadShedding & Pick<LoadShedder, 'readAdmittedShare'>;
   readonly sheddingLog: Pick<SheddingLog, 'recordShare' | 'recordRejected'>;
-  /** Counts the endpoints of a service, and the slots that they list. */
-  readonly countEndpoints: (service: string) => { readonly endpoints: number; readonly slots: number };
+  readonly describeService: (service: string) => ServiceDescription;
   readonly now: () => number;
   /** Calls back once after a time; returns a function that cancels it. */
   readonly schedule: (delayMs: number, callback: () => void) => () => void;
@@ -69,10 +76,11 @@
   }
 
   enter(request: AdmissionRequest, onDecision: OnDecision): AdmissionHandle {
-    const { features, room, countEndpoints } = this.options;
+    const { features, room, describeService } = this.options;
     if (room.isShort(request.service)) {
-      const { endpoints, slots } = countEndpoints(request.service);
-      const isScheduled = slots <= MAX_SCHEDULED_SLOTS && !request.hasPrompt;
+      const { endpoints, slots, isBrittle } = describeService(request.service);
+      // The slot of a prompt may be at an endpoint that does not hold it, which is better than one that falls over.
+      const isScheduled = slots <= MAX_SCHEDULED_SLOTS && (!request.hasPrompt || isBrittle);
       // If it can use none of them, no slot helps, and placement knows why.
       const isUnusable = request.listExcluded().length >= endpoints;
       if (isUnusable) return proceed(onDecision);
--- a/packages/router/src/admission/slotLedger.ts
+++ b/packages/router/src/admission/slotLedger.ts
@@ -166,8 +166,11 @@
     return nowMs < this.countsReportedUntilMs ? Math.max(granted, reportedInFlight) : granted;
   }
 
-  private readCapacity({ tag, slotsInEffect }: SchedulableEndpoint, nowMs: number): number {
-    const capacity = Math.ceil(slotsInEffect * (1 + OVERLAP_SHARE));
+  private readCapacity(
+    { tag, slotsInEffect, isBrittle = false }: SchedulableEndpoint,
+    nowMs: number,
+  ): number {
+    const capacity = Math.ceil(slotsInEffect * (isBrittle ? 1 : 1 + OVERLAP_SHARE));
     return Math.min(capacity, this.readRefusalLimit(tag, nowMs), this.readFailureLimit(tag, nowMs));
   }
 
--- a/packages/router/src/admission/slotMessages.ts
+++ b/packages/router/src/admission/slotMessages.ts
@@ -73,6 +73,8 @@
   readonly slotsInEffect: number;
   /** Requests in flight there by the reports of all boxes, which are up to a second old. */
   readonly reportedInFlight: number;
+  /** It ends for a while if it has to reject many requests: no request is sent to wait there. */
+  readonly isBrittle?: boolean;
 }
 
 /** Schedules the slots of services, without I/O: requests and releases go in, answers come out. */
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -99,6 +99,9 @@
   readonly cacheSource: EndpointRow | undefined;
 }
 
+/** Endpoints that are named for a prompt as preferred: where all of them are full, any free slot is as good. */
+const MAX_PREFERRED = 4;
+
 /** Settings and dependencies of placement. */
 export interface PlacementOptions {
   readonly table: EndpointTable;
@@ -145,12 +148,17 @@
   }
 
   /**
-   * Tags of the endpoints that suit a request without a prompt best: those of the own hall, in random order so that the
-   * load is spread over them.
+   * Tags of the endpoints that suit a request best: for a prompt the first ones in its order that have capacity; without
+   * one those of the own hall, in random order so that the load is spread over them.
    */
   listPreferredTags(request: PlacementRequest, nowMs: number): number[] {
     const { hall, random } = this.options;
     const rows = this.listChoices(request, nowMs);
+    const prompt = readSharedPrompt(request.promptParts);
+    if (prompt !== undefined) {
+      const withCapacity = this.listWithCapacity(rows, readMeans(this.listLive(request.service))) ?? [];
+      return this.ranking.listFirst(withCapacity, prompt, MAX_PREFERRED).map(({ tag }) => tag);
+    }
     const near = rows.filter(({ listing }) => listing.hall === hall);
     return shuffle(near, random).map(({ tag }) => tag);
   }
@@ -271,9 +279,8 @@
     means: ServiceMeans,
     width: number,
   ): Pick<PlacementChoice, 'row' | 'way'> | undefined {
-    const { random, readLoadPath } = this.options;
-    const path = readLoadPath();
-    const withCapacity = listWithCapacity(rows, means, path) ?? listWithCapacity(rows, readMeans(rows), path);
+    const { random } = this.options;
+    const withCapacity = this.listWithCapacity(rows, means);
     if (withCapacity === undefined) {
       const readWeightedLoad = (row: EndpointRow): number => readFleetLoad(row) * readSlowness(row, means);
       const least = drawLowerOfTwo(rows, readWeightedLoad, random);
@@ -292,6 +299,11 @@
     const next = this.ranking.findFirst(withCapacity, prompt);
     return next === undefined ? undefined : { row: next, way: 'overflow' };
   }
+
+  private listWithCapacity(rows: readonly EndpointRow[], means: ServiceMeans): EndpointRow[] | undefined {
+    const path = this.options.readLoadPath();
+    return listWithCapacity(rows, means, path) ?? listWithCapacity(rows, readMeans(rows), path);
+  }
 }
 
 function describeChoice(
