Slot schedule: a box that reaches no endpoint of a service schedules the slots of all of them

The box that schedules the slots of a small service left out endpoints that it does not reach itself. Each box leaves out what it does not reach itself when it asks for a slot, so a schedule that names such endpoints costs other boxes nothing.

--- a/packages/router/src/admission/boxAdmission.ts
+++ b/packages/router/src/admission/boxAdmission.ts
@@ -129,7 +129,7 @@
   /**
    * Endpoints that get requests without a limit on their rate: reachable, accepting, not evacuated, not cold. One that
    * this box has ejected stays, as the failures of its own requests are no reason for all boxes; each box excludes those
-   * that it has ejected itself.
+   * that it has ejected itself. If it reaches none of them, it is probably cut off itself, and all stay.
    */
   private listEndpoints(service: string): SchedulableEndpoint[] {
     const { table, state, now } = this.options;
@@ -137,8 +137,9 @@
     const isLimitedWhileCold = state.index?.findService(service)?.coldStart !== undefined;
     const rows = table.listService(service);
     const isServiceBrittle = rows.some(isBrittle);
-    return rows
-      .filter((row) => row.health.type !== 'unreachable' && acceptsRequests(row, nowMs))
+    const reachable = rows.filter(({ health }) => health.type !== 'unreachable');
+    return (reachable.length > 0 ? reachable : rows)
+      .filter((row) => acceptsRequests(row, nowMs))
       .filter(({ listing }) => !state.evacuations.isEvacuated(listing.hall))
       .filter(({ coldUntilMs }) => !isLimitedWhileCold || nowMs >= coldUntilMs)
       .map((row) => ({
