Tunnels: refusals name only boxes that are known to serve them, and those are asked next

In a large fleet a box knows of contacts in other halls nothing but their address. A box that refused a tunnel named such contacts too, three drawn from all that it knows; and the box that had been refused asked the next two that it had planned to ask, and those that were named only for its next connection.

Now a refusal names only boxes whose heartbeats state that they serve tunnels, a box that is named is asked next, for the same connection, and known servers come before contacts of which nothing is known. Three boxes are asked for a connection as before.

--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -159,10 +159,13 @@
   listTunnelPeers(): TunnelPeer[] {
     const peers = this.listReachable()
       .filter(({ servesTunnels = false, isStopping }) => servesTunnels && !isStopping)
-      .map(({ address, hall }) => ({ address, hall }));
+      .map(({ address, hall }) => ({ address, hall, isKnownToServe: true }));
     if (this.isFullMesh) return peers;
-    const contacts = this.directory.listContacts();
-    return [...peers, ...contacts.filter(({ address }) => this.peers.findIncarnation(address) === undefined)];
+    const contacts = this.directory
+      .listContacts()
+      .filter(({ address }) => this.peers.findIncarnation(address) === undefined)
+      .map((contact) => ({ ...contact, isKnownToServe: false }));
+    return [...peers, ...contacts];
   }
 
   /** Whether this box has received a heartbeat of a peer, or its seeds name no other box. */
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -8,7 +8,7 @@
 import type { Result } from '@hazelwalk/core';
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
-import type { TunnelFailure } from '../tunnels/tunnelCandidates.js';
+import type { TunnelFailure, TunnelPeer } from '../tunnels/tunnelCandidates.js';
 import type { TunnelClient } from '../tunnels/tunnelClient.js';
 import type { Dial } from './dialTcp.js';
 import { dialTcp } from './dialTcp.js';
@@ -91,11 +91,8 @@
     };
     const isTunnelFirst = row.path.type === 'tunnel';
     // Most direct connections succeed, and then no box is looked up for a tunnel.
-    const listTunnelWays = (): Way[] => {
-      const ways = this.listTunnelWays(row);
-      attempt.hasTriedTunnels = ways.length > 0;
-      return ways;
-    };
+    const listTunnelWays = (): Iterable<Way> =>
+      this.listTunnelWays(row, () => (attempt.hasTriedTunnels = true));
     const connected = await raceConnections(orderWays(direct, listTunnelWays, isTunnelFirst), {
       staggerMs: NEXT_WAY_DELAY_MS,
       limitMs: isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
@@ -150,20 +147,14 @@
     });
   }
 
-  private listTunnelWays(row: EndpointRow): Way[] {
+  /** The boxes through which to connect; each is picked when it is its turn. */
+  private *listTunnelWays(row: EndpointRow, onTried: () => void): Generator<Way, void> {
     const { tunnels, now } = this.options;
-    if (tunnels === undefined || now() < (this.pauses.get(row)?.untilMs ?? -Infinity)) return [];
-    return tunnels.listCandidates(row).map((peer) => async () => {
-      const opened = await tunnels.open(peer, row);
-      if (opened.err) return Err({ way: 'tunnel', failure: opened.val } as const);
-      const { stream, name } = opened.val;
-      return Ok({
-        socket: stream,
-        tunnel: name,
-        wasReset: () => stream.errored !== null,
-        setRetireHandler: (onRetire) => void (stream.onRetire = onRetire),
-      });
-    });
+    if (tunnels === undefined || now() < (this.pauses.get(row)?.untilMs ?? -Infinity)) return;
+    for (const peer of tunnels.listCandidates(row)) {
+      onTried();
+      yield () => openTunnel(tunnels, peer, row);
+    }
   }
 
   private pauseTunnels(row: EndpointRow): void {
@@ -173,8 +164,28 @@
   }
 }
 
+async function openTunnel(
+  tunnels: Pick<TunnelClient, 'open'>,
+  peer: TunnelPeer,
+  row: EndpointRow,
+): Promise<Result<DialedConnection, WayFailure>> {
+  const opened = await tunnels.open(peer, row);
+  if (opened.err) return Err({ way: 'tunnel', failure: opened.val });
+  const { stream, name } = opened.val;
+  return Ok({
+    socket: stream,
+    tunnel: name,
+    wasReset: () => stream.errored !== null,
+    setRetireHandler: (onRetire) => void (stream.onRetire = onRetire),
+  });
+}
+
 /** The ways to connect in the order in which they are tried; tunnels are listed only when it is their turn. */
-function* orderWays(direct: Way, listTunnelWays: () => Way[], isTunnelFirst: boolean): Generator<Way> {
+function* orderWays(
+  direct: Way,
+  listTunnelWays: () => Iterable<Way>,
+  isTunnelFirst: boolean,
+): Generator<Way, void> {
   if (!isTunnelFirst) yield direct;
   yield* listTunnelWays();
   if (isTunnelFirst) yield direct;
--- a/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
+++ b/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
@@ -1,9 +1,9 @@
 import { TunnelCandidates } from '../tunnelCandidates.js';
 
-const near = ['a', 'b', 'c'].map((address) => ({ address, hall: 'mixco' }));
+const near = ['a', 'b', 'c'].map((address) => ({ address, hall: 'mixco', isKnownToServe: true }));
 const far = [
-  { address: 'd', hall: 'antigua' },
-  { address: 'e', hall: 'coban' },
+  { address: 'd', hall: 'antigua', isKnownToServe: false },
+  { address: 'e', hall: 'coban', isKnownToServe: false },
 ];
 
 let candidates: TunnelCandidates;
@@ -29,13 +29,19 @@
 });
 
 test('boxes that a refusal named are asked for a while, before other ones without a path are asked again', () => {
-  const named = { address: 'f', hall: 'antigua' };
+  const named = { address: 'f', hall: 'antigua', isKnownToServe: true };
   candidates.addReferred([named], 0);
   for (const peer of [...near, ...far]) candidates.recordProblem(peer, 'antigua', 'noPath', 0);
   expect(candidates.choose([...near, ...far], 'antigua', 500)).toEqual([named]);
   expect(candidates.choose([], 'antigua', 60_000)).toEqual([]);
 });
 
+test('a box that another one named comes before one of its hall of which nothing is known', () => {
+  candidates.addReferred([{ address: 'f', hall: 'antigua' }], 0);
+  expect(candidates.choose(far, 'antigua', 100).map(({ address }) => address)).toEqual(['f', 'd', 'e']);
+  expect(candidates.choose(far, 'antigua', 60_000).map(({ address }) => address)).toEqual(['d', 'e']);
+});
+
 test('a box that served a tunnel lately comes first of its hall, and is still asked after it missed one answer', () => {
   const [, , proven = near[0]!] = near;
   expect(candidates.choose(near, 'mixco', 0)[0]).not.toBe(proven);
--- a/packages/router/src/tunnels/tunnelCandidates.ts
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -7,6 +7,8 @@
 export interface TunnelPeer {
   readonly address: string;
   readonly hall: string;
+  /** Whether it, or a box that knows it, states that it serves tunnels; nothing is known of contacts in other halls. */
+  readonly isKnownToServe: boolean;
 }
 
 /** Why no tunnel was opened through a box. */
@@ -44,7 +46,7 @@
 
 interface Referral {
   readonly peer: TunnelPeer;
-  readonly untilMs: number;
+  readonly atMs: number;
 }
 
 /** Orders the boxes that may serve tunnels, and remembers which of them did not. */
@@ -73,7 +75,7 @@
       [...known.values()].filter((peer) => !this.isAvoided(peer, endpointHall, nowMs)),
       this.random,
     );
-    usable.sort((a, b) => Number(this.isProven(b, nowMs)) - Number(this.isProven(a, nowMs)));
+    usable.sort((a, b) => this.readTrust(b, nowMs) - this.readTrust(a, nowMs));
     const near = usable.filter(({ hall }) => hall === this.hall);
     const far = usable.filter(({ hall }) => hall !== this.hall);
     const farByHall = [
@@ -103,14 +105,26 @@
    * Adds boxes that another one named as it refused a tunnel: in a large fleet a box knows few boxes of other halls, which may
    * all be cut off like itself.
    */
-  addReferred(peers: readonly TunnelPeer[], nowMs: number): void {
-    for (const peer of peers) this.referrals.set(peer.address, { peer, untilMs: nowMs + REFERRAL_MS });
+  addReferred(peers: readonly Pick<TunnelPeer, 'address' | 'hall'>[], nowMs: number): void {
+    for (const { address, hall } of peers)
+      this.referrals.set(address, { peer: { address, hall, isKnownToServe: true }, atMs: nowMs });
     const surplus = [...this.referrals.keys()].slice(0, Math.max(0, this.referrals.size - MAX_REFERRED));
     for (const address of surplus) this.referrals.delete(address);
   }
 
-  private listReferred(nowMs: number): TunnelPeer[] {
-    return [...this.referrals.values()].filter(({ untilMs }) => nowMs < untilMs).map(({ peer }) => peer);
+  /** Boxes that were named since a time and may be asked for a tunnel to an endpoint. */
+  listReferredSince(sinceMs: number, endpointHall: string, nowMs: number): TunnelPeer[] {
+    return this.listReferred(nowMs, sinceMs).filter((peer) => !this.isAvoided(peer, endpointHall, nowMs));
+  }
+
+  private listReferred(nowMs: number, sinceMs = nowMs - REFERRAL_MS): TunnelPeer[] {
+    return [...this.referrals.values()].filter(({ atMs }) => atMs >= sinceMs).map(({ peer }) => peer);
+  }
+
+  /** How likely a box is to serve: 2 if it served lately, 1 if it is known to. */
+  private readTrust(peer: TunnelPeer, nowMs: number): number {
+    if (this.isProven(peer, nowMs)) return 2;
+    return peer.isKnownToServe ? 1 : 0;
   }
 
   private isProven({ address }: TunnelPeer, nowMs: number): boolean {
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -6,7 +6,7 @@
 import { dialTcp } from '../proxy/dialTcp.js';
 import { parseAddress } from '../peers/peerTransport.js';
 import type { TunnelFailure, TunnelPeer } from './tunnelCandidates.js';
-import { findPeerProblem, TunnelCandidates } from './tunnelCandidates.js';
+import { findPeerProblem, MAX_TUNNEL_CANDIDATES, TunnelCandidates } from './tunnelCandidates.js';
 import { formatTunnelName } from './tunnelFrames.js';
 import type { TunnelLog } from './tunnelLog.js';
 import { isTunnelLost, TunnelStream } from './tunnelStream.js';
@@ -44,10 +44,24 @@
     this.candidates = new TunnelCandidates(options.hall, options.random);
   }
 
-  /** The boxes to ask for a tunnel to an endpoint, in this order; none if tunnels are turned off. */
-  listCandidates(row: EndpointRow): TunnelPeer[] {
+  /**
+   * The boxes to ask for a tunnel to an endpoint, one after the other; those that a refusal names meanwhile come next. None if
+   * tunnels are turned off.
+   */
+  *listCandidates({ listing }: EndpointRow): Generator<TunnelPeer, void> {
     const { isEnabled, listPeers, now } = this.options;
-    return isEnabled() ? this.candidates.choose(listPeers(), row.listing.hall, now()) : [];
+    if (!isEnabled()) return;
+    const startedAtMs = now();
+    const planned = this.candidates.choose(listPeers(), listing.hall, startedAtMs);
+    const asked = new Set<string>();
+    const isNew = ({ address }: TunnelPeer): boolean => !asked.has(address);
+    while (asked.size < MAX_TUNNEL_CANDIDATES) {
+      const named = this.candidates.listReferredSince(startedAtMs, listing.hall, now());
+      const next = named.find(isNew) ?? planned.find(isNew);
+      if (next === undefined) return;
+      asked.add(next.address);
+      yield next;
+    }
   }
 
   /**
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -92,9 +92,12 @@
     socket.end(encodePeerFrame({ type: 'tunnelReply', result, others }));
   }
 
-  private listOtherServers(requester: string): TunnelPeer[] {
-    const peers = this.options.listPeers().filter(({ address }) => address !== requester);
-    return shuffle(peers, Math.random).slice(0, MAX_TUNNEL_CANDIDATES);
+  /** A few boxes that state that they serve tunnels; others may be cut off like this one. */
+  private listOtherServers(requester: string): Pick<TunnelPeer, 'address' | 'hall'>[] {
+    const peers = this.options.listPeers();
+    const servers = peers.filter(({ address, isKnownToServe }) => isKnownToServe && address !== requester);
+    const named = shuffle(servers, Math.random).slice(0, MAX_TUNNEL_CANDIDATES);
+    return named.map(({ address, hall }) => ({ address, hall }));
   }
 
   private findRefusal(row: EndpointRow | undefined): TunnelRefusal | undefined {
