--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -54,7 +54,14 @@
 
 function report(result: SoakResult): void {
   const { seed, requests, served, runs, faults, violations } = result;
-  const summary = { seed, requests, served, runs, faults: faults.length, violations: violations.length };
+  const summary = {
+    seed,
+    requests: requests.length,
+    served,
+    runs,
+    faults: faults.length,
+    violations: violations.length,
+  };
   process.stdout.write(`${JSON.stringify(summary)}\n`);
   for (const { check, detail } of violations) process.stdout.write(`  ${check}: ${detail}\n`);
 }
@@ -70,6 +77,7 @@
   const clocks = `${new Date().toISOString()} is ${readMonotonicMs()} ms`;
   writeFileSync(join(folder, 'faults.txt'), `${[clocks, ...result.faults].join('\n')}\n`);
   writeFileSync(join(folder, 'violations.json'), JSON.stringify(result.violations, undefined, 2));
+  writeRecords(join(folder, 'requests.jsonl'), result.requests);
   writeRecords(join(folder, 'runs.jsonl'), result.runRecords);
   writeRecords(join(folder, 'stalls.jsonl'), result.stalls);
   for (const [box, lines] of result.logs) writeFileSync(join(folder, `${box}.log`), `${lines.join('\n')}\n`);
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -12,7 +12,7 @@
   FaultInjector,
   RESTORE_FAULT_KINDS,
 } from './faults.js';
-import type { RunRecord, StallRecord } from './ledger.js';
+import type { CallerRecord, RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
 import { SCARCE_SLOTS, SoakSite, versionRouteName } from './site.js';
 import type { Violation } from './violation.js';
@@ -39,7 +39,7 @@
 /** Result of one seed. */
 export interface SoakResult {
   readonly seed: number;
-  readonly requests: number;
+  readonly requests: readonly CallerRecord[];
   readonly served: number;
   readonly runs: number;
   readonly faults: readonly string[];
@@ -91,7 +91,7 @@
   const served = ledger.requests.filter(isServed);
   return {
     seed: options.seed,
-    requests: ledger.requests.length,
+    requests: ledger.requests,
     served: served.length,
     runs: ledger.runs.length,
     faults,
