Requests to services without engines have no prompt, whatever their headers say

Cause, by the records of callers and the logs: the callers name a prompt in every request, also on routes of plain services, and a request with a prompt gets no slot; 3,156 of 3,388 requests of the service with six slots were placed by their prompt ("home", "hot") and refused by the endpoints. So a header of a caller let its requests pass the schedule, the ranks and the fair shares of a plain service.

Now the decoder reads whether a service is an engine service (all deployments in force declare it), and prompts count only there; in configurations from boxes of earlier versions as before.

--- a/packages/router/src/peers/configurationSchema.ts
+++ b/packages/router/src/peers/configurationSchema.ts
@@ -22,6 +22,7 @@
   name: z.string(),
   maxConnections: z.number(),
   canMoveCache: z.boolean(),
+  isEngine: z.boolean().optional(),
   coldStart: z.object({ perS: z.number(), startMs: z.number() }).optional(),
 }) satisfies z.ZodType<Service>;
 
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -103,7 +103,7 @@
       rank,
       team: team?.name ?? '',
       isOnce: !isRepeatable(route),
-      hasPrompt: attempts.hasPrompt,
+      hasPrompt: attempts.hasPrompt(assignment),
       arrivedAtMs,
       targetAtMs: arrivedAtMs + route.targetLatencyMs,
       expiresAtMs: readExpiry(),
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -3,7 +3,7 @@
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
 import type { AdmissionHandle } from '../admission/admission.js';
-import type { CallerRequest, Route } from '../records.js';
+import type { CallerRequest, PromptPart, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { PlacementChoice, PlacementFailure, PlacementRequest } from '../systems/placement.js';
 import { acceptsRequests } from '../systems/endpointNotices.js';
@@ -74,9 +74,9 @@
     private readonly options: AttemptSetOptions,
   ) {}
 
-  /** Whether the request names a prompt. */
-  get hasPrompt(): boolean {
-    return this.options.request.promptParts.length > 0;
+  /** Whether the request names a prompt, and is sent to engines. */
+  hasPrompt(assignment: Assignment): boolean {
+    return this.listPromptParts(assignment).length > 0;
   }
 
   /** Whether the request may have run at any endpoint. */
@@ -193,12 +193,16 @@
     return readExpiry() <= this.context.now() ? 'deadlinePassed' : undefined;
   }
 
+  private listPromptParts({ declared }: Assignment): readonly PromptPart[] {
+    return declared?.isEngine === false ? [] : this.options.request.promptParts;
+  }
+
   private createPlacementRequest(assignment: Assignment, isPlacedRandomly: boolean): PlacementRequest {
     return {
       service: assignment.service,
       coldStart: assignment.declared?.coldStart,
       allowedRegions: listRegionRestrictions(assignment),
-      promptParts: isPlacedRandomly ? [] : this.options.request.promptParts,
+      promptParts: isPlacedRandomly ? [] : this.listPromptParts(assignment),
       excluded: this.triedIds,
     };
   }
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -58,6 +58,11 @@
   readonly maxConnections: number;
   /** Whether its endpoints can fetch cached prompts from each other. */
   readonly canMoveCache: boolean;
+  /**
+   * Whether its endpoints are model engines, which keep the prompts that they have read. Requests to others have no prompt,
+   * whatever their headers say. Undefined in configurations from boxes of earlier versions.
+   */
+  readonly isEngine?: boolean | undefined;
   /** Absent if an endpoint sustains its full load from its start. */
   readonly coldStart?: ColdStart | undefined;
 }
