Slot schedule: an endpoint that refused lately is granted its slots only

A schedule grants a quarter more than an endpoint has slots; what is more waits there. An endpoint that lets nothing wait refuses it, was granted less for a quarter of a second, and then refused again, forever. For ten seconds after a refusal it is granted its slots only now.

--- a/packages/router/src/admission/slotLedger.ts
+++ b/packages/router/src/admission/slotLedger.ts
@@ -7,6 +7,8 @@
 
 /** Grants beyond the slots, as a share of them: they cover the travel time of a release and of the next grant. */
 const OVERLAP_SHARE = 0.25;
+/** Time after a refusal for lack of room in which an endpoint is granted no overlap: it may let nothing wait. */
+const NO_OVERLAP_MS = 10_000;
 /** A refusal for lack of room lowers what an endpoint is granted for this time, about that of a few requests. */
 const REFUSAL_LIMIT_MS = 250;
 
@@ -54,6 +56,8 @@
   private readonly grants = new Map<string, Grant>();
   private readonly countByTag = new Map<number, number>();
   private readonly limits = new Map<number, RefusalLimit>();
+  /** When each endpoint last refused a request for lack of room. */
+  private readonly refusedAtMs = new Map<number, number>();
   private readonly failures = new Map<number, QuickFailures>();
   private countsReportedUntilMs = -Infinity;
   /** Last result of `listUse`, until a change. */
@@ -74,7 +78,7 @@
     this.endpoints = endpoints;
     this.use = undefined;
     const tags = new Set(endpoints.map(({ tag }) => tag));
-    for (const map of [this.limits, this.failures]) {
+    for (const map of [this.limits, this.refusedAtMs, this.failures]) {
       for (const tag of map.keys()) if (!tags.has(tag)) map.delete(tag);
     }
   }
@@ -111,6 +115,7 @@
     const count = Math.max(1, this.countGrants(tag) - 1);
     this.use = undefined;
     this.limits.set(tag, { count, untilMs: nowMs + REFUSAL_LIMIT_MS });
+    this.refusedAtMs.set(tag, nowMs);
   }
 
   /**
@@ -170,7 +175,8 @@
     { tag, slotsInEffect, isBrittle = false }: SchedulableEndpoint,
     nowMs: number,
   ): number {
-    const capacity = Math.ceil(slotsInEffect * (isBrittle ? 1 : 1 + OVERLAP_SHARE));
+    const mayWaitThere = !isBrittle && nowMs - (this.refusedAtMs.get(tag) ?? -Infinity) >= NO_OVERLAP_MS;
+    const capacity = Math.ceil(slotsInEffect * (mayWaitThere ? 1 + OVERLAP_SHARE : 1));
     return Math.min(capacity, this.readRefusalLimit(tag, nowMs), this.readFailureLimit(tag, nowMs));
   }
 
