Brittle endpoints that are all full get nothing more

Where no endpoint had capacity for a prompt, it was sent to the lesser loaded of two, also where the service is brittle and each rejection brings an endpoint nearer to its fall; and a request whose scheduling box does not answer was sent whatever the loads were. What no slot was granted for is sent to a brittle endpoint only while this box knows of a free slot there, and is otherwise refused at once as not run (endpointsBusy).

--- a/packages/router/src/__tests__/placement.test.ts
+++ b/packages/router/src/__tests__/placement.test.ts
@@ -69,6 +69,20 @@
   expect(placement.choose(createRequest('p'), NOW_MS)?.row).not.toBe(preferred);
 });
 
+test.each([
+  ['with a prompt', createRequest('p')],
+  ['without a prompt', { ...createRequest('p'), promptParts: [] }],
+])('brittle endpoints that are all full get only requests for which a slot was granted: %s', (_, request) => {
+  const { table, rows } = createTable(2);
+  const placement = createPlacement(table);
+  for (const row of rows) row.notice.rejectionsPerS = 2;
+  for (const row of rows) row.inFlight = row.listing.slots;
+  expect(placement.choose(request, NOW_MS)).toBeUndefined();
+  expect(placement.explainFailure(request, NOW_MS).reason).toBe('endpointsBusy');
+  const [first] = rows;
+  expect(placement.choose({ ...request, grantedTag: first?.tag }, NOW_MS)?.row).toBe(first);
+});
+
 test('the load reported by peers counts like the local load', () => {
   const { table } = createTable(12);
   const placement = createPlacement(table);
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -67,6 +67,8 @@
       return waitMs + pickRetryAfterMs();
     case 'noEndpoint':
       return pickAwayMs();
+    case 'endpointsBusy':
+      return pickRetryAfterMs();
     case 'endpointsCold':
       // They take more requests every moment.
       return pickRetryAfterMs();
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -60,7 +60,7 @@
   readonly canMoveCache: boolean;
   /**
    * Whether its endpoints are model engines, which keep the prompts that they have read. Requests to others have no prompt,
-   * whatever their headers say. Undefined in configurations from boxes of earlier versions.
+   * whatever their headers contain. Undefined in configurations from boxes of earlier versions.
    */
   readonly isEngine?: boolean | undefined;
   /** Absent if an endpoint sustains its full load from its start. */
--- a/packages/router/src/systems/loadCap.ts
+++ b/packages/router/src/systems/loadCap.ts
@@ -52,6 +52,16 @@
   return Math.max(1, row.pace / pace);
 }
 
+/**
+ * Whether one more request can wait or run at an endpoint. A brittle one gets no more than it has slots for, as far as this box
+ * knows.
+ *
+ * @example mayTakeAnother(row) // false for a brittle endpoint whose slots are in use
+ */
+export function mayTakeAnother(row: EndpointRow): boolean {
+  return !isBrittle(row) || readFleetLoad(row) < row.listing.slots;
+}
+
 /**
  * Endpoints that have capacity for one more request; undefined if none has.
  *
@@ -65,8 +75,7 @@
   const { factor, allowance } = LOAD_CAPS[path];
   const cap = factor * means.load + allowance;
   const hasCapacity = (row: EndpointRow): boolean =>
-    (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap &&
-    (!isBrittle(row) || readFleetLoad(row) < row.listing.slots);
+    (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap && mayTakeAnother(row);
   const withCapacity = rows.filter(hasCapacity);
   return withCapacity.length > 0 ? withCapacity : undefined;
 }
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -16,7 +16,7 @@
 import { isUsable } from './endpointHealth.js';
 import { CacheSources } from './cacheSources.js';
 import type { LoadPath, ServiceMeans } from './loadCap.js';
-import { listWithCapacity, readMeans, readSlowness } from './loadCap.js';
+import { listWithCapacity, mayTakeAnother, readMeans, readSlowness } from './loadCap.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
 import { isLeaving, readBackOffMs } from './endpointNotices.js';
@@ -79,7 +79,7 @@
 
 /** Why no endpoint could be chosen; also the result code of the refusal. */
 export type PlacementFailureReason =
-  'noEndpoint' | 'hallsEvacuated' | 'endpointsBackingOff' | 'endpointsCold';
+  'noEndpoint' | 'hallsEvacuated' | 'endpointsBackingOff' | 'endpointsCold' | 'endpointsBusy';
 
 /** Why placement failed, and when a retry may succeed. */
 export interface PlacementFailure {
@@ -185,8 +185,11 @@
     if (open.length === 0) return { reason: 'hallsEvacuated', waitMs: 0 };
     const waitMs = this.readLeastBackOffMs(request, nowMs);
     if (waitMs > 0) return { reason: 'endpointsBackingOff', waitMs };
-    const isCold = this.listAdmitted(open, request.coldStart, nowMs).length === 0;
-    return { reason: isCold ? 'endpointsCold' : 'noEndpoint', waitMs: 0 };
+    if (this.listAdmitted(open, request.coldStart, nowMs).length === 0)
+      return { reason: 'endpointsCold', waitMs: 0 };
+    // What may be chosen and was not is brittle and full.
+    const isFull = this.listChoices(request, nowMs).length > 0;
+    return { reason: isFull ? 'endpointsBusy' : 'noEndpoint', waitMs: 0 };
   }
 
   /**
@@ -203,7 +206,8 @@
   private find(request: PlacementRequest, nowMs: number): PlacementChoice | undefined {
     const { hasher, hall, random, promptHolders, demand } = this.options;
     const live = this.listLive(request.service);
-    const rows = this.listChoices(request, nowMs);
+    const choices = this.listChoices(request, nowMs);
+    const rows = request.grantedTag === undefined ? choices.filter(mayTakeAnother) : choices;
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
     const means = readMeans(live);
