Brittle services: slots are scheduled up to 4,096

A service with more than 256 slots sheds load by views that are up to a second old; many callers at once made its brittle endpoints fall over, with prompts or without. The limit is there for plain requests of some tens of milliseconds; services with more slots are engines, whose requests take a second, so that 4,096 slots are no more requests a second than 256 of a plain service.

--- a/packages/router/src/admission/__tests__/serviceAdmission.test.ts
+++ b/packages/router/src/admission/__tests__/serviceAdmission.test.ts
@@ -121,7 +121,9 @@
   expect(gate.applications).toEqual([]);
   gate.isBrittle = true;
   gate.enter({ hasPrompt: true });
-  expect(gate.applications.length).toBe(1);
+  gate.slots = 4_000;
+  gate.enter({ hasPrompt: true });
+  expect(gate.applications.length).toBe(2);
 });
 
 test('large service short of room: a request waits in its box and is decided about again, then rejected', () => {
--- a/packages/router/src/admission/serviceAdmission.ts
+++ b/packages/router/src/admission/serviceAdmission.ts
@@ -16,6 +16,8 @@
 
 /** Most slots that one box schedules: some ten thousand requests a second of some tens of milliseconds. */
 const MAX_SCHEDULED_SLOTS = 256;
+/** The same for brittle endpoints, which fall over otherwise: larger services are engines, whose requests take a second. */
+const MAX_BRITTLE_SLOTS = 4_096;
 
 /** A service as its endpoints list it. */
 export interface ServiceDescription {
@@ -80,7 +82,9 @@
     if (room.isShort(request.service)) {
       const { endpoints, slots, isBrittle } = describeService(request.service);
       // The slot of a prompt may be at an endpoint that does not hold it, which is better than one that falls over.
-      const isScheduled = slots <= MAX_SCHEDULED_SLOTS && (!request.hasPrompt || isBrittle);
+      const isScheduled = isBrittle
+        ? slots <= MAX_BRITTLE_SLOTS
+        : slots <= MAX_SCHEDULED_SLOTS && !request.hasPrompt;
       // If it can use none of them, no slot helps, and placement knows why.
       const isUnusable = request.listExcluded().length >= endpoints;
       if (isUnusable) return proceed(onDecision);
