--- a/packages/router/src/__fixtures__/virtualTraffic.ts
+++ b/packages/router/src/__fixtures__/virtualTraffic.ts
@@ -8,7 +8,7 @@
 import type { VirtualBox, VirtualProgram } from '../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../membership/__fixtures__/virtualFleet.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
-import type { ListedEndpoint, PromptPart } from '../records.js';
+import type { PromptPart } from '../records.js';
 import { recordAnnouncements } from '../systems/endpointNotices.js';
 import { assumeCold } from '../tables/endpointTable.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
@@ -20,6 +20,8 @@
 import { ResponseTimes } from './responseTimes.js';
 import type { TrafficPlan, VirtualLoad, VirtualService } from './trafficPlan.js';
 import { countMaxWithinSecond } from './trafficPlan.js';
+import type { ServiceStats, VirtualEndpoint } from './virtualEndpoint.js';
+import { createVirtualEndpoint } from './virtualEndpoint.js';
 import { VirtualRouter } from './virtualRouter.js';
 
 /** Network latency between a box and an endpoint. */
@@ -43,30 +45,6 @@
 /** A change is not written until the endpoint's next liveness signal. */
 const CHANGE_DELAY: PropagationDelay = { minMs: 20, maxMs: 2_500 };
 
-interface VirtualEndpoint {
-  readonly listing: ListedEndpoint;
-  inFlight: number;
-  /** Factor by which its service time exceeds that of the other endpoints. */
-  slowdownFactor: number;
-  acceptedCount: number;
-  /** End of its cold start, until which it sustains only a low load. */
-  coldUntilMs: number;
-  /** Arrival times of requests while it was cold. */
-  readonly coldArrivalsMs: number[];
-  /** Whether its responses announce that it is about to leave. */
-  isLeaving: boolean;
-  /** Back-off that it requests when it rejects every request; 0 while it serves requests. */
-  backOffMs: number;
-  readonly queue: (() => void)[];
-}
-
-/** Total load of the endpoints of one service, and the requests that arrived at them. */
-interface ServiceStats {
-  readonly endpoints: number;
-  inFlight: number;
-  readonly arrivals: Arrival[];
-}
-
 /** A virtual fleet that serves callers. */
 export class VirtualTraffic {
   private readonly endpoints = new Map<string, VirtualEndpoint>();
@@ -262,18 +240,7 @@
 
   private addEndpoint({ name, slots }: VirtualService, id: string, at: number): void {
     const hall = `hall-${at % this.plan.fleet.halls}`;
-    const listing = createListing(id, { service: name, hall, slots });
-    this.endpoints.set(id, {
-      listing,
-      inFlight: 0,
-      slowdownFactor: 1,
-      acceptedCount: 0,
-      coldUntilMs: 0,
-      coldArrivalsMs: [],
-      isLeaving: false,
-      backOffMs: 0,
-      queue: [],
-    });
+    this.endpoints.set(id, createVirtualEndpoint(createListing(id, { service: name, hall, slots })));
   }
 
   private findServiceStats(service: string): ServiceStats {
