Tunnels: a box that is about to stop serves them for as long as it accepts callers

Cause, by the logs: a box refuses tunnels from the moment at which it is asked to stop (19 and 16 refusals "stopping"), but accepts callers for 2.3 s more; so the boxes behind it were cut off for 2.8 s, while it served its own callers and then took 0.4 s to start anew.

Now it serves tunnels for as long as it accepts callers.

--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -158,13 +158,15 @@
    */
   listTunnelPeers(): TunnelPeer[] {
     const peers = this.listReachable()
-      .filter(({ servesTunnels = false, isStopping }) => servesTunnels && !isStopping)
-      .map(({ address, hall }) => ({ address, hall, isKnownToServe: true }));
+      .filter(({ servesTunnels = false }) => servesTunnels)
+      .map(({ address, hall, isStopping }): TunnelPeer => {
+        return { address, hall, availability: isStopping ? 'stopping' : 'serving' };
+      });
     if (this.isFullMesh) return peers;
     const contacts = this.directory
       .listContacts()
       .filter(({ address }) => this.peers.findIncarnation(address) === undefined)
-      .map((contact) => ({ ...contact, isKnownToServe: false }));
+      .map((contact): TunnelPeer => ({ ...contact, availability: 'unknown' }));
     return [...peers, ...contacts];
   }
 
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -228,7 +228,7 @@
       metrics,
       log,
       now,
-      isStopping,
+      readStopPhase: () => this.gracefulShutdown.phase,
       dialSocket: (row) => this.dialer.dialSocket(row),
       onDialFailed: (row) => this.reachability.verify(row),
       onAbilityChange: () => this.heartbeatSender.sendToHall(),
--- a/packages/router/src/systems/gracefulShutdown.ts
+++ b/packages/router/src/systems/gracefulShutdown.ts
@@ -13,6 +13,15 @@
 /** A box that is shutting down stops this long before it would be killed. */
 const STOP_MARGIN_MS = 500;
 
+/** How far the shutdown of a box has come. */
+export type StopPhase =
+  /** No stop was requested. */
+  | 'running'
+  /** It is to stop, and accepts what still comes. */
+  | 'lingering'
+  /** It accepts nothing more, and waits for what is in progress. */
+  | 'finishing';
+
 /** Settings, dependencies and callbacks of the shutdown. */
 export interface GracefulShutdownOptions {
   readonly now: () => number;
@@ -40,6 +49,11 @@
     return this.requestedAtMs !== undefined;
   }
 
+  get phase(): StopPhase {
+    if (this.requestedAtMs === undefined) return 'running';
+    return this.options.now() - this.requestedAtMs < STOP_LINGER_MS ? 'lingering' : 'finishing';
+  }
+
   /** Starts the shutdown; does nothing if it has started. */
   request(): void {
     if (this.isInProgress) return;
@@ -53,10 +67,9 @@
   tick(): void {
     if (this.requestedAtMs === undefined) return;
     const { now, graceMs, countExchanges, countTunnels, stopAccepting, onStopped } = this.options;
-    const elapsedMs = now() - this.requestedAtMs;
-    if (elapsedMs < STOP_LINGER_MS) return;
+    if (this.phase === 'lingering') return;
     stopAccepting();
-    const isLate = elapsedMs >= graceMs - STOP_MARGIN_MS;
+    const isLate = now() - this.requestedAtMs >= graceMs - STOP_MARGIN_MS;
     if (countExchanges() + countTunnels() === 0 || isLate) onStopped();
   }
 }
--- a/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
+++ b/packages/router/src/tunnels/__tests__/tunnelCandidates.test.ts
@@ -1,9 +1,14 @@
+import type { TunnelPeer } from '../tunnelCandidates.js';
 import { TunnelCandidates } from '../tunnelCandidates.js';
 
-const near = ['a', 'b', 'c'].map((address) => ({ address, hall: 'mixco', isKnownToServe: true }));
-const far = [
-  { address: 'd', hall: 'antigua', isKnownToServe: false },
-  { address: 'e', hall: 'coban', isKnownToServe: false },
+const near = ['a', 'b', 'c'].map((address): TunnelPeer => ({
+  address,
+  hall: 'mixco',
+  availability: 'serving',
+}));
+const far: TunnelPeer[] = [
+  { address: 'd', hall: 'antigua', availability: 'unknown' },
+  { address: 'e', hall: 'coban', availability: 'unknown' },
 ];
 
 let candidates: TunnelCandidates;
@@ -29,7 +34,7 @@
 });
 
 test('boxes that a refusal named are asked for a while, before other ones without a path are asked again', () => {
-  const named = { address: 'f', hall: 'antigua', isKnownToServe: true };
+  const named: TunnelPeer = { address: 'f', hall: 'antigua', availability: 'serving' };
   candidates.addReferred([named], 0);
   for (const peer of [...near, ...far]) candidates.recordProblem(peer, 'antigua', 'noPath', 0);
   expect(candidates.choose([...near, ...far], 'antigua', 500)).toEqual([named]);
@@ -42,6 +47,13 @@
   expect(candidates.choose(far, 'antigua', 60_000).map(({ address }) => address)).toEqual(['d', 'e']);
 });
 
+test('a box that is about to stop comes after those that go on', () => {
+  const [stopping, ...others] = near as [TunnelPeer, ...TunnelPeer[]];
+  const peers: TunnelPeer[] = [{ ...stopping, availability: 'stopping' }, ...others];
+  candidates.recordOpened(stopping, 0);
+  expect(candidates.choose(peers, 'mixco', 100).at(-1)?.address).toBe(stopping.address);
+});
+
 test('a box that served a tunnel lately comes first of its hall, and is still asked after it missed one answer', () => {
   const [, , proven = near[0]!] = near;
   expect(candidates.choose(near, 'mixco', 0)[0]).not.toBe(proven);
--- a/packages/router/src/tunnels/__tests__/tunnelClient.test.ts
+++ b/packages/router/src/tunnels/__tests__/tunnelClient.test.ts
@@ -20,7 +20,7 @@
   server = createServer((socket) => void socket.once('data', () => handle(socket)));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  peer = { address, hall: 'mixco', isKnownToServe: true };
+  peer = { address, hall: 'mixco', availability: 'serving' };
   client = new TunnelClient({
     hall: 'mixco',
     readAddress: () => '127.0.0.1:1',
@@ -52,12 +52,12 @@
 test('a box that a refusal names is asked next', async () => {
   const named = { address: '127.0.0.1:2', hall: 'antigua' };
   const frame = encodePeerFrame({ type: 'tunnelReply', result: 'noPath', others: [named] });
-  const contact = { address: '127.0.0.1:3', hall: 'antigua', isKnownToServe: false };
+  const contact: TunnelPeer = { address: '127.0.0.1:3', hall: 'antigua', availability: 'unknown' };
   await start((socket) => void socket.end(frame), [contact]);
   const candidates = client.listCandidates(row);
   expect(candidates.next().value).toEqual(peer);
   expect((await client.open(peer, row)).val).toBe('noPath');
-  expect(candidates.next().value).toEqual({ ...named, isKnownToServe: true });
+  expect(candidates.next().value).toEqual({ ...named, availability: 'serving' });
   expect(candidates.next().value).toEqual(contact);
   expect(candidates.next().done).toBe(true);
 });
--- a/packages/router/src/tunnels/boxTunnels.ts
+++ b/packages/router/src/tunnels/boxTunnels.ts
@@ -4,6 +4,7 @@
 import type { RouterMetrics } from '../observability/metrics.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { EndpointDialer } from '../proxy/endpointDialer.js';
+import type { StopPhase } from '../systems/gracefulShutdown.js';
 import type { EndpointAccess, EndpointCounts } from '../systems/endpointAccess.js';
 import { findEndpointAccess } from '../systems/endpointAccess.js';
 import type { PathChange } from '../systems/reachability.js';
@@ -21,7 +22,7 @@
   readonly metrics: RouterMetrics;
   readonly log: DecisionLog;
   readonly now: () => number;
-  readonly isStopping: () => boolean;
+  readonly readStopPhase: () => StopPhase;
   /** Connects to an endpoint directly. */
   readonly dialSocket: EndpointDialer['dialSocket'];
   /** Called when a direct connection for another box failed. */
@@ -37,7 +38,7 @@
   private access: EndpointAccess = 'direct';
 
   constructor(private readonly options: BoxTunnelsOptions) {
-    const { hall, mesh, table, metrics, now, isStopping, dialSocket, onDialFailed } = options;
+    const { hall, mesh, table, metrics, now, readStopPhase, dialSocket, onDialFailed } = options;
     const log = new TunnelLog(options.log, metrics);
     const isEnabled = (): boolean => options.features.isOn('endpointTunnels');
     this.client = new TunnelClient({
@@ -54,7 +55,7 @@
       dial: dialSocket,
       listPeers: () => mesh.listTunnelPeers(),
       isEnabled,
-      isStopping,
+      readStopPhase,
       onDialFailed,
       log,
       now,
@@ -63,8 +64,9 @@
 
   /** Whether other boxes may ask this one for tunnels. */
   get isAble(): boolean {
-    const { features, isStopping } = this.options;
-    return features.isOn('endpointTunnels') && !isStopping() && hasDirectAccess(this.access);
+    const { features, readStopPhase } = this.options;
+    const isOpen = features.isOn('endpointTunnels') && readStopPhase() !== 'finishing';
+    return isOpen && hasDirectAccess(this.access);
   }
 
   /** Records how the endpoints are reached; logs a change of the access as a whole. */
--- a/packages/router/src/tunnels/tunnelCandidates.ts
+++ b/packages/router/src/tunnels/tunnelCandidates.ts
@@ -7,10 +7,18 @@
 export interface TunnelPeer {
   readonly address: string;
   readonly hall: string;
-  /** Whether it, or a box that knows it, states that it serves tunnels; nothing is known of contacts in other halls. */
-  readonly isKnownToServe: boolean;
+  readonly availability: TunnelAvailability;
 }
 
+/** What is known of a box as a server of tunnels. */
+export type TunnelAvailability =
+  /** It states that it serves tunnels, or a box that knows it does. */
+  | 'serving'
+  /** The same, but it is about to stop, and serves for two seconds more. */
+  | 'stopping'
+  /** Nothing: it is a contact in another hall. */
+  | 'unknown';
+
 /** Why no tunnel was opened through a box. */
 export type TunnelFailure =
   | TunnelRefusal
@@ -107,7 +115,7 @@
    */
   addReferred(peers: readonly Pick<TunnelPeer, 'address' | 'hall'>[], nowMs: number): void {
     for (const { address, hall } of peers)
-      this.referrals.set(address, { peer: { address, hall, isKnownToServe: true }, atMs: nowMs });
+      this.referrals.set(address, { peer: { address, hall, availability: 'serving' }, atMs: nowMs });
     const surplus = [...this.referrals.keys()].slice(0, Math.max(0, this.referrals.size - MAX_REFERRED));
     for (const address of surplus) this.referrals.delete(address);
   }
@@ -121,10 +129,16 @@
     return [...this.referrals.values()].filter(({ atMs }) => atMs >= sinceMs).map(({ peer }) => peer);
   }
 
-  /** How likely a box is to serve: 2 if it served lately, 1 if it is known to. */
+  /** The higher, the sooner the box is asked. */
   private readTrust(peer: TunnelPeer, nowMs: number): number {
-    if (this.isProven(peer, nowMs)) return 2;
-    return peer.isKnownToServe ? 1 : 0;
+    switch (peer.availability) {
+      case 'serving':
+        return this.isProven(peer, nowMs) ? 3 : 2;
+      case 'stopping':
+        return 1;
+      case 'unknown':
+        return this.isProven(peer, nowMs) ? 3 : 0;
+    }
   }
 
   private isProven({ address }: TunnelPeer, nowMs: number): boolean {
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -6,6 +6,7 @@
 import type { Result } from '@hazelwalk/core';
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { DialFailure } from '../tables/endpointPath.js';
+import type { StopPhase } from '../systems/gracefulShutdown.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { shuffle } from '../systems/shuffle.js';
 import { KEEP_ALIVE_PROBE_MS } from '../proxy/dialTcp.js';
@@ -30,7 +31,7 @@
   /** Boxes that serve tunnels. */
   readonly listPeers: () => readonly TunnelPeer[];
   readonly isEnabled: () => boolean;
-  readonly isStopping: () => boolean;
+  readonly readStopPhase: () => StopPhase;
   /** Called when a connection to an endpoint fails. */
   readonly onDialFailed: (row: EndpointRow) => void;
   readonly log: TunnelLog;
@@ -61,7 +62,7 @@
    * @param socket the connection on which it was received; nothing else reads from it
    */
   async serve(request: TunnelRequest, socket: Socket): Promise<void> {
-    const { table, log, onDialFailed, dial, isStopping } = this.options;
+    const { table, log, onDialFailed, dial, readStopPhase } = this.options;
     const row = table.findByTag(request.endpointTag);
     const refusal = this.findRefusal(row);
     if (refusal !== undefined || row === undefined)
@@ -74,14 +75,18 @@
       onDialFailed(row);
       return this.refuse(request, socket, await this.findDialRefusal(row, dialed.val));
     }
-    if (socket.destroyed || isStopping()) {
+    const phase = readStopPhase();
+    if (socket.destroyed || phase === 'finishing') {
       dialed.val.destroy();
       return this.refuse(request, socket, 'stopping');
     }
     socket.setNoDelay().setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
     socket.write(encodePeerFrame({ type: 'tunnelReply', result: 'open' }));
     const name = formatTunnelName(request.address, request.number);
-    this.forward(new TunnelStream(socket, new PeerFrameReader()), dialed.val, name, row);
+    const tunnel = new TunnelStream(socket, new PeerFrameReader());
+    this.forward(tunnel, dialed.val, name, row);
+    // It carries one request, so that it does not hold up the stop.
+    if (phase === 'lingering') tunnel.retire();
     log.recordServed(name, row, this.open.size);
   }
 
@@ -95,15 +100,17 @@
   /** A few boxes that state that they serve tunnels; others may be cut off like this one. */
   private listOtherServers(requester: string): Pick<TunnelPeer, 'address' | 'hall'>[] {
     const peers = this.options.listPeers();
-    const servers = peers.filter(({ address, isKnownToServe }) => isKnownToServe && address !== requester);
+    const servers = peers.filter(
+      ({ address, availability }) => availability === 'serving' && address !== requester,
+    );
     const named = shuffle(servers, Math.random).slice(0, MAX_TUNNEL_CANDIDATES);
     return named.map(({ address, hall }) => ({ address, hall }));
   }
 
   private findRefusal(row: EndpointRow | undefined): TunnelRefusal | undefined {
-    const { isEnabled, isStopping } = this.options;
+    const { isEnabled, readStopPhase } = this.options;
     if (!isEnabled()) return 'turnedOff';
-    if (isStopping()) return 'stopping';
+    if (readStopPhase() === 'finishing') return 'stopping';
     if (this.open.size + this.dialing >= MAX_TUNNELS) return 'full';
     if (row === undefined) return 'unknownEndpoint';
     const isDark = row.health.type === 'unreachable' && !row.health.isProcessGone;
