Slot schedule: only a refusal of the overlap takes it away

Cause: any refusal took the overlap of an endpoint away for ten seconds, also one at the beginning of a shortage, when the endpoint is full of requests that no schedule granted. Without overlap its slots idle for the way of a release and of the next grant. Now it counts only if the refused request was granted beyond the slots, and not in the first second of a schedule.

--- a/packages/router/src/admission/slotLedger.ts
+++ b/packages/router/src/admission/slotLedger.ts
@@ -7,7 +7,7 @@
 
 /** Grants beyond the slots, as a share of them: they cover the travel time of a release and of the next grant. */
 const OVERLAP_SHARE = 0.25;
-/** Time after a refusal for lack of room in which an endpoint is granted no overlap: it may let nothing wait. */
+/** Time in which an endpoint that refused the overlap is granted none: it may let nothing wait. */
 const NO_OVERLAP_MS = 10_000;
 /** A refusal for lack of room lowers what an endpoint is granted for this time, about that of a few requests. */
 const REFUSAL_LIMIT_MS = 250;
@@ -56,8 +56,8 @@
   private readonly grants = new Map<string, Grant>();
   private readonly countByTag = new Map<number, number>();
   private readonly limits = new Map<number, RefusalLimit>();
-  /** When each endpoint last refused a request for lack of room. */
-  private readonly refusedAtMs = new Map<number, number>();
+  /** When each endpoint last refused a request that was granted beyond its slots. */
+  private readonly overlapRefusedAtMs = new Map<number, number>();
   private readonly failures = new Map<number, QuickFailures>();
   private countsReportedUntilMs = -Infinity;
   /** Last result of `listUse`, until a change. */
@@ -78,7 +78,7 @@
     this.endpoints = endpoints;
     this.use = undefined;
     const tags = new Set(endpoints.map(({ tag }) => tag));
-    for (const map of [this.limits, this.refusedAtMs, this.failures]) {
+    for (const map of [this.limits, this.overlapRefusedAtMs, this.failures]) {
       for (const tag of map.keys()) if (!tags.has(tag)) map.delete(tag);
     }
   }
@@ -115,7 +115,7 @@
     const count = Math.max(1, this.countGrants(tag) - 1);
     this.use = undefined;
     this.limits.set(tag, { count, untilMs: nowMs + REFUSAL_LIMIT_MS });
-    this.refusedAtMs.set(tag, nowMs);
+    if (this.wasOverlap(tag, nowMs)) this.overlapRefusedAtMs.set(tag, nowMs);
   }
 
   /**
@@ -162,6 +162,14 @@
     return this.endpoints.length > 0 && this.endpoints.every(isTaken);
   }
 
+  /** Whether a request that an endpoint refused, and that is no longer counted, was granted beyond its slots. */
+  private wasOverlap(tag: number, nowMs: number): boolean {
+    const endpoint = this.endpoints.find((each) => each.tag === tag);
+    // Before that, the endpoint may be full of what no schedule granted.
+    if (endpoint === undefined || nowMs < this.countsReportedUntilMs) return false;
+    return this.countGrants(tag) >= endpoint.slotsInEffect;
+  }
+
   private countGrants(tag: number): number {
     return this.countByTag.get(tag) ?? 0;
   }
@@ -175,7 +183,8 @@
     { tag, slotsInEffect, isBrittle = false }: SchedulableEndpoint,
     nowMs: number,
   ): number {
-    const mayWaitThere = !isBrittle && nowMs - (this.refusedAtMs.get(tag) ?? -Infinity) >= NO_OVERLAP_MS;
+    const mayWaitThere =
+      !isBrittle && nowMs - (this.overlapRefusedAtMs.get(tag) ?? -Infinity) >= NO_OVERLAP_MS;
     const capacity = Math.ceil(slotsInEffect * (mayWaitThere ? 1 + OVERLAP_SHARE : 1));
     return Math.min(capacity, this.readRefusalLimit(tag, nowMs), this.readFailureLimit(tag, nowMs));
   }
