Placement: room at brittle endpoints is looked at once

The rows of a prompt were tested for room when they were listed and again by the load cap; the cap is only that now, and what is named as preferred for a slot is tested where it is listed. No change of behaviour; placement, hotPrompt, endpointNotices, slotRelay and crashCheck tests pass unchanged.

--- a/packages/router/src/systems/loadCap.ts
+++ b/packages/router/src/systems/loadCap.ts
@@ -74,8 +74,6 @@
 ): EndpointRow[] | undefined {
   const { factor, allowance } = LOAD_CAPS[path];
   const cap = factor * means.load + allowance;
-  const hasCapacity = (row: EndpointRow): boolean =>
-    (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap && mayTakeAnother(row);
-  const withCapacity = rows.filter(hasCapacity);
+  const withCapacity = rows.filter((row) => (readFleetLoad(row) + 1) * readSlowness(row, means) <= cap);
   return withCapacity.length > 0 ? withCapacity : undefined;
 }
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -156,7 +156,8 @@
     const rows = this.listChoices(request, nowMs);
     const prompt = readSharedPrompt(request.promptParts);
     if (prompt !== undefined) {
-      const withCapacity = this.listWithCapacity(rows, readMeans(this.listLive(request.service))) ?? [];
+      const means = readMeans(this.listLive(request.service));
+      const withCapacity = this.listWithCapacity(rows.filter(mayTakeAnother), means) ?? [];
       return this.ranking.listFirst(withCapacity, prompt, MAX_PREFERRED).map(({ tag }) => tag);
     }
     const near = rows.filter(({ listing }) => listing.hall === hall);
