Names and comments: a handle in the slot fleet, the time of a crash check

The fixture still called the handle of an admission a ticket; where an endpoint is reached through other boxes, a check takes up to a second.

--- a/packages/router/src/peers/__fixtures__/slotFleet.ts
+++ b/packages/router/src/peers/__fixtures__/slotFleet.ts
@@ -18,7 +18,7 @@
 export interface FleetRequest {
   readonly box: FleetBox;
   readonly enteredAtMs: number;
-  ticket: AdmissionHandle | undefined;
+  handle: AdmissionHandle | undefined;
   decision: AdmissionDecision | undefined;
   decidedAtMs: number;
 }
@@ -84,12 +84,12 @@
     const request: FleetRequest = {
       box,
       enteredAtMs: nowMs,
-      ticket: undefined,
+      handle: undefined,
       decision: undefined,
       decidedAtMs: Infinity,
     };
     this.requests.push(request);
-    request.ticket = box.client.apply({
+    request.handle = box.client.apply({
       latestStartAtMs: nowMs + 5_000,
       request: {
         service: SERVICE,
@@ -118,7 +118,7 @@
     const request = this.enter(box);
     const finish = (): void => {
       if (request.decision === undefined) this.timeline.after(5, finish);
-      else this.timeline.after(holdMs, () => request.ticket?.release('served'));
+      else this.timeline.after(holdMs, () => request.handle?.release('served'));
     };
     finish();
     return request;
--- a/packages/router/src/peers/__tests__/slotRelay.test.ts
+++ b/packages/router/src/peers/__tests__/slotRelay.test.ts
@@ -177,9 +177,9 @@
   fleet.run(10);
   const second = fleet.enter(pick(fleet.boxes, fleet.boxes.indexOf(other) + 1));
   fleet.run(10);
-  for (const request of requests.filter((each) => !isGranted(each))) request.ticket?.release('unused');
-  first.ticket?.release('unused');
-  requests.find(isGranted)?.ticket?.release('served');
+  for (const request of requests.filter((each) => !isGranted(each))) request.handle?.release('unused');
+  first.handle?.release('unused');
+  requests.find(isGranted)?.handle?.release('served');
   fleet.run(10);
   expect(first.decision).toBeUndefined();
   expect(isGranted(second)).toBe(true);
@@ -192,7 +192,7 @@
   scheduler.isStopping = true;
   fleet.run(100);
   expect(waiting.decision === undefined || isGranted(waiting)).toBe(true);
-  for (const request of requests) request.ticket?.release('served');
+  for (const request of requests) request.handle?.release('served');
   fleet.run(100);
   expect(isGranted(waiting)).toBe(true);
 });
--- a/packages/router/src/proxy/crashCheck.ts
+++ b/packages/router/src/proxy/crashCheck.ts
@@ -30,7 +30,7 @@
   ) {}
 
   /**
-   * Connects to the endpoint; takes a few round trips, 0.3 s at most.
+   * Connects to the endpoint; takes a few round trips, 0.3 s at most, or 1 s if it is reached through other boxes.
    *
    * @example if ((await crashCheck.check(row)) === 'crashed') relay.recordCrash(fingerprint, run);
    */
