Tunnels: a connection that fails after a tunnel was found takes the tunnel

Cause, by the log of that box: its first tunnel opened after 0.2 s and the path became "tunnelled"; connections that had begun before ran out of their 0.3 s a moment later, each was counted as a failed connection, so the endpoint became unreachable ("connectBroken", 0.12 s after the tunnel had been opened), tunnels to it paused, and requests were refused as "noEndpoint" until it was restored 0.6 and 1 s later.

Such a failure is older than the path that another connection has found: the connection is now tried again on that path, once, as it begins with tunnels then. endpointDialer.test: red before (the refusal), green now.

--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -100,6 +100,8 @@
       discard: ({ socket }) => socket.destroy(),
     });
     if (connected.err) {
+      // Another connection has found the path through other boxes meanwhile; this failure is older than that.
+      if (!isTunnelFirst && row.path.type === 'tunnel') return this.connect(row);
       if (attempt.hasTriedTunnels === true) this.pauseTunnels(row);
       return Err(summarizeFailures(connected.val));
     }
