Frames: one reader of length-prefixed frames

Cause: the prefix of frames and the reader that splits a stream into frames stood twice, for the links between boxes and for the daemon's own interface.

Change: `prefixLength` and `FrameReader` in the core serve both; each codec keeps its fields, its largest frame and its schema. The text of a frame that is too large is that of the daemon's interface at both.

--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -1,11 +1,10 @@
 /** Encodes and decodes the frames between boxes: CBOR with a length prefix. */
-import { Err, Ok } from '@hazelwalk/core';
+import { Err, FrameReader, Ok, prefixLength } from '@hazelwalk/core';
 import type { Problem, Result } from '@hazelwalk/core';
 import { Encoder } from 'cbor-x';
 import type { PeerFrame } from './peerFrames.js';
 import { peerFrameSchema } from './peerFrames.js';
 
-const LENGTH_BYTES = 4;
 /** A configuration takes at most one megabyte; all other frames are small. */
 const MAX_FRAME_BYTES = 2_000_000;
 
@@ -85,11 +84,7 @@
  * @example socket.write(encodePeerFrame({ type: 'boxLoads', address: '10.0.0.1:7000', loads: [], homes: [], prompts: [] }))
  */
 export function encodePeerFrame(frame: PeerFrame): Buffer {
-  const payload = cbor.encode(frame);
-  const packet = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
-  packet.writeUInt32BE(payload.length, 0);
-  payload.copy(packet, LENGTH_BYTES);
-  return packet;
+  return prefixLength(cbor.encode(frame));
 }
 
 function decodePayload(payload: Buffer): Result<PeerFrame, Problem> {
@@ -107,29 +102,8 @@
 }
 
 /** Splits the bytes received on one link into frames. After an error the link must be closed. */
-export class PeerFrameReader {
-  private pending: Buffer = Buffer.alloc(0);
-
-  /** Adds a chunk; returns the frames that it completes. */
-  push(chunk: Buffer): Result<PeerFrame[], Problem> {
-    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const frames: PeerFrame[] = [];
-    while (this.pending.length >= LENGTH_BYTES) {
-      const length = this.pending.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) {
-        return Err({
-          code: 'frameTooLarge',
-          at: 'peer',
-          detail: `${length} bytes, at most ${MAX_FRAME_BYTES} are allowed`,
-        });
-      }
-      const end = LENGTH_BYTES + length;
-      if (this.pending.length < end) break;
-      const frame = decodePayload(this.pending.subarray(LENGTH_BYTES, end));
-      if (frame.err) return frame;
-      frames.push(frame.val);
-      this.pending = this.pending.subarray(end);
-    }
-    return Ok(frames);
+export class PeerFrameReader extends FrameReader<PeerFrame> {
+  constructor() {
+    super(MAX_FRAME_BYTES, decodePayload);
   }
 }
--- a/packages/wire/src/__tests__/frameCodec.test.ts
+++ b/packages/wire/src/__tests__/frameCodec.test.ts
@@ -1,6 +1,7 @@
 import type { Frame } from '@hazelwalk/core';
+import { LENGTH_BYTES } from '@hazelwalk/core';
 import fc from 'fast-check';
-import { encodeFrame, FrameDecoder, LENGTH_BYTES } from '../index.js';
+import { encodeFrame, FrameDecoder } from '../index.js';
 
 const sampleFrame: Frame = {
   type: 'assign',
--- a/packages/wire/src/protocol.ts
+++ b/packages/wire/src/protocol.ts
@@ -7,9 +7,6 @@
 /** Boxes with different protocol versions do not connect to each other. */
 export const PROTOCOL_VERSION = 1;
 
-/** Size of the length prefix of each frame. */
-export const LENGTH_BYTES = 4;
-
 /** Largest frame: enough for a published value of 1 MB or the body of a chat request, and the other fields. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
