Quarantine: runs of one reporter keep the order in which it saw them

A box placed each reported crash at the arrival of its report, less the time that the sender held it, and put the runs in order by that. Two attempts of one request that crashed 16 and 30 ms apart came in the reverse order where the report of the first was handled late by a busy loop. The chain of sequential crashes then had one of the two, and the box sent the request twice more.

Change: all runs of one reporter in a record are placed by the fastest of its reports; its own clock gives their distances. lateCrashReports has the case without load: red before (no decision pending after the third crash).

--- a/packages/router/src/quarantine/__tests__/lateCrashReports.test.ts
+++ b/packages/router/src/quarantine/__tests__/lateCrashReports.test.ts
@@ -96,3 +96,17 @@
     { heldMs: 30, delayMs: REPORT_DELAY_MS },
   ]);
 });
+
+test('two crashes in a row keep their order if the report of the first was delayed longer', () => {
+  const first = new Box(1, true);
+  const last = new Box(4, true);
+  first.crash(1);
+  first.relay.tick();
+  first.crash(2);
+  nowMs += 40;
+  first.relay.tick();
+  for (const frame of first.takeSent()) last.relay.handleCrashReports(frame);
+  nowMs += 1_000;
+  last.crash(3);
+  expect(last.quarantine.readDecisionDelayMs(FINGERPRINT)).toBeGreaterThan(0);
+});
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -17,7 +17,7 @@
   readonly sentAtMs: number;
   /** On the reporter's clock. */
   readonly endedAtMs: number;
-  /** End of the run on the clock of the box that keeps the record, late by the time that the report took. */
+  /** End of the run on the clock of the box that keeps the record, late by the time that its reporter's fastest report took. */
   readonly localEndAtMs: number;
   /** The box that keeps the record observed the crash itself. */
   readonly isLocal?: boolean;
@@ -55,10 +55,25 @@
   run: CrashedRun,
 ): readonly CrashedRun[] | undefined {
   if (runs.some((other) => isSameRun(other, run))) return undefined;
-  const copy = runs.find((other) => isSameCrash(other, run));
-  if (copy !== undefined && readLocalSendMs(run) <= readLocalSendMs(copy) + CLOCK_MARGIN_MS) return undefined;
-  const kept = limitRuns([...runs.filter((other) => other !== copy), run]);
-  return kept.includes(run) ? kept : undefined;
+  const [added, ...known] = alignReports(run, runs);
+  const copy = known.find((other) => isSameCrash(other, added));
+  if (copy !== undefined && readLocalSendMs(added) <= readLocalSendMs(copy) + CLOCK_MARGIN_MS)
+    return undefined;
+  const kept = limitRuns([...known.filter((other) => other !== copy), added]);
+  return kept.includes(added) ? kept : undefined;
+}
+
+/**
+ * Puts all runs of the new run's reporter on the local clock by the fastest of their reports, so that they stay in the
+ * order in which the reporter observed them. Returns the new run first.
+ */
+function alignReports(run: CrashedRun, runs: readonly CrashedRun[]): [CrashedRun, ...CrashedRun[]] {
+  const { reporter } = run;
+  const reported = [run, ...runs].filter((other) => other.reporter === reporter);
+  const offsetMs = Math.min(...reported.map(({ localEndAtMs, endedAtMs }) => localEndAtMs - endedAtMs));
+  const align = (one: CrashedRun): CrashedRun =>
+    one.reporter === reporter ? { ...one, localEndAtMs: one.endedAtMs + offsetMs } : one;
+  return [align(run), ...runs.map(align)];
 }
 
 /** Time of the last of these crashes; minus infinity if there is none. */
