--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,7 +2,7 @@
 # Installs missing dependencies, then runs the formatter check, build, type check, linter, model checks, tests and short soaks.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ -d node_modules/most ] || npm ci --no-audit --no-fund
+npm ls >/dev/null 2>&1 || npm ci --no-audit --no-fund
 npm run --silent format:check
 npm run --silent build
 npx tsc -p tsconfig.test.json
