Tunnels: connections that fail together pause tunnels to an endpoint once

Cause: a box that is cut off pauses tunnels to an endpoint for 0.25 s after none could be opened, twice as long with each time in a row. Each connection counted as a time: six that began together and failed together made a pause of 4 s, in which all requests to that endpoint failed within 0.1 s.

By the log the first connections took more than their 0.3 s; two boxes then asked for no tunnel to the engines for 2 to 2.6 s, refused 19 and 23 requests, and were served at once when the pause was over.

Change: a failure of a connection that began before the pause ended does not count again.

Measured: endpointDialer.test red before (the connection after 0.25 s fails), green after.

--- a/packages/router/src/__tests__/endpointDialer.test.ts
+++ b/packages/router/src/__tests__/endpointDialer.test.ts
@@ -1,7 +1,10 @@
 import { Socket } from 'node:net';
 import { Err, Ok } from '@hazelwalk/core';
+import { pause } from '@hazelwalk/standins';
 import { createTable } from '../__fixtures__/createEndpoints.js';
-import { EndpointDialer } from '../proxy/endpointDialer.js';
+import { EndpointDialer, MIN_TUNNEL_PAUSE_MS } from '../proxy/endpointDialer.js';
+import type { DialFailure } from '../tables/endpointPath.js';
+import { DIRECT_PATH } from '../tables/endpointPath.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { TunnelStream } from '../tunnels/tunnelStream.js';
 
@@ -12,22 +15,52 @@
   return socket;
 }
 
+const peer = { address: '10.0.0.1:8229', hall: 'mixco', availability: 'serving' } as const;
+const [row] = createTable(1).rows as [EndpointRow];
+const opened = Ok({ stream: new Socket() as unknown as TunnelStream, name: '10.0.0.2:8229#1' });
+const open = jest.fn();
+let nowMs: number;
+let dialer: EndpointDialer;
+
+beforeEach(() => {
+  nowMs = 1_000;
+  row.path = DIRECT_PATH;
+  open.mockReset();
+  const listCandidates = function* (): Generator<typeof peer, void> {
+    yield peer;
+  };
+  const onTunnelled = (_row: EndpointRow, reason: DialFailure): void => {
+    row.path = { type: 'tunnel', reason, nextCheckMs: nowMs };
+  };
+  dialer = new EndpointDialer({
+    dial: refuse,
+    tunnels: { listCandidates, open },
+    now: () => nowMs,
+    onTunnelled,
+  });
+});
+
 /**
  * Guards against connections that began before a box knew that it is cut off: as they ran out of time after a tunnel had been
  * opened, their endpoints counted as unreachable again, and 26 of 120 requests were refused.
  */
 test('a connection that fails after another one found the path through other boxes takes that path', async () => {
-  const [row] = createTable(1).rows as [EndpointRow];
-  const peer = { address: '10.0.0.1:8229', hall: 'mixco', availability: 'serving' } as const;
-  const stream = new Socket() as unknown as TunnelStream;
-  const open = jest.fn().mockImplementationOnce(async () => {
+  open.mockImplementationOnce(async () => {
     row.path = { type: 'tunnel', reason: 'connectRefused', nextCheckMs: 0 };
     return Err('noPath');
   });
-  open.mockResolvedValue(Ok({ stream, name: '10.0.0.2:8229#1' }));
-  const listCandidates = function* (): Generator<typeof peer, void> {
-    yield peer;
-  };
-  const dialer = new EndpointDialer({ dial: refuse, tunnels: { listCandidates, open }, now: () => 0 });
+  open.mockResolvedValue(opened);
   expect((await dialer.connect(row)).map(({ tunnel }) => tunnel)).toEqual(Ok('10.0.0.2:8229#1'));
 });
+
+/**
+ * Guards against a pause of seconds after a single moment without tunnels: it doubled with each connection of that moment, and
+ * 24 of 120 requests of a box that was cut off were refused.
+ */
+test('connections that fail together pause tunnels once', async () => {
+  open.mockImplementation(() => pause(10).then(() => Err('unanswered')));
+  await Promise.all(Array.from({ length: 6 }, () => dialer.connect(row)));
+  nowMs += MIN_TUNNEL_PAUSE_MS;
+  open.mockResolvedValue(opened);
+  expect((await dialer.connect(row)).ok).toBe(true);
+});
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -27,7 +27,7 @@
 /** The same for an endpoint that is reached through tunnels: other endpoints are mostly reached no sooner. */
 const TUNNELLED_TIMEOUT_MS = 1_000;
 /** After tunnels to an endpoint failed, they are not tried again for this long; doubles with each time in a row. */
-const MIN_TUNNEL_PAUSE_MS = 250;
+export const MIN_TUNNEL_PAUSE_MS = 250;
 const MAX_TUNNEL_PAUSE_MS = 4_000;
 
 /** An established connection to an endpoint. */
@@ -81,6 +81,7 @@
    */
   async connect(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
     const { onTunnelled } = this.options;
+    const startedAtMs = this.options.now();
     const attempt: { failure?: DialFailure; isTunnelled?: boolean; hasTriedTunnels?: boolean } = {};
     const direct: Way = async () => {
       const dialed = await this.connectDirectly(row);
@@ -102,7 +103,7 @@
     if (connected.err) {
       // Another connection has found the path through other boxes meanwhile; this failure is older than that.
       if (!isTunnelFirst && row.path.type === 'tunnel') return this.connect(row);
-      if (attempt.hasTriedTunnels === true) this.pauseTunnels(row);
+      if (attempt.hasTriedTunnels === true) this.pauseTunnels(row, startedAtMs);
       return Err(summarizeFailures(connected.val));
     }
     if (connected.val.tunnel !== undefined) {
@@ -159,9 +160,11 @@
     }
   }
 
-  private pauseTunnels(row: EndpointRow): void {
-    const before = this.pauses.get(row)?.lengthMs ?? MIN_TUNNEL_PAUSE_MS / 2;
-    const lengthMs = Math.min(MAX_TUNNEL_PAUSE_MS, before * 2);
+  private pauseTunnels(row: EndpointRow, startedAtMs: number): void {
+    const before = this.pauses.get(row);
+    // Connections that began together fail together: they are one failure.
+    if (before !== undefined && startedAtMs < before.untilMs) return;
+    const lengthMs = Math.min(MAX_TUNNEL_PAUSE_MS, (before?.lengthMs ?? MIN_TUNNEL_PAUSE_MS / 2) * 2);
     this.pauses.set(row, { lengthMs, untilMs: this.options.now() + lengthMs });
   }
 }
