Tunnels: a tunnel that is opened too late for its request shows the path

Cause: a connection to an endpoint whose direct path has just failed may take 0.3 s in all. A tunnel that was opened after that was closed and forgotten, and the endpoint counted as unreachable, although it had just been reached. Where tunnels take longer than that, as on a busy machine, all first ones were in vain, and requests failed until one happened to be fast.

Change: a tunnel that is opened counts for the path of its endpoint also if the connection that asked for it has given up, unless a direct connection has succeeded since. The next one asks for tunnels first and has a second.

Measured: endpointDialer.test red before, green after.

--- a/packages/router/src/__tests__/endpointDialer.test.ts
+++ b/packages/router/src/__tests__/endpointDialer.test.ts
@@ -2,7 +2,7 @@
 import { Err, Ok } from '@hazelwalk/core';
 import { pause } from '@hazelwalk/standins';
 import { createTable } from '../__fixtures__/createEndpoints.js';
-import { EndpointDialer, MIN_TUNNEL_PAUSE_MS } from '../proxy/endpointDialer.js';
+import { ALL_WAYS_TIMEOUT_MS, EndpointDialer, MIN_TUNNEL_PAUSE_MS } from '../proxy/endpointDialer.js';
 import type { DialFailure } from '../tables/endpointPath.js';
 import { DIRECT_PATH } from '../tables/endpointPath.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
@@ -64,3 +64,11 @@
   open.mockResolvedValue(opened);
   expect((await dialer.connect(row)).ok).toBe(true);
 });
+
+/** Guards against tunnels that are opened in vain, time after time, as all of them take longer than a request waits. */
+test('a tunnel that is opened too late for its request shows the path to the next', async () => {
+  open.mockImplementation(() => pause(ALL_WAYS_TIMEOUT_MS + 100).then(() => opened));
+  expect((await dialer.connect(row)).ok).toBe(false);
+  await pause(150);
+  expect((await dialer.connect(row)).ok).toBe(true);
+});
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -23,7 +23,7 @@
 /** A way that has not led to a connection after this gets company: the next one is tried beside it. */
 const NEXT_WAY_DELAY_MS = 100;
 /** A request goes to another endpoint after this. */
-const ALL_WAYS_TIMEOUT_MS = 300;
+export const ALL_WAYS_TIMEOUT_MS = 300;
 /** The same for an endpoint that is reached through tunnels: other endpoints are mostly reached no sooner. */
 const TUNNELLED_TIMEOUT_MS = 1_000;
 /** After tunnels to an endpoint failed, they are not tried again for this long; doubles with each time in a row. */
@@ -70,6 +70,8 @@
 export class EndpointDialer {
   /** Endpoints to which no tunnel could be opened. */
   private readonly pauses = new WeakMap<EndpointRow, TunnelPause>();
+  /** When a direct connection to an endpoint last succeeded. */
+  private readonly directAtMs = new WeakMap<EndpointRow, number>();
 
   constructor(private readonly options: EndpointDialerOptions) {}
 
@@ -90,10 +92,17 @@
       if (attempt.isTunnelled === true) onTunnelled?.(row, dialed.val);
       return Err({ way: 'direct', failure: dialed.val });
     };
+    // Also called for a tunnel that is opened too late for this connection: the next one takes the path.
+    const handleOpened = (): void => {
+      if ((this.directAtMs.get(row) ?? -Infinity) >= startedAtMs) return;
+      this.pauses.delete(row);
+      attempt.isTunnelled = true;
+      if (attempt.failure !== undefined) onTunnelled?.(row, attempt.failure);
+    };
     const isTunnelFirst = row.path.type === 'tunnel';
     // Most direct connections succeed, and then no box is looked up for a tunnel.
     const listTunnelWays = (): Iterable<Way> =>
-      this.listTunnelWays(row, () => (attempt.hasTriedTunnels = true));
+      this.listTunnelWays(row, () => (attempt.hasTriedTunnels = true), handleOpened);
     const connected = await raceConnections(orderWays(direct, listTunnelWays, isTunnelFirst), {
       staggerMs: NEXT_WAY_DELAY_MS,
       limitMs: isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
@@ -106,11 +115,6 @@
       if (attempt.hasTriedTunnels === true) this.pauseTunnels(row, startedAtMs);
       return Err(summarizeFailures(connected.val));
     }
-    if (connected.val.tunnel !== undefined) {
-      this.pauses.delete(row);
-      attempt.isTunnelled = true;
-      if (attempt.failure !== undefined) onTunnelled?.(row, attempt.failure);
-    }
     return connected;
   }
 
@@ -118,6 +122,7 @@
   async connectDirectly(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
     const dialed = await this.dialSocket(row);
     if (dialed.err) return dialed;
+    this.directAtMs.set(row, this.options.now());
     this.options.onDirect?.(row);
     const socket = dialed.val;
     return Ok({
@@ -151,12 +156,12 @@
   }
 
   /** The boxes through which to connect; each is picked when it is its turn. */
-  private *listTunnelWays(row: EndpointRow, onTried: () => void): Generator<Way, void> {
+  private *listTunnelWays(row: EndpointRow, onTried: () => void, onOpened: () => void): Generator<Way, void> {
     const { tunnels, now } = this.options;
     if (tunnels === undefined || now() < (this.pauses.get(row)?.untilMs ?? -Infinity)) return;
     for (const peer of tunnels.listCandidates(row)) {
       onTried();
-      yield () => openTunnel(tunnels, peer, row);
+      yield () => openTunnel(tunnels, peer, row, onOpened);
     }
   }
 
@@ -173,9 +178,11 @@
   tunnels: Pick<TunnelClient, 'open'>,
   peer: TunnelPeer,
   row: EndpointRow,
+  onOpened: () => void,
 ): Promise<Result<DialedConnection, WayFailure>> {
   const opened = await tunnels.open(peer, row);
   if (opened.err) return Err({ way: 'tunnel', failure: opened.val });
+  onOpened();
   const { stream, name } = opened.val;
   return Ok({
     socket: stream,
