Names: a request for a slot has an id, no ticket

Cause: "ticket" named two things, the idempotency key that a box issues (`POST /v1/tickets`) and the pair of address and number that identifies a request for a slot; the second was nowhere explained.

Change: `SlotRequestId`, `EndedSlotRequests`, `readSlotRequestKey` and `HopRecord` instead; the frames are the same.

Measured: the tests of the admission and of the relay of slots pass.

--- a/packages/router/src/admission/__fixtures__/slotModel.ts
+++ b/packages/router/src/admission/__fixtures__/slotModel.ts
@@ -71,7 +71,7 @@
   private readonly scheduler: SlotScheduler;
   private readonly handlers = new Map<number, (answer: SlotAnswer) => void>();
   private traffics = 0;
-  private tickets = 0;
+  private sentCount = 0;
 
   constructor(seed: number) {
     this.random = createRandom(seed);
@@ -116,7 +116,7 @@
       const tookMs = Date.now() - startedAtMs;
       this.results.push({ ...call, outcome, traffic, startedAtMs, tookMs, rejectedAfterMs });
     };
-    this.send({ call, content: `content ${this.tickets}`, startedAtMs, rejectedAfterMs, finish });
+    this.send({ call, content: `content ${this.sentCount}`, startedAtMs, rejectedAfterMs, finish });
   }
 
   private send(running: RunningCall): void {
@@ -138,8 +138,8 @@
   }
 
   private requestSlot(request: SlotRequest, onAnswer: (answer: SlotAnswer) => void): void {
-    this.tickets += 1;
-    const numbered = { ...request, number: this.tickets };
+    this.sentCount += 1;
+    const numbered = { ...request, number: this.sentCount };
     this.handlers.set(numbered.number, onAnswer);
     setTimeout(() => this.pass(this.scheduler.handleRequest(numbered, Date.now())), TRAVEL_MS);
   }
--- a/packages/router/src/admission/__tests__/serviceAdmission.test.ts
+++ b/packages/router/src/admission/__tests__/serviceAdmission.test.ts
@@ -85,7 +85,7 @@
 test('small service short of room: a request waits for a slot, and its latest start leaves time to run', () => {
   const gate = new Gate();
   gate.room.recordRefusal('app', 0);
-  const ticket = gate.enter();
+  const admission = gate.enter();
   expect(gate.decisions).toEqual([]);
   expect(gate.waiting).toBe(1);
   expect(gate.applications[0]?.latestStartAtMs).toBe(900);
@@ -93,7 +93,7 @@
   expect(gate.decisions).toEqual([{ type: 'proceed', endpointTag: 7 }]);
   expect(gate.waiting).toBe(0);
   gate.timeline.run(30);
-  ticket.release('served');
+  admission.release('served');
   expect(gate.released).toEqual(['served']);
   gate.enter();
   expect(gate.applications[1]?.latestStartAtMs).toBe(970);
@@ -156,9 +156,9 @@
   const gate = new Gate();
   gate.slots = 300;
   gate.room.recordRefusal('app', 0);
-  const ticket = gate.enter();
+  const admission = gate.enter();
   gate.timeline.run(30);
-  ticket.release('served');
+  admission.release('served');
   expect([gate.ended, gate.withdrawn]).toEqual([[30], 0]);
 });
 
--- a/packages/router/src/admission/__tests__/slotScheduler.property.test.ts
+++ b/packages/router/src/admission/__tests__/slotScheduler.property.test.ts
@@ -50,7 +50,7 @@
   { weight: 1, arbitrary: fc.record({ type: fc.constant('dropBox'), box }) },
 );
 
-type TicketState = 'waiting' | 'granted' | 'rejected' | 'withdrawn' | 'released';
+type RequestState = 'waiting' | 'granted' | 'rejected' | 'withdrawn' | 'released';
 
 /** Drives a scheduler and checks each of its answers. */
 class CheckedScheduler {
@@ -60,7 +60,7 @@
     readonly expiresAtMs: number;
   }[] = [];
   private readonly scheduler = new SlotScheduler(() => 0.5);
-  private readonly states: TicketState[] = [];
+  private readonly states: RequestState[] = [];
   private readonly tags: number[] = [];
   private nowMs = 0;
 
@@ -149,7 +149,7 @@
 
   private check(answers: readonly SlotAnswer[]): void {
     for (const answer of answers) this.checkAnswer(answer);
-    const count = (state: TicketState): number => this.states.filter((other) => other === state).length;
+    const count = (state: RequestState): number => this.states.filter((other) => other === state).length;
     const granted = CAPACITIES.map((_, tag) => this.countGranted(tag));
     for (const [tag, capacity] of CAPACITIES.entries()) expect(granted[tag]).toBeLessThanOrEqual(capacity);
     expect(this.scheduler.describeServices()).toMatchObject([
--- a/packages/router/src/admission/__tests__/slotScheduler.test.ts
+++ b/packages/router/src/admission/__tests__/slotScheduler.test.ts
@@ -20,7 +20,7 @@
   return scheduler;
 }
 
-/** Requests slots for tickets with these numbers, and returns the answers. */
+/** Requests slots with these numbers, and returns the answers. */
 function requestAll(
   scheduler: SlotScheduler,
   numbers: readonly number[],
@@ -46,7 +46,7 @@
   return answers.flatMap((answer) => (answer.type === 'granted' ? [answer.number] : []));
 }
 
-/** A scheduler with one endpoint whose slots are granted to the tickets 1 to 5. */
+/** A scheduler with one endpoint whose slots are granted to the requests 1 to 5. */
 function createFullScheduler(): SlotScheduler {
   const scheduler = createScheduler([{}]);
   expect(listGranted(requestAll(scheduler, [1, 2, 3, 4, 5]))).toEqual([1, 2, 3, 4, 5]);
@@ -87,7 +87,7 @@
   expect(listGranted(scheduler.tick(leaseEndMs))).toEqual([6]);
 });
 
-test('a ticket that was withdrawn, or given back unused, is answered when it is requested again', () => {
+test('a request that was withdrawn, or given back unused, is answered when it is requested again', () => {
   const scheduler = createFullScheduler();
   requestAll(scheduler, [6]);
   release(scheduler, 6, 'unused');
--- a/packages/router/src/admission/boxAdmission.ts
+++ b/packages/router/src/admission/boxAdmission.ts
@@ -23,8 +23,8 @@
 
 /** Interval at which the room of the services is determined: loads are not reported more often. */
 const ROOM_INTERVAL_MS = 500;
-/** Numbers of tickets that a box may use in a millisecond: those of its next run start after them. */
-const TICKETS_PER_MS = 1_000;
+/** Numbers of requests for slots that a box may use in a millisecond: those of its next run start after them. */
+const SLOT_REQUESTS_PER_MS = 1_000;
 
 /** Dependencies and settings of the admission. */
 export interface BoxAdmissionOptions {
@@ -73,7 +73,7 @@
       now,
       schedule,
       afterReads: afterSocketReads,
-      firstNumber: Date.now() * TICKETS_PER_MS,
+      firstNumber: Date.now() * SLOT_REQUESTS_PER_MS,
       onEvent: (outcome) => metrics.slotRequests.inc({ outcome }),
     });
     this.gate = new ServiceAdmission({
--- a/packages/router/src/admission/serviceSchedule.ts
+++ b/packages/router/src/admission/serviceSchedule.ts
@@ -4,7 +4,7 @@
  * A request is rejected as soon as it is expected to start too late, when it arrives or when more urgent ones have
  * pushed it back.
  */
-import { EndedTickets } from './endedTickets.js';
+import { EndedSlotRequests } from './endedSlotRequests.js';
 import { canUseAny, pickEndpoint } from './endpointChoice.js';
 import { HoldTimes } from './holdTimes.js';
 import type { Arrival, RememberedRequest } from './rememberedReturns.js';
@@ -14,7 +14,7 @@
 import type { EndpointUse, Grant } from './slotLedger.js';
 import { SlotLedger } from './slotLedger.js';
 import type { SchedulableEndpoint, SlotAnswer, SlotRelease, SlotRequest } from './slotMessages.js';
-import { readTicketKey } from './slotMessages.js';
+import { readSlotRequestKey } from './slotMessages.js';
 import { SlotQueue } from './slotQueue.js';
 import { readWholeTargetMs, WaitEstimates } from './waitEstimates.js';
 import type { WaitingRequest } from './waitingRequest.js';
@@ -64,7 +64,7 @@
   });
   private readonly planner: ReturnPlanner;
   private readonly returns = new RememberedReturns();
-  private readonly ended = new EndedTickets();
+  private readonly ended = new EndedSlotRequests();
   private answers: SlotAnswer[] = [];
   private nowMs = 0;
   private requestedAtMs = -Infinity;
@@ -106,11 +106,11 @@
   /** Handles the release of a slot, or the withdrawal of a request. */
   handleRelease(release: SlotRelease, nowMs: number): SlotAnswer[] {
     return this.update(nowMs, () => {
-      const waiting = this.waitingByKey.get(readTicketKey(release));
+      const waiting = this.waitingByKey.get(readSlotRequestKey(release));
       if (waiting !== undefined) this.removeWaiting(waiting);
       const grant = this.ledger.find(release);
       if (grant !== undefined) this.endGrant(grant, release);
-      // A box that withdrew or gave back may ask again with the same ticket, such as after it asked elsewhere.
+      // A box that withdrew or gave back may ask again with the same number, such as after it asked elsewhere.
       const wasUsed = waiting === undefined && release.outcome !== 'unused';
       if (wasUsed) this.ended.add(release, { type: 'released' });
     });
@@ -161,7 +161,7 @@
   /** Answers a request that was answered before; false if it is new. */
   private answerRepeated(request: SlotRequest): boolean {
     const grant = this.ledger.find(request);
-    const waiting = this.waitingByKey.get(readTicketKey(request));
+    const waiting = this.waitingByKey.get(readSlotRequestKey(request));
     const ended = this.ended.find(request);
     if (grant !== undefined) this.answerGranted(grant);
     else if (waiting !== undefined) this.answerQueued(waiting);
@@ -207,7 +207,7 @@
 
   private enqueue(waiting: WaitingRequest): void {
     this.queue.add(waiting, this.estimates.meetsTarget(waiting, 0, this.nowMs) ? 'punctual' : 'overdue');
-    this.waitingByKey.set(readTicketKey(waiting.request), waiting);
+    this.waitingByKey.set(readSlotRequestKey(waiting.request), waiting);
   }
 
   private acceptOrReject(waiting: WaitingRequest): void {
@@ -273,12 +273,12 @@
 
   private grant({ request, expiresAtMs }: WaitingRequest, endpointTag: number): void {
     const grant = {
-      ticket: { box: request.box, number: request.number },
+      requestId: { box: request.box, number: request.number },
       endpointTag,
       leaseEndsAtMs: expiresAtMs + LEASE_MARGIN_MS,
     };
     this.ledger.add(grant);
-    this.waitingByKey.delete(readTicketKey(request));
+    this.waitingByKey.delete(readSlotRequestKey(request));
     this.answerGranted(grant);
   }
 
@@ -306,7 +306,7 @@
 
   private removeWaiting(waiting: WaitingRequest): void {
     this.queue.remove(waiting);
-    this.waitingByKey.delete(readTicketKey(waiting.request));
+    this.waitingByKey.delete(readSlotRequestKey(waiting.request));
   }
 
   private reject(waiting: WaitingRequest): void {
@@ -345,8 +345,8 @@
     return this.planner.plan({ rank, patienceMs, backlog, ratePerMs }, this.nowMs);
   }
 
-  private answerGranted({ ticket, endpointTag }: Grant): void {
-    this.answers.push({ ...ticket, type: 'granted', service: this.service, endpointTag });
+  private answerGranted({ requestId, endpointTag }: Grant): void {
+    this.answers.push({ ...requestId, type: 'granted', service: this.service, endpointTag });
   }
 
   private answerQueued(waiting: WaitingRequest): void {
--- a/packages/router/src/admission/slotClient.ts
+++ b/packages/router/src/admission/slotClient.ts
@@ -29,7 +29,7 @@
   readonly schedule: (delayMs: number, callback: () => void) => () => void;
   /** Calls back after the sockets have been read: after a pause of the process answers wait in them. */
   readonly afterReads: (callback: () => void) => void;
-  /** Tickets are numbered from here; higher than all numbers of earlier runs of this box. */
+  /** Requests are numbered from here; higher than all numbers of earlier runs of this box. */
   readonly firstNumber: number;
   readonly onEvent: (event: SlotRequestEvent, service: string) => void;
 }
--- a/packages/router/src/admission/slotLedger.ts
+++ b/packages/router/src/admission/slotLedger.ts
@@ -2,8 +2,8 @@
  * The slots of one service that are granted. A grant is a lease: it ends with its release, when its box is down, or
  * when the longest time that its request may take has passed.
  */
-import type { SchedulableEndpoint, SlotTicket } from './slotMessages.js';
-import { readTicketKey } from './slotMessages.js';
+import type { SchedulableEndpoint, SlotRequestId } from './slotMessages.js';
+import { readSlotRequestKey } from './slotMessages.js';
 
 /** Grants beyond the slots, as a share of them: they cover the travel time of a release and of the next grant. */
 const OVERLAP_SHARE = 0.25;
@@ -19,7 +19,7 @@
 
 /** A slot that is granted. */
 export interface Grant {
-  readonly ticket: SlotTicket;
+  readonly requestId: SlotRequestId;
   readonly endpointTag: number;
   readonly leaseEndsAtMs: number;
 }
@@ -89,21 +89,21 @@
     this.use = undefined;
   }
 
-  /** Returns the grant of a ticket. */
-  find(ticket: SlotTicket): Grant | undefined {
-    return this.grants.get(readTicketKey(ticket));
+  /** Returns the grant of a request. */
+  find(requestId: SlotRequestId): Grant | undefined {
+    return this.grants.get(readSlotRequestKey(requestId));
   }
 
   /** Records a grant. */
   add(grant: Grant): void {
-    this.grants.set(readTicketKey(grant.ticket), grant);
+    this.grants.set(readSlotRequestKey(grant.requestId), grant);
     this.use = undefined;
     this.countByTag.set(grant.endpointTag, this.countGrants(grant.endpointTag) + 1);
   }
 
   /** Ends a grant. */
   remove(grant: Grant): void {
-    if (!this.grants.delete(readTicketKey(grant.ticket))) return;
+    if (!this.grants.delete(readSlotRequestKey(grant.requestId))) return;
     this.use = undefined;
     const left = this.countGrants(grant.endpointTag) - 1;
     if (left > 0) this.countByTag.set(grant.endpointTag, left);
@@ -140,7 +140,7 @@
 
   /** Lists the grants of a box. */
   listOfBox(box: string): Grant[] {
-    return [...this.grants.values()].filter((grant) => grant.ticket.box === box);
+    return [...this.grants.values()].filter((grant) => grant.requestId.box === box);
   }
 
   /** Lists the use of all usable endpoints. */
--- a/packages/router/src/admission/slotMessages.ts
+++ b/packages/router/src/admission/slotMessages.ts
@@ -5,7 +5,7 @@
  */
 
 /** Identifies a request for a slot in the whole fleet. */
-export interface SlotTicket {
+export interface SlotRequestId {
   /** Address of the box that has the caller. */
   readonly box: string;
   /** Never used twice by that box. */
@@ -13,7 +13,7 @@
 }
 
 /** Request for a slot. */
-export interface SlotRequest extends SlotTicket {
+export interface SlotRequest extends SlotRequestId {
   readonly service: string;
   /** Urgency among the requests of the service; 0 is the most urgent. */
   readonly rank: number;
@@ -38,7 +38,7 @@
 }
 
 /** Answer to a request for a slot. `granted` and `rejected` are final. */
-export type SlotAnswer = SlotTicket &
+export type SlotAnswer = SlotRequestId &
   (
     | { readonly type: 'granted'; readonly service: string; readonly endpointTag: number }
     /** It waits; repeated requests get the same answer. */
@@ -59,7 +59,7 @@
   | 'unused';
 
 /** Release of a slot, or withdrawal of a request that waits. */
-export interface SlotRelease extends SlotTicket {
+export interface SlotRelease extends SlotRequestId {
   readonly service: string;
   readonly outcome: SlotOutcome;
   /** Time from sending the request to the end of the response; 0 if nothing was sent. */
@@ -91,10 +91,10 @@
 }
 
 /**
- * Returns the key of a ticket in maps.
+ * Returns the key of a request for a slot in maps.
  *
- * @example readTicketKey({ box: '10.0.0.1:7000', number: 7 }) // '10.0.0.1:7000 7'
+ * @example readSlotRequestKey({ box: '10.0.0.1:7000', number: 7 }) // '10.0.0.1:7000 7'
  */
-export function readTicketKey({ box, number }: SlotTicket): string {
+export function readSlotRequestKey({ box, number }: SlotRequestId): string {
   return `${box} ${number}`;
 }
--- a/packages/router/src/peers/__fixtures__/firstComeScheduler.ts
+++ b/packages/router/src/peers/__fixtures__/firstComeScheduler.ts
@@ -5,17 +5,17 @@
   SlotRelease,
   SlotRequest,
   SlotScheduling,
-  SlotTicket,
+  SlotRequestId,
 } from '../../admission/slotMessages.js';
 
-const toKey = ({ box, number }: SlotTicket): string => `${box}#${number}`;
+const toKey = ({ box, number }: SlotRequestId): string => `${box}#${number}`;
 
 /** Slots that were never released are freed after this time. */
 const HOLD_LIMIT_MS = 2_000;
 
 /** Schedules exactly the slots of one service. */
 export class FirstComeScheduler implements SlotScheduling {
-  /** Tag of the endpoint of each granted slot, by ticket. */
+  /** Tag of the endpoint of each granted slot, by request. */
   readonly grants = new Map<string, number>();
   readonly waiting = new Map<string, SlotRequest>();
   private readonly grantedAtMs = new Map<string, number>();
@@ -45,8 +45,8 @@
   }
 
   dropBox(box: string): SlotAnswer[] {
-    for (const tickets of [this.waiting, this.grants])
-      for (const key of tickets.keys()) if (key.startsWith(`${box}#`)) tickets.delete(key);
+    for (const requests of [this.waiting, this.grants])
+      for (const key of requests.keys()) if (key.startsWith(`${box}#`)) requests.delete(key);
     return this.grantFree();
   }
 
--- a/packages/router/src/peers/__tests__/slotRelayFleet.test.ts
+++ b/packages/router/src/peers/__tests__/slotRelayFleet.test.ts
@@ -86,7 +86,7 @@
   }
 
   private request(nowMs: number): void {
-    const ticket = this.client.apply({
+    const request = this.client.apply({
       latestStartAtMs: nowMs + 1_000,
       request: {
         service: 'app',
@@ -104,7 +104,7 @@
       onDecision: (decision) => {
         if (decision.type === 'proceed' && decision.endpointTag !== undefined) this.served += 1;
         else this.unserved += 1;
-        this.fleet.timeline.after(HOLD_MS, () => ticket.release('served'));
+        this.fleet.timeline.after(HOLD_MS, () => request.release('served'));
       },
     });
   }
--- a/packages/router/src/peers/slotFrames.ts
+++ b/packages/router/src/peers/slotFrames.ts
@@ -2,10 +2,10 @@
 import * as z from 'zod';
 import type { SlotAnswer, SlotRelease, SlotRequest } from '../admission/slotMessages.js';
 
-const ticket = { box: z.string(), number: z.number() };
+const slotRequestId = { box: z.string(), number: z.number() };
 
 const request = z.object({
-  ...ticket,
+  ...slotRequestId,
   service: z.string(),
   rank: z.number(),
   team: z.string(),
@@ -20,13 +20,13 @@
 }) satisfies z.ZodType<SlotRequest>;
 
 const answer = z.discriminatedUnion('type', [
-  z.object({ ...ticket, type: z.literal('granted'), service: z.string(), endpointTag: z.number() }),
-  z.object({ ...ticket, type: z.literal('queued'), expectedWaitMs: z.number() }),
-  z.object({ ...ticket, type: z.literal('rejected'), retryAfterMs: z.number() }),
+  z.object({ ...slotRequestId, type: z.literal('granted'), service: z.string(), endpointTag: z.number() }),
+  z.object({ ...slotRequestId, type: z.literal('queued'), expectedWaitMs: z.number() }),
+  z.object({ ...slotRequestId, type: z.literal('rejected'), retryAfterMs: z.number() }),
 ]) satisfies z.ZodType<SlotAnswer>;
 
 const release = z.object({
-  ...ticket,
+  ...slotRequestId,
   service: z.string(),
   outcome: z.enum(['served', 'failed', 'refused', 'unused']),
   heldMs: z.number(),
--- a/packages/router/src/peers/slotRelay.ts
+++ b/packages/router/src/peers/slotRelay.ts
@@ -2,7 +2,7 @@
  * Brings requests for slots to the box that schedules them, and the answers back. Each box routes its own requests; the
  * leader of a hall in a large fleet also those of its hall; the scheduling box hands them to `SlotScheduling`.
  *
- * For each ticket a box remembers the hop to which the request went last. Only that hop decides: a slot that another one
+ * For each request for a slot a box remembers the hop to which it went last. Only that hop decides: a slot that another one
  * grants, such as a former scheduling box whose answer was late, is given back at once. So no request holds two slots.
  * A hop that does not answer for a while is passed over, and messages of a box that is down are withdrawn.
  */
@@ -12,9 +12,9 @@
   SlotRelease,
   SlotRequest,
   SlotScheduling,
-  SlotTicket,
+  SlotRequestId,
 } from '../admission/slotMessages.js';
-import { readTicketKey } from '../admission/slotMessages.js';
+import { readSlotRequestKey } from '../admission/slotMessages.js';
 import type { SlotAnswersFrame, SlotReleasesFrame, SlotRequestsFrame } from './slotFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 import { SlotOutbox } from './slotOutbox.js';
@@ -30,8 +30,8 @@
 const VIEW_MS = 40;
 /** A tick that comes this much later means that this box itself stood still, and others may have answered meanwhile. */
 const MAX_TICK_DELAY_MS = 100;
-/** Tickets without a message for this long are forgotten; no request takes as long. */
-const TICKET_TTL_MS = 600_000;
+/** Requests without a message for this long are forgotten; no request takes as long. */
+const HOP_TTL_MS = 600_000;
 const SWEEP_INTERVAL_MS = 10_000;
 
 /** Dependencies and callbacks of the relay. */
@@ -63,7 +63,7 @@
   readonly isPreviousLost: boolean;
 }
 
-interface TicketRecord extends SlotTicket {
+interface HopRecord extends SlotRequestId {
   readonly service: string;
   /** Box to which the request was sent last; the own address if this box schedules it. */
   hop: string;
@@ -87,7 +87,7 @@
 /** Routes the messages about slots of one box. */
 export class SlotRelay {
   private readonly outbox: SlotOutbox;
-  private readonly records = new Map<string, TicketRecord>();
+  private readonly records = new Map<string, HopRecord>();
   private view: RelayView | undefined;
   /** When the first request without an answer was sent, by hop. */
   private readonly unansweredSinceMs = new Map<string, number>();
@@ -120,7 +120,7 @@
 
   /** Routes a release or a withdrawal of this box. */
   release(release: SlotRelease): void {
-    const key = readTicketKey(release);
+    const key = readSlotRequestKey(release);
     const record = this.records.get(key);
     this.records.delete(key);
     if (record !== undefined) this.sendRelease(record.hop, release);
@@ -136,7 +136,7 @@
     this.unansweredSinceMs.delete(address);
     if (!this.isPassedOver(address)) this.passedOver.delete(address);
     for (const answer of answers) {
-      if (this.records.get(readTicketKey(answer))?.hop === address) this.passOn(answer);
+      if (this.records.get(readSlotRequestKey(answer))?.hop === address) this.passOn(answer);
       else if (answer.type === 'granted') this.outbox.addRelease(address, createUnusedRelease(answer));
     }
   }
@@ -144,7 +144,7 @@
   /** Handles releases of another box. One that comes late over a former way would free a slot that is in use. */
   handleReleases({ address, releases }: SlotReleasesFrame): void {
     for (const release of releases) {
-      const record = this.records.get(readTicketKey(release));
+      const record = this.records.get(readSlotRequestKey(release));
       if (record === undefined) this.sendRelease(this.findHopFor(release.service, address), release);
       else if (record.from === address) this.release(release);
     }
@@ -163,17 +163,17 @@
 
   private route(request: SlotRequest, from: string, hop: string): void {
     const { box, number, service } = request;
-    const known = this.records.get(readTicketKey(request));
+    const known = this.records.get(readSlotRequestKey(request));
     // What waits at a box that still answers, such as one that is about to stop, keeps its place there.
     if (known !== undefined && this.answers(known.hop)) return this.send(request, { ...known, from });
     if (known !== undefined) this.sendRelease(known.hop, createUnusedRelease(request));
     this.send(request, { box, number, service, hop, from, updatedAtMs: 0 });
   }
 
-  private send(request: SlotRequest, record: TicketRecord): void {
+  private send(request: SlotRequest, record: HopRecord): void {
     const { now, mesh, scheduling } = this.options;
     const { service, hop } = record;
-    this.records.set(readTicketKey(record), { ...record, updatedAtMs: now() });
+    this.records.set(readSlotRequestKey(record), { ...record, updatedAtMs: now() });
     if (hop !== mesh.address) return this.outbox.addRequest(hop, request);
     if (!this.scheduled.has(service)) this.startScheduling(service);
     this.deliver(scheduling.handleRequest(request, now()));
@@ -189,14 +189,14 @@
   private deliver(answers: readonly SlotAnswer[]): void {
     const { mesh, scheduling, now } = this.options;
     for (const answer of answers) {
-      if (this.records.get(readTicketKey(answer))?.hop === mesh.address) this.passOn(answer);
+      if (this.records.get(readSlotRequestKey(answer))?.hop === mesh.address) this.passOn(answer);
       else if (answer.type === 'granted')
         this.deliver(scheduling.handleRelease(createUnusedRelease(answer), now()));
     }
   }
 
   private passOn(answer: SlotAnswer): void {
-    const key = readTicketKey(answer);
+    const key = readSlotRequestKey(answer);
     const record = this.records.get(key);
     if (record === undefined) return;
     if (answer.type === 'rejected') this.records.delete(key);
@@ -260,9 +260,9 @@
     if (nowMs - this.sweptAtMs < SWEEP_INTERVAL_MS) return;
     this.sweptAtMs = nowMs;
     for (const [key, { updatedAtMs }] of this.records)
-      if (nowMs - updatedAtMs > TICKET_TTL_MS) this.records.delete(key);
+      if (nowMs - updatedAtMs > HOP_TTL_MS) this.records.delete(key);
     for (const [hop, { untilMs }] of this.passedOver)
-      if (nowMs - untilMs > TICKET_TTL_MS) this.passedOver.delete(hop);
+      if (nowMs - untilMs > HOP_TTL_MS) this.passedOver.delete(hop);
   }
 
   /** Reports services whose requests go to another hop from now on, so that waiting ones are repeated there at once. */
@@ -340,6 +340,6 @@
   box,
   number,
   service,
-}: SlotTicket & { readonly service: string }): SlotRelease {
+}: SlotRequestId & { readonly service: string }): SlotRelease {
   return { box, number, service, outcome: 'unused', heldMs: 0 };
 }
