Comments: why a late tunnel may not count, and what a reported time means

Cause: the read of the diff found one comment too long and one reason missing.

Change: two comments.

--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -92,7 +92,8 @@
       if (attempt.isTunnelled === true) onTunnelled?.(row, dialed.val);
       return Err({ way: 'direct', failure: dialed.val });
     };
-    // Also called for a tunnel that is opened too late for this connection: the next one takes the path.
+    // Also called for a tunnel that is opened too late for this connection: the next one takes the path, unless a direct
+    // connection has shown meanwhile that the box is not cut off.
     const handleOpened = (): void => {
       if ((this.directAtMs.get(row) ?? -Infinity) >= startedAtMs) return;
       this.pauses.delete(row);
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -17,7 +17,7 @@
   readonly sentAtMs: number;
   /** On the reporter's clock. */
   readonly endedAtMs: number;
-  /** End of the run on the clock of the box that keeps the record, late by the time that its reporter's fastest report took. */
+  /** End of the run on the clock of the box that keeps the record, late by the time of its reporter's fastest report. */
   readonly localEndAtMs: number;
   /** The box that keeps the record observed the crash itself. */
   readonly isLocal?: boolean;
