Dialer: the state of an attempt is one record, its ways are methods

Cause: `connect` had grown to four closures over three flags, two of them passed down through two functions as callbacks.

Change: `ConnectAttempt` is passed instead; the ways, and what an opened tunnel leads to, are methods. Behaviour is the same.

--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -8,8 +8,8 @@
 import type { Result } from '@hazelwalk/core';
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
-import type { TunnelFailure, TunnelPeer } from '../tunnels/tunnelCandidates.js';
-import type { TunnelClient } from '../tunnels/tunnelClient.js';
+import type { TunnelFailure } from '../tunnels/tunnelCandidates.js';
+import type { OpenTunnel, TunnelClient } from '../tunnels/tunnelClient.js';
 import type { Dial } from './dialTcp.js';
 import { dialTcp } from './dialTcp.js';
 import { raceConnections } from './raceConnections.js';
@@ -61,6 +61,18 @@
   readonly onDirect?: ((row: EndpointRow) => void) | undefined;
 }
 
+/** One attempt to connect to an endpoint, on all ways. */
+interface ConnectAttempt {
+  readonly row: EndpointRow;
+  readonly startedAtMs: number;
+  readonly isTunnelFirst: boolean;
+  hasTriedTunnels?: boolean;
+  /** A tunnel was opened. */
+  isTunnelled?: boolean;
+  /** Why the direct connection failed. */
+  failure?: DialFailure;
+}
+
 interface TunnelPause {
   readonly lengthMs: number;
   readonly untilMs: number;
@@ -82,41 +94,22 @@
    * @example (await dialer.connect(row)).map(({ tunnel }) => tunnel) // Ok(undefined) for a direct connection
    */
   async connect(row: EndpointRow): Promise<Result<DialedConnection, DialFailure>> {
-    const { onTunnelled } = this.options;
-    const startedAtMs = this.options.now();
-    const attempt: { failure?: DialFailure; isTunnelled?: boolean; hasTriedTunnels?: boolean } = {};
-    const direct: Way = async () => {
-      const dialed = await this.connectDirectly(row);
-      if (dialed.ok) return dialed;
-      attempt.failure = dialed.val;
-      if (attempt.isTunnelled === true) onTunnelled?.(row, dialed.val);
-      return Err({ way: 'direct', failure: dialed.val });
+    const attempt: ConnectAttempt = {
+      row,
+      startedAtMs: this.options.now(),
+      isTunnelFirst: row.path.type === 'tunnel',
     };
-    // Also called for a tunnel that is opened too late for this connection: the next one takes the path, unless a direct
-    // connection has shown meanwhile that the box is not cut off.
-    const handleOpened = (): void => {
-      if ((this.directAtMs.get(row) ?? -Infinity) >= startedAtMs) return;
-      this.pauses.delete(row);
-      attempt.isTunnelled = true;
-      if (attempt.failure !== undefined) onTunnelled?.(row, attempt.failure);
-    };
-    const isTunnelFirst = row.path.type === 'tunnel';
-    // Most direct connections succeed, and then no box is looked up for a tunnel.
-    const listTunnelWays = (): Iterable<Way> =>
-      this.listTunnelWays(row, () => (attempt.hasTriedTunnels = true), handleOpened);
-    const connected = await raceConnections(orderWays(direct, listTunnelWays, isTunnelFirst), {
+    const connected = await raceConnections(this.listWays(attempt), {
       staggerMs: NEXT_WAY_DELAY_MS,
-      limitMs: isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
+      limitMs: attempt.isTunnelFirst ? TUNNELLED_TIMEOUT_MS : ALL_WAYS_TIMEOUT_MS,
       isFinal: ({ way, failure }) => way === 'tunnel' && failure === 'connectRefused',
       discard: ({ socket }) => socket.destroy(),
     });
-    if (connected.err) {
-      // Another connection has found the path through other boxes meanwhile; this failure is older than that.
-      if (!isTunnelFirst && row.path.type === 'tunnel') return this.connect(row);
-      if (attempt.hasTriedTunnels === true) this.pauseTunnels(row, startedAtMs);
-      return Err(summarizeFailures(connected.val));
-    }
-    return connected;
+    if (connected.ok) return connected;
+    // Another connection has found the path through other boxes meanwhile; this failure is older than that.
+    if (!attempt.isTunnelFirst && row.path.type === 'tunnel') return this.connect(row);
+    if (attempt.hasTriedTunnels === true) this.pauseTunnels(attempt);
+    return Err(summarizeFailures(connected.val));
   }
 
   /** Connects to an endpoint directly, whatever its path. */
@@ -156,17 +149,52 @@
     });
   }
 
-  /** The boxes through which to connect; each is picked when it is its turn. */
-  private *listTunnelWays(row: EndpointRow, onTried: () => void, onOpened: () => void): Generator<Way, void> {
+  /** The ways to connect in the order in which they are tried; each tunnel is picked when it is its turn. */
+  private *listWays(attempt: ConnectAttempt): Generator<Way, void> {
+    const direct: Way = () => this.tryDirectly(attempt);
+    // Most direct connections succeed, and then no box is looked up for a tunnel.
+    if (!attempt.isTunnelFirst) yield direct;
+    yield* this.listTunnelWays(attempt);
+    if (attempt.isTunnelFirst) yield direct;
+  }
+
+  private *listTunnelWays(attempt: ConnectAttempt): Generator<Way, void> {
     const { tunnels, now } = this.options;
+    const { row } = attempt;
     if (tunnels === undefined || now() < (this.pauses.get(row)?.untilMs ?? -Infinity)) return;
     for (const peer of tunnels.listCandidates(row)) {
-      onTried();
-      yield () => openTunnel(tunnels, peer, row, onOpened);
+      attempt.hasTriedTunnels = true;
+      yield async () => {
+        const opened = await tunnels.open(peer, row);
+        if (opened.err) return Err({ way: 'tunnel', failure: opened.val });
+        this.recordOpened(attempt);
+        return Ok(describeTunnel(opened.val));
+      };
     }
   }
 
-  private pauseTunnels(row: EndpointRow, startedAtMs: number): void {
+  private async tryDirectly(attempt: ConnectAttempt): Promise<Result<DialedConnection, WayFailure>> {
+    const { row } = attempt;
+    const dialed = await this.connectDirectly(row);
+    if (dialed.ok) return dialed;
+    attempt.failure = dialed.val;
+    if (attempt.isTunnelled === true) this.options.onTunnelled?.(row, dialed.val);
+    return Err({ way: 'direct', failure: dialed.val });
+  }
+
+  /**
+   * Records that a tunnel was opened, be it too late for this connection: the next one takes the path, unless a direct
+   * connection has shown meanwhile that the box is not cut off.
+   */
+  private recordOpened(attempt: ConnectAttempt): void {
+    const { row, startedAtMs, failure } = attempt;
+    if ((this.directAtMs.get(row) ?? -Infinity) >= startedAtMs) return;
+    this.pauses.delete(row);
+    attempt.isTunnelled = true;
+    if (failure !== undefined) this.options.onTunnelled?.(row, failure);
+  }
+
+  private pauseTunnels({ row, startedAtMs }: ConnectAttempt): void {
     const before = this.pauses.get(row);
     // Connections that began together fail together: they are one failure.
     if (before !== undefined && startedAtMs < before.untilMs) return;
@@ -175,33 +203,13 @@
   }
 }
 
-async function openTunnel(
-  tunnels: Pick<TunnelClient, 'open'>,
-  peer: TunnelPeer,
-  row: EndpointRow,
-  onOpened: () => void,
-): Promise<Result<DialedConnection, WayFailure>> {
-  const opened = await tunnels.open(peer, row);
-  if (opened.err) return Err({ way: 'tunnel', failure: opened.val });
-  onOpened();
-  const { stream, name } = opened.val;
-  return Ok({
+function describeTunnel({ stream, name }: OpenTunnel): DialedConnection {
+  return {
     socket: stream,
     tunnel: name,
     wasReset: () => stream.errored !== null,
     setRetireHandler: (onRetire) => stream.setRetireHandler(onRetire),
-  });
-}
-
-/** The ways to connect in the order in which they are tried; tunnels are listed only when it is their turn. */
-function* orderWays(
-  direct: Way,
-  listTunnelWays: () => Iterable<Way>,
-  isTunnelFirst: boolean,
-): Generator<Way, void> {
-  if (!isTunnelFirst) yield direct;
-  yield* listTunnelWays();
-  if (isTunnelFirst) yield direct;
+  };
 }
 
 /** The failure of the direct way, unless other boxes saw something else than a refusal. */
