--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,6 +3,6 @@
 # `--deployment lavanda|granja`.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ -d node_modules/most ] || npm ci --no-audit --no-fund
+npm ls >/dev/null 2>&1 || npm ci --no-audit --no-fund
 npm run --silent build
 exec node packages/standins/dist/demo.js "$@"
