Streams: logs and metrics show at which software version a stream goes on

The version of an entry was decoded and dropped, and no line says that a caller took up a stream.

Change: the listing of an endpoint holds the version of its software, the frames between boxes carry it, and the request of a caller says which stream it takes up. The lines `sentAgain` and `attemptBroke` state the version; a new line `streamContinued` and a counter say by whom a stream goes on, and at which version. No decision changes.

--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -22,6 +22,8 @@
   readonly retries = this.counter('retries', 'Requests sent again', ['reason']);
   /** Denied retries by reason. */
   readonly retriesDenied = this.counter('retries_denied', 'Requests not sent again', ['reason']);
+  /** Streams that went on at an endpoint, resumed by this box or taken up by their caller. */
+  readonly streamsContinued = this.counter('streams_continued', 'Streams sent on to an endpoint', ['by']);
   /** Attempts by how they ended. */
   readonly attempts = this.counter('attempts', 'Attempts at endpoints', ['end']);
   /** Placements by how the endpoint was chosen. */
--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -69,6 +69,7 @@
   bytes: 55,
   isReset: 56,
   others: 57,
+  softwareVersion: 58,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -34,6 +34,7 @@
   state: z.enum(['live', 'leaving']),
   coldMs: z.number().nonnegative().optional(),
   bornMs: z.number().optional(),
+  softwareVersion: z.string().optional(),
 }) satisfies z.ZodType<ListedEndpoint>;
 
 /** Platform connectivity of the sender; absent if it neither reads the platform nor gets all changes from a watcher. */
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -17,7 +17,7 @@
 import { AttemptOpener } from './attemptOpener.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields, RetryReason } from './exchangeLog.js';
-import { logBreak, logRetry } from './exchangeLog.js';
+import { logBreak, logContinuation, logRetry } from './exchangeLog.js';
 import { pickReturnMs, pickRetryAfterMs } from './refusal.js';
 import { RequestIntake } from './requestIntake.js';
 import { RequestEnding } from './requestEnding.js';
@@ -154,9 +154,18 @@
     this.lastActivityAtMs = nowMs;
     attempt.sentAtMs = nowMs;
     attempt.handedOverAtMs = nowMs;
+    this.recordContinuation(attempt);
     if (attempt.row.inFlight === 1) attempt.row.busySinceMs = nowMs;
   }
 
+  private recordContinuation(attempt: Attempt): void {
+    const { lastEventId, resumedRequestId } = this.request;
+    const isResumed = this.delivery?.hasStarted === true;
+    if (!isResumed && lastEventId === undefined) return;
+    const by = isResumed ? 'box' : 'caller';
+    logContinuation(this.context, this.createLogFields(), attempt.row, { by, resumedRequestId });
+  }
+
   private handleUnsent(attempt: Attempt, reason: UnsentReason): void {
     this.drop(attempt, reason);
     if (reason === 'callerLeft') return this.handleCallerClosed();
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -63,6 +63,7 @@
     reason,
     detail,
     endpoint: row.listing.id,
+    softwareVersion: row.listing.softwareVersion,
     endpointInFlight: row.inFlight,
     standing: row.health.type,
     heardAgoMs: Math.round(context.now() - row.lastResponseAtMs),
@@ -89,11 +90,36 @@
     ...fields,
     ...broken,
     endpoint: attempt.row.listing.id,
+    softwareVersion: attempt.row.listing.softwareVersion,
     endpointInFlight: attempt.row.inFlight,
     sentAgoMs: Math.round(context.now() - attempt.handedOverAtMs),
   });
 }
 
+/** A stream that goes on at an endpoint. */
+export interface ContinuedStream {
+  /** Whether this box resumes it or its caller has taken it up. */
+  readonly by: 'box' | 'caller';
+  /** Id of the request that began it, if the caller names it. */
+  readonly resumedRequestId: string | undefined;
+}
+
+/** Logs and counts that a stream goes on at an endpoint, with its software version. */
+export function logContinuation(
+  context: RouterContext,
+  fields: ExchangeLogFields,
+  { listing }: EndpointRow,
+  stream: ContinuedStream,
+): void {
+  context.metrics.streamsContinued.inc({ by: stream.by });
+  context.log.write('notable', 'streamContinued', {
+    ...fields,
+    ...stream,
+    endpoint: listing.id,
+    softwareVersion: listing.softwareVersion,
+  });
+}
+
 /** Logs and counts that the retry budget denies a retry. */
 export function logRetryDenied(
   context: RouterContext,
--- a/packages/router/src/records.ts
+++ b/packages/router/src/records.ts
@@ -111,6 +111,11 @@
   readonly coldMs?: number | undefined;
   /** Start time of its process in Unix milliseconds; undefined if not reported. */
   readonly bornMs?: number | undefined;
+  /**
+   * Version of its software, which has no order; empty if its entry states none. Undefined if the entry was relayed by a box
+   * of an earlier version, which drops it.
+   */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** One part of a prompt; equal ids mean equal texts. */
@@ -127,6 +132,10 @@
   readonly apiKey: string | undefined;
   /** Parts in order; the last one belongs to this request only. Empty for plain services. */
   readonly promptParts: readonly PromptPart[];
+  /** Id of the last event that the caller has received, if it takes up a stream. */
+  readonly lastEventId?: string | undefined;
+  /** Id of the request that brought the first event of the stream that the caller takes up. */
+  readonly resumedRequestId?: string | undefined;
 }
 
 /** Load of an endpoint, as it reports it in a response. */
