Streams: a stream goes on only at the software version that began it

Cause: an attempt is placed by service, prompt and load alone. Whatever continues a stream (a box's own resumption, a retry after a refused or unsent one, a caller who comes back at any box) was placed as if nothing had been written yet; the version in an endpoint's entry was dropped, and no box knew of streams that began at another one. A resumption that an endpoint refused was also sent again without its last event, so that its events came twice. The class: a choice is made by less than what identifies the request.

Change: a request is bound to the version of the endpoint that wrote its first event, and placement chooses among the endpoints of that version only, within the load bound of the whole service. A box where a caller takes a stream up asks those it is linked to. With one version nothing is sent; that a version is the only one must be certain for as long as streams go on, or said by all halls. Otherwise the request is refused with 2028 or 2029 and has not run.

--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -122,6 +122,18 @@
     'The endpoints asked to get no requests for a while',
     'Come back after Retry-After.',
   ),
+  streamVersionUnknown: info(
+    2028,
+    503,
+    'It is not known which software version began the stream',
+    'Come back after Retry-After, or begin anew.',
+  ),
+  streamVersionGone: info(
+    2029,
+    503,
+    'No endpoint has the software version that began the stream',
+    'Begin anew.',
+  ),
 
   deadlineExceeded: info(3001, 504, 'The deadline passed', 'Ask again with more time.'),
   stewardLost: info(
--- a/packages/router/src/__fixtures__/createEndpoints.ts
+++ b/packages/router/src/__fixtures__/createEndpoints.ts
@@ -8,7 +8,17 @@
 
 /** Creates the listing of a live endpoint of the service `llm` in the hall `a`. */
 export function createListing(id: string, changes: Partial<ListedEndpoint> = {}): ListedEndpoint {
-  return { id, service: 'llm', host: '10.0.0.1', port: 80, hall: 'a', slots: 8, state: 'live', ...changes };
+  return {
+    id,
+    service: 'llm',
+    host: '10.0.0.1',
+    port: 80,
+    hall: 'a',
+    slots: 8,
+    state: 'live',
+    softwareVersion: '',
+    ...changes,
+  };
 }
 
 /** Creates the limiter of a box that is the only one in the hall `a`. */
--- a/packages/router/src/__tests__/exchange.test.ts
+++ b/packages/router/src/__tests__/exchange.test.ts
@@ -116,6 +116,7 @@
     quarantine: { isEmpty: true },
     crashCheck: { check: async () => 'alive' },
     readIndex: () => index,
+    streams: { tracker: { recordFirstEvent: () => {}, recordEnd: () => {} } },
     recordHealthSignal: (_row: EndpointRow, signal: string) => void signals.push(signal),
   } as unknown as RouterContext;
   const req = Object.assign(Readable.from([]), { headers: {}, rawHeaders: [], complete: true, socket: {} });
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -141,7 +141,7 @@
         return this.handleFeedLost(input.reason);
       case 'peerFrame':
         return this.parts.work.measure(findWorkKind(input.frame.type), () =>
-          dispatchPeerFrame(input.frame, this.parts.peerFrameHandlers),
+          dispatchPeerFrame(input.frame, this.parts.peerFrameHandlers, input.reply),
         );
       case 'featuresChanged':
         return this.applyFeatures(input.features);
@@ -163,6 +163,7 @@
     work.measure('loads', () => this.parts.loadRelay.tick());
     work.measure('slots', () => this.parts.admission.tick(nowMs));
     work.measure('crashNews', () => this.parts.quarantineRelay.tick());
+    work.measure('streams', () => this.parts.streams.tick(nowMs));
     work.measure('membership', () => this.parts.heartbeatSender.tick(nowMs));
     this.parts.gracefulShutdown.tick();
   }
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -2,6 +2,7 @@
 import { createHasher } from '@hazelwalk/core';
 import { createRandom, Timeline } from '@hazelwalk/standins';
 import type { Heartbeat, RouterFrame } from '../../peers/peerFrames.js';
+import type { Reply } from '../../peers/peerMesh.js';
 import { PeerMesh } from '../../peers/peerMesh.js';
 import type { CrashSnapshot } from '../../quarantine/quarantineRelay.js';
 import { VirtualNetwork } from './virtualNetwork.js';
@@ -14,7 +15,7 @@
 
 /** The program of a box on top of its membership; each run of its process creates a new one. */
 export interface VirtualProgram {
-  handleFrame(frame: RouterFrame): void;
+  handleFrame(frame: RouterFrame, reply: Reply): void;
   tick(): void;
   /** Loads that heartbeats carry in a full mesh. */
   listLoads(): number[];
@@ -151,6 +152,7 @@
       incarnation: mesh.incarnation,
       isStopping: false,
       handlesSlots: true,
+      tracksStreams: true,
     });
     const mesh: PeerMesh = new PeerMesh(
       {
@@ -165,7 +167,7 @@
       {
         createHeartbeat: () => ({ ...createHeartbeat(), ...box.program?.createCrashSnapshot?.() }),
         onFrameRead: () => {},
-        onFrame: (frame) => box.program?.handleFrame(frame),
+        onFrame: (frame, reply) => box.program?.handleFrame(frame, reply),
         onProblem: () => {},
         onStateChange: (peer, state) => {
           if (state === 'down') box.downAtMs.set(peer, timeline.nowMs);
--- a/packages/router/src/membership/fleetDirectory.ts
+++ b/packages/router/src/membership/fleetDirectory.ts
@@ -254,7 +254,8 @@
     return { hall, boxes: known.boxes, addresses: [...known.addresses], ageMs: now() - known.reportedAtMs };
   }
 
-  private listHalls(): string[] {
+  /** Names of the known halls, the own one included. */
+  listHalls(): string[] {
     const halls = new Set([this.options.hall, ...this.halls.keys()]);
     for (const box of this.boxes.values()) if (box.hall !== undefined) halls.add(box.hall);
     return [...halls];
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -24,6 +24,10 @@
   readonly retriesDenied = this.counter('retries_denied', 'Requests not sent again', ['reason']);
   /** Streams that went on at an endpoint, resumed by this box or taken up by their caller. */
   readonly streamsContinued = this.counter('streams_continued', 'Streams sent on to an endpoint', ['by']);
+  /** Streams that callers took up at this box, by how the version that began them was found. */
+  readonly streamLookups = this.counter('stream_lookups', 'Streams taken up by callers', ['result']);
+  /** Streams whose first version this box knows, its own and those that other boxes reported. */
+  readonly knownStreams = this.gauge('known_streams', 'Streams whose software version is known here');
   /** Attempts by how they ended. */
   readonly attempts = this.counter('attempts', 'Attempts at endpoints', ['end']);
   /** Placements by how the endpoint was chosen. */
--- a/packages/router/src/observability/workMeter.ts
+++ b/packages/router/src/observability/workMeter.ts
@@ -28,6 +28,8 @@
   'crashNews',
   /** Requesting, relaying and scheduling slots. */
   'slots',
+  /** Reporting and looking up the versions that began streams. */
+  'streams',
   /** Checking requests in progress and endpoints for timeouts and silence. */
   'timeouts',
 ] as const;
--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -6,7 +6,10 @@
 import type { LoadRelay } from './loadRelay.js';
 import type { WorkKind } from '../observability/workMeter.js';
 import type { PeerFrame, RouterFrame, TunnelFrame } from './peerFrames.js';
+import type { Reply } from './peerMesh.js';
 import type { SlotRelay } from './slotRelay.js';
+import type { OriginLookup } from '../streams/originLookup.js';
+import type { StreamTracker } from '../streams/streamTracker.js';
 import type { PeerValueSync } from './peerValueSync.js';
 
 /** Components that handle frames from peers. */
@@ -17,15 +20,18 @@
   readonly valueSync: PeerValueSync;
   readonly feedRelay: FeedRelay;
   readonly slotRelay: SlotRelay;
+  readonly streamTracker: StreamTracker;
+  readonly originLookup: OriginLookup;
   readonly state: PublishedState;
 }
 
 /**
  * Dispatches one frame to the components that handle it.
  *
- * @example dispatchPeerFrame({ type: 'valueRequest', ...request }, handlers) // valueSync sends the requested value
+ * @param reply answers on the connection on which the frame was received
+ * @example dispatchPeerFrame({ type: 'valueRequest', ...request }, handlers, reply) // valueSync sends the requested value
  */
-export function dispatchPeerFrame(frame: RouterFrame, handlers: PeerFrameHandlers): void {
+export function dispatchPeerFrame(frame: RouterFrame, handlers: PeerFrameHandlers, reply: Reply): void {
   const { promptHolders, loadRelay, quarantineRelay, valueSync, feedRelay, slotRelay, state } = handlers;
   switch (frame.type) {
     case 'heartbeat':
@@ -57,6 +63,12 @@
       return slotRelay.handleAnswers(frame);
     case 'slotReleases':
       return slotRelay.handleReleases(frame);
+    case 'streamOrigins':
+      return handlers.streamTracker.handleOrigins(frame);
+    case 'streamLookup':
+      return handlers.originLookup.handleLookup(frame, reply);
+    case 'streamLookupReply':
+      return handlers.originLookup.handleReply(frame);
   }
 }
 
@@ -94,5 +106,9 @@
     case 'slotAnswers':
     case 'slotReleases':
       return 'slots';
+    case 'streamOrigins':
+    case 'streamLookup':
+    case 'streamLookupReply':
+      return 'streams';
   }
 }
--- a/packages/router/src/peers/heartbeatSender.ts
+++ b/packages/router/src/peers/heartbeatSender.ts
@@ -80,6 +80,7 @@
       isStopping: this.options.isStopping(),
       handlesSlots: this.options.handlesSlots(),
       servesTunnels: this.options.servesTunnels(),
+      tracksStreams: true,
     };
   }
 }
--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -70,6 +70,15 @@
   isReset: 56,
   others: 57,
   softwareVersion: 58,
+  tracksStreams: 59,
+  origins: 60,
+  streams: 61,
+  stream: 62,
+  via: 63,
+  softwareVersions: 64,
+  coveredMs: 65,
+  listedMs: 66,
+  origin: 67,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -14,6 +14,7 @@
   tunnelRetireSchema,
 } from '../tunnels/tunnelFrames.js';
 import { crashedRunSchema, crashReportsSchema, quarantinedRequestSchema } from './crashFrames.js';
+import { streamLookupReplySchema, streamLookupSchema, streamOriginsSchema } from '../streams/streamFrames.js';
 import { slotAnswersSchema, slotReleasesSchema, slotRequestsSchema } from './slotFrames.js';
 
 /**
@@ -82,6 +83,8 @@
   handlesSlots: z.boolean().optional(),
   /** Whether the sender opens tunnels to endpoints for other boxes. Omitted by earlier versions, which do not. */
   servesTunnels: z.boolean().optional(),
+  /** Whether the sender handles frames about streams. Omitted by earlier versions, which close a link that carries one. */
+  tracksStreams: z.boolean().optional(),
   /** On a new link: runs that were in flight when their endpoints crashed; absent if there are none. */
   crashes: z.array(crashedRunSchema).optional(),
   /** On a new link: quarantined requests; absent if there are none. */
@@ -292,6 +295,9 @@
   slotRequestsSchema,
   slotAnswersSchema,
   slotReleasesSchema,
+  streamOriginsSchema,
+  streamLookupSchema,
+  streamLookupReplySchema,
   tunnelRequestSchema,
   tunnelReplySchema,
   tunnelDataSchema,
--- a/packages/router/src/peers/peerMesh.ts
+++ b/packages/router/src/peers/peerMesh.ts
@@ -36,8 +36,8 @@
   readonly createHeartbeat: () => Heartbeat;
   /** Called for every frame that is received. */
   readonly onFrameRead: (type: PeerFrame['type']) => void;
-  /** Called for heartbeats and for frames that are not about membership. */
-  readonly onFrame: (frame: RouterFrame) => void;
+  /** Called for heartbeats and for frames that are not about membership; `reply` answers on the same connection. */
+  readonly onFrame: (frame: RouterFrame, reply: Reply) => void;
   readonly onProblem: (problem: Problem) => void;
   /** Called when a box of the own hall is found to be down, and when it is up again. */
   readonly onStateChange: (address: string, state: 'down' | 'up', reason: string) => void;
@@ -57,7 +57,8 @@
   readonly firstIncarnation: number;
 }
 
-type Reply = (frame: PeerFrame) => void;
+/** Sends a frame back on the connection on which another one was received. */
+export type Reply = (frame: PeerFrame) => void;
 
 /** The links, known peers and failure detection of one box. */
 export class PeerMesh {
@@ -180,6 +181,11 @@
     return this.peers.listHall(this.options.hall);
   }
 
+  /** Names of the known halls other than the own one, also of those that are cut off. */
+  listOtherHalls(): string[] {
+    return this.directory.listHalls().filter((hall) => hall !== this.options.hall);
+  }
+
   /** Number of known boxes of the fleet, including this one; seeds count even before their first heartbeat. */
   countBoxes(): number {
     return this.directory.countBoxes();
@@ -273,7 +279,7 @@
     // Tunnels have connections of their own; on a link such a frame has no meaning.
     if (isTunnelFrame(frame)) return;
     if (frame.type === 'heartbeat') this.recordHeartbeat(frame, reply);
-    this.handlers.onFrame(frame);
+    this.handlers.onFrame(frame, reply);
   }
 
   private handleMembership(frame: MembershipFrame, reply: Reply): void {
--- /dev/null
+++ b/packages/router/src/proxy/activeResponse.ts
@@ -0,0 +1,99 @@
+/** The response that one request delivers to its caller, and the attempt that writes it. */
+import type { ServerResponse } from 'node:http';
+import type { RouterContext } from '../routerContext.js';
+import type { Assignment } from './assignment.js';
+import type { Attempt, ResponseHead } from './attempt.js';
+import type { ResponseDelivery } from './responseDelivery.js';
+import { createDelivery } from './responseDelivery.js';
+import type { StreamContinuity } from './streamContinuity.js';
+
+/** The request whose response is delivered. */
+export interface ActiveResponseOptions {
+  readonly res: ServerResponse;
+  readonly arrivedAtMs: number;
+  readonly continuity: StreamContinuity;
+}
+
+/** The response to one request. */
+export class ActiveResponse {
+  /** Attempt whose response is delivered. */
+  winner: Attempt | undefined;
+  /** When the request was last sent, or data of the winner last received. */
+  lastActivityAtMs = 0;
+  private delivery: ResponseDelivery | undefined;
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly options: ActiveResponseOptions,
+  ) {}
+
+  /** Whether the head of a response was received that is, or will be, delivered. */
+  get hasHead(): boolean {
+    return this.delivery !== undefined;
+  }
+
+  /** Whether the caller has received a part of it. */
+  get hasStarted(): boolean {
+    return this.delivery?.hasStarted === true;
+  }
+
+  /** Whether another endpoint may go on with what the caller has received so far. */
+  get mayMove(): boolean {
+    if (this.delivery?.hasStarted !== true) return true;
+    return this.delivery.canResume && this.options.continuity.mayMove;
+  }
+
+  /** Id of the last event that the caller has received; undefined if it has received none. */
+  get resumeAfter(): string | undefined {
+    return this.delivery?.hasStarted === true ? this.delivery.lastEventId : undefined;
+  }
+
+  /** Continues with the response of an attempt; returns false if that cannot follow what the caller has received. */
+  accept(assignment: Assignment, attempt: Attempt, head: ResponseHead): boolean {
+    this.winner = attempt;
+    this.lastActivityAtMs = this.context.now();
+    if (this.delivery !== undefined) return head.status === this.delivery.status;
+    this.start(assignment, head);
+    return true;
+  }
+
+  /** Delivers data of the winner. */
+  push(assignment: Assignment, attempt: Attempt, chunk: Buffer): void {
+    if (attempt !== this.winner || this.delivery === undefined) return;
+    this.lastActivityAtMs = this.context.now();
+    attempt.row.lastResponseAtMs = this.lastActivityAtMs;
+    const hadStarted = this.delivery.hasStarted;
+    if (!this.delivery.push(chunk)) attempt.pause();
+    if (!hadStarted && this.delivery.hasStarted) this.recordFirstEvent(assignment, attempt);
+  }
+
+  /** Status of the response if it is whole; undefined if it ended too early. */
+  readWholeStatus(): number | undefined {
+    return this.delivery?.isComplete() === true ? this.delivery.status : undefined;
+  }
+
+  /** Sends what is left and ends the response. */
+  finish(): void {
+    this.delivery?.finish();
+  }
+
+  /** Drops what cannot be used of a response that broke off: an incomplete event, or all if the caller has received nothing. */
+  prepareRetry(): void {
+    if (this.delivery?.hasStarted === true) this.delivery.prepareResume();
+    else this.delivery = undefined;
+  }
+
+  private start({ service, route }: Assignment, head: ResponseHead): void {
+    const { context } = this;
+    const { res, arrivedAtMs } = this.options;
+    if (context.isStopping()) res.shouldKeepAlive = false;
+    this.delivery = createDelivery(res, head, route.kind === 'stream', route.isResumable);
+    context.metrics.firstByteMs.observe({ service }, context.now() - arrivedAtMs);
+  }
+
+  private recordFirstEvent(assignment: Assignment, { row, softwareVersion }: Attempt): void {
+    // An entry that has changed since the request was sent may describe another process than the one that writes.
+    const isSame = row.listing.softwareVersion === softwareVersion;
+    this.options.continuity.recordFirstEvent(assignment, isSame ? softwareVersion : undefined);
+  }
+}
--- a/packages/router/src/proxy/assignment.ts
+++ b/packages/router/src/proxy/assignment.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest, Route, Service, Team } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import { readSharedPrompt } from '../systems/placement.js';
+import type { RouteIndex } from '../systems/routeIndex.js';
 import { pickTarget } from '../systems/routeIndex.js';
 
 /** Route, team and service of a request. */
@@ -38,18 +39,42 @@
   const match = index.match(req.headers.host ?? '', readPath(req.url ?? '/'), request.apiKey);
   if (match.type === 'refused') return Err(match.code);
   const { route, team } = match;
-  const splitKey = readSharedPrompt(request.promptParts) ?? request.requestId;
+  const splitKey = readSharedPrompt(request.promptParts) ?? request.resumedRequestId ?? request.requestId;
   const service = pickTarget(route.targets, context.hash(splitKey)) ?? '';
+  return Ok(assignToService(index, { route, team }, service));
+}
+
+/**
+ * Assigns a request to another service of its route; undefined if the route does not lead there.
+ *
+ * @example moveToService(context, assignment, 'llm') // where its stream began, before the route was split anew
+ */
+export function moveToService(
+  context: RouterContext,
+  assignment: Assignment,
+  service: string,
+): Assignment | undefined {
+  if (service === assignment.service) return assignment;
+  const index = context.readIndex();
+  const isTarget = assignment.route.targets.some((target) => target.service === service);
+  return index === undefined || !isTarget ? undefined : assignToService(index, assignment, service);
+}
+
+function assignToService(
+  index: RouteIndex,
+  { route, team }: Pick<Assignment, 'route' | 'team'>,
+  service: string,
+): Assignment {
   const ranking = index.readRanking(service);
   const rank = ranking.readRank(route.priority, team?.priority);
-  return Ok({
+  return {
     route,
     team,
     service,
     declared: index.findService(service),
     rank,
     urgency: readEndpointUrgency(rank, ranking.rankCount),
-  });
+  };
 }
 
 function readPath(target: string): string {
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -153,6 +153,8 @@
   sentAtMs = 0;
   /** When the request was written to the connection, regardless of pauses. */
   handedOverAtMs = 0;
+  /** Software version of the endpoint when the request was sent; undefined if it is not known. */
+  softwareVersion: string | undefined;
   /** When a hedge, or a move of the stream, was last requested. */
   retryWantedAtMs = -Infinity;
   /** Whether the idle connections to the endpoint were closed because this connection was silent for too long. */
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -23,6 +23,8 @@
   readonly requestQuarantine: RequestQuarantine;
   readonly arrivedAtMs: number;
   readonly readExpiry: () => number;
+  /** Id of the last event that the caller has received of this box; undefined if it has received none. */
+  readonly readResumeAfter: () => string | undefined;
   readonly hasEnded: () => boolean;
   readonly createLogFields: () => ExchangeLogFields;
   /** Ends the request, unless another attempt is in progress. */
@@ -54,31 +56,26 @@
   /**
    * Opens an attempt at an endpoint, at once or after a wait, or gives up if none can be chosen. Does nothing if an
    * attempt waits already.
-   *
-   * @param resumeAfter id of the last event that the caller has received, if a stream is resumed
    */
-  open(assignment: Assignment, resumeAfter: string | undefined): void {
+  open(assignment: Assignment): void {
     const { requestQuarantine, hasEnded, giveUp } = this.options;
     if (hasEnded() || this.isWaiting) return;
     const quarantinedMs = requestQuarantine.readRemainingMs();
     if (quarantinedMs > 0) return giveUp('requestQuarantined', () => quarantinedMs);
-    if (requestQuarantine.waitForDecision(() => this.open(assignment, resumeAfter))) return;
+    if (requestQuarantine.waitForDecision(() => this.open(assignment))) return;
     this.admission.enter(this.createRequest(assignment), (admission) =>
-      this.handleAdmission(assignment, resumeAfter, admission),
+      this.handleAdmission(assignment, admission),
     );
   }
 
-  private handleAdmission(
-    assignment: Assignment,
-    resumeAfter: string | undefined,
-    { decision, handle }: Admission,
-  ): void {
+  private handleAdmission(assignment: Assignment, { decision, handle }: Admission): void {
     const { attempts, requestQuarantine, readExpiry, hasEnded, giveUp } = this.options;
     const pickAwayMs = (): number => pickReturnMs(this.context, assignment.service, readExpiry());
     if (hasEnded()) return handle.release('unused');
     if (decision.type === 'reject') return this.reject(assignment, decision);
     const isPlacedRandomly = requestQuarantine.mustPlaceRandomly();
     const { endpointTag: grantedTag } = decision;
+    const resumeAfter = this.options.readResumeAfter();
     const opened = attempts.open(assignment, { resumeAfter, isPlacedRandomly, grantedTag, handle });
     if (opened.ok) return;
     handle.release('unused');
@@ -86,7 +83,7 @@
       return giveUp(opened.val.reason, () => pickRetryAfterFailureMs(opened.val, pickAwayMs));
     // The next request for a slot excludes the endpoint.
     this.unusableGrants += 1;
-    this.open(assignment, resumeAfter);
+    this.open(assignment);
   }
 
   private reject({ rank }: Assignment, { retryAfterMs, expectedWaitMs }: Rejection): void {
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -40,6 +40,8 @@
   readonly request: CallerRequest;
   /** Returns the time at which the request expires. */
   readonly readExpiry: () => number;
+  /** Version that the endpoint must have; undefined if any may be chosen. */
+  readonly readSoftwareVersion: () => string | undefined;
   readonly onEvent: (attempt: Attempt, event: AttemptEvent) => void;
 }
 
@@ -204,6 +206,7 @@
       allowedRegions: listRegionRestrictions(assignment),
       promptParts: isPlacedRandomly ? [] : this.listPromptParts(assignment),
       excluded: this.triedIds,
+      softwareVersion: this.options.readSoftwareVersion(),
     };
   }
 
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -8,8 +8,7 @@
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerRequest } from '../records.js';
 import type { RouterContext, RunningRequest } from '../routerContext.js';
-import type { ResponseDelivery } from './responseDelivery.js';
-import { createDelivery } from './responseDelivery.js';
+import { ActiveResponse } from './activeResponse.js';
 import type { Attempt, AttemptEvent, BreakReason, ResponseHead, UnsentReason } from './attempt.js';
 import type { Assignment } from './assignment.js';
 import { findHealthSignal, isLackOfRoom } from './attempt.js';
@@ -18,12 +17,13 @@
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields, RetryReason } from './exchangeLog.js';
 import { logBreak, logContinuation, logRetry } from './exchangeLog.js';
-import { pickReturnMs, pickRetryAfterMs } from './refusal.js';
+import { pickReturnMs, pickRetryAfterMs, pickTakeUpRetryMs } from './refusal.js';
 import { RequestIntake } from './requestIntake.js';
 import { RequestEnding } from './requestEnding.js';
 import type { RequestOutcome } from './requestEnding.js';
 import { RequestQuarantine } from './requestQuarantine.js';
 import { takeRetry } from './retryPermission.js';
+import { StreamContinuity } from './streamContinuity.js';
 import { isRepeatable } from './silence.js';
 import { isWaitingUseless, recordSilence, watchSilence } from './silenceWatch.js';
 
@@ -37,13 +37,12 @@
   private expiresAtMs = Infinity;
   private assignment: Assignment | undefined;
   private readonly attempts: AttemptSet;
-  private delivery: ResponseDelivery | undefined;
-  private winner: Attempt | undefined;
-  private lastActivityAtMs = 0;
   private readonly intake: RequestIntake;
   private readonly requestQuarantine: RequestQuarantine;
   private readonly ending: RequestEnding;
   private readonly opener: AttemptOpener;
+  private readonly continuity: StreamContinuity;
+  private readonly response: ActiveResponse;
 
   constructor(
     private readonly context: RouterContext,
@@ -60,10 +59,14 @@
       onAssigned: (assignment, body) => this.handleAssigned(assignment, body),
       onRefused: (code) => this.ending.refuse(code, code === 'notReady' ? this.pickReturnMs() : 0),
     });
+    const { arrivedAtMs } = this;
+    this.continuity = new StreamContinuity(context, request);
+    this.response = new ActiveResponse(context, { res, arrivedAtMs, continuity: this.continuity });
     this.attempts = new AttemptSet(context, {
       req,
       request,
       readExpiry: () => this.expiresAtMs,
+      readSoftwareVersion: () => this.continuity.softwareVersion,
       onEvent: (attempt, event) => this.handleEvent(attempt, event),
     });
     this.requestQuarantine = new RequestQuarantine(context, {
@@ -76,6 +79,7 @@
       requestQuarantine: this.requestQuarantine,
       arrivedAtMs: this.arrivedAtMs,
       readExpiry: () => this.expiresAtMs,
+      readResumeAfter: () => this.response.resumeAfter,
       hasEnded: () => this.ending.hasEnded,
       createLogFields: () => this.createLogFields(),
       giveUp: (code, pickRetryMs) => this.giveUp(code, pickRetryMs),
@@ -84,7 +88,7 @@
       req,
       res,
       request,
-      hasResponseStarted: () => this.delivery?.hasStarted === true,
+      hasResponseStarted: () => this.response.hasStarted,
       onEnded: (outcome) => this.handleEnded(outcome),
       createLogFields: () => this.createLogFields(),
     });
@@ -96,7 +100,7 @@
     context.exchanges.add(this);
     this.expiresAtMs = this.arrivedAtMs + (this.request.deadlineMs ?? DEFAULT_DEADLINE_MS);
     res.on('close', () => this.handleCallerClosed());
-    res.on('drain', () => this.winner?.resume());
+    res.on('drain', () => this.response.winner?.resume());
     req.on('error', () => this.handleCallerClosed());
     this.intake.start();
   }
@@ -111,22 +115,31 @@
 
   /** Shifts the timestamps by a pause of this process, during which it could not receive responses. */
   handlePause(pausedMs: number): void {
-    this.lastActivityAtMs += pausedMs;
+    this.response.lastActivityAtMs += pausedMs;
     for (const attempt of this.attempts.live) if (attempt.sentAtMs > 0) attempt.sentAtMs += pausedMs;
   }
 
   private handleAssigned(assignment: Assignment, body: Buffer | undefined): void {
-    const { context } = this;
     this.attempts.body = body;
     this.assignment = assignment;
     this.expiresAtMs = Math.min(this.expiresAtMs, this.arrivedAtMs + assignment.route.timeoutMs);
+    this.continuity.begin(assignment, (decision) => {
+      if (this.ending.hasEnded) return;
+      if (decision.err) this.ending.refuse(decision.val, pickTakeUpRetryMs(decision.val));
+      else this.sendFirst(decision.val);
+    });
+  }
+
+  private sendFirst(assignment: Assignment): void {
+    const { context } = this;
+    this.assignment = assignment;
     context.metrics.requests.inc({ service: assignment.service });
     context.budget.recordRequest(assignment.service, context.now());
-    this.openAttempt(undefined);
+    this.openAttempt();
   }
 
-  private openAttempt(resumeAfter: string | undefined): void {
-    if (this.assignment !== undefined) this.opener.open(this.assignment, resumeAfter);
+  private openAttempt(): void {
+    if (this.assignment !== undefined) this.opener.open(this.assignment);
   }
 
   private handleEvent(attempt: Attempt, event: AttemptEvent): void {
@@ -151,16 +164,17 @@
 
   private handleSent(attempt: Attempt): void {
     const nowMs = this.context.now();
-    this.lastActivityAtMs = nowMs;
+    this.response.lastActivityAtMs = nowMs;
     attempt.sentAtMs = nowMs;
     attempt.handedOverAtMs = nowMs;
+    attempt.softwareVersion = attempt.row.listing.softwareVersion;
     this.recordContinuation(attempt);
     if (attempt.row.inFlight === 1) attempt.row.busySinceMs = nowMs;
   }
 
   private recordContinuation(attempt: Attempt): void {
     const { lastEventId, resumedRequestId } = this.request;
-    const isResumed = this.delivery?.hasStarted === true;
+    const isResumed = this.response.hasStarted;
     if (!isResumed && lastEventId === undefined) return;
     const by = isResumed ? 'box' : 'caller';
     logContinuation(this.context, this.createLogFields(), attempt.row, { by, resumedRequestId });
@@ -176,7 +190,7 @@
     logRetry(this.context, this.createLogFields(), attempt.row, 'unsent', reason);
     if (this.hasOtherWayThan(attempt)) return;
     if (this.attempts.hasReachedUnsentLimit) return this.giveUp('connectFailed', this.pickReturnMs);
-    this.openAttempt(this.delivery?.lastEventId);
+    this.openAttempt();
   }
 
   private handleNotRun(attempt: Attempt, head: ResponseHead): void {
@@ -201,14 +215,10 @@
     }
     for (const other of [...this.attempts.live]) if (other !== attempt) this.abandon(other, 'lost the race');
     this.opener.withdraw();
-    this.winner = attempt;
-    this.lastActivityAtMs = this.context.now();
-    if (this.delivery === undefined) this.startDelivery(head);
-    else if (head.status !== this.delivery.status) {
-      // The caller already has the head of another response, which this one cannot continue.
-      this.abandon(attempt, 'resume refused');
-      this.handleBroken(attempt, 'resumeRefused', `status ${head.status}`);
-    }
+    if (this.assignment === undefined || this.response.accept(this.assignment, attempt, head)) return;
+    // The caller already has the head of another response, which this one cannot continue.
+    this.abandon(attempt, 'resume refused');
+    this.handleBroken(attempt, 'resumeRefused', `status ${head.status}`);
   }
 
   /**
@@ -217,8 +227,7 @@
    */
   private discardError(attempt: Attempt, head: ResponseHead): boolean {
     const { assignment } = this;
-    if (assignment === undefined || this.delivery !== undefined || !isRepeatable(assignment.route))
-      return false;
+    if (assignment === undefined || this.response.hasHead || !isRepeatable(assignment.route)) return false;
     const hasOtherWay = this.hasOtherWayThan(attempt);
     if (!hasOtherWay && !this.mayRetry('serverError')) return false;
     attempt.discard();
@@ -227,31 +236,19 @@
     return true;
   }
 
-  private startDelivery(head: ResponseHead): void {
-    const { assignment, context, res } = this;
-    if (assignment === undefined) return;
-    if (context.isStopping()) res.shouldKeepAlive = false;
-    const isStream = assignment.route.kind === 'stream';
-    this.delivery = createDelivery(res, head, isStream, assignment.route.isResumable);
-    context.metrics.firstByteMs.observe({ service: assignment.service }, context.now() - this.arrivedAtMs);
-  }
-
   private handleData(attempt: Attempt, chunk: Buffer): void {
-    if (attempt !== this.winner || this.delivery === undefined) return;
-    const nowMs = this.context.now();
-    this.lastActivityAtMs = nowMs;
-    attempt.row.lastResponseAtMs = nowMs;
-    if (!this.delivery.push(chunk)) attempt.pause();
+    if (this.assignment !== undefined) this.response.push(this.assignment, attempt, chunk);
   }
 
   private handleEnd(attempt: Attempt): void {
     this.drop(attempt, 'whole');
-    const { delivery } = this;
-    if (delivery === undefined) return;
+    const { response } = this;
+    if (!response.hasHead) return;
     attempt.row.lastResponseAtMs = this.context.now();
-    if (!delivery.isComplete()) return this.handleBroken(attempt, 'connectionLost', 'ended inside an event');
-    this.requestQuarantine.recordResponse(delivery.status);
-    delivery.finish();
+    const status = response.readWholeStatus();
+    if (status === undefined) return this.handleBroken(attempt, 'connectionLost', 'ended inside an event');
+    this.requestQuarantine.recordResponse(status);
+    response.finish();
     this.ending.end('answered');
   }
 
@@ -277,27 +274,25 @@
    */
   private retryOrFail(attempt: Attempt, reason: 'broken' | 'silent', detail: string, silentMs = 0): void {
     if (this.ending.hasEnded || this.hasOtherWayThan(attempt)) return;
-    const { assignment, delivery } = this;
+    const { assignment, response } = this;
     if (assignment === undefined) return;
     if (!isRepeatable(assignment.route)) return this.ending.fail(detail);
-    if (delivery?.hasStarted === true && !delivery.canResume) return this.ending.fail(detail);
-    const isPermitted = this.mayRetry(delivery?.hasStarted === true ? 'resume' : reason);
+    if (!response.mayMove) return this.ending.fail(detail);
+    const retryReason = response.hasStarted ? 'resume' : reason;
+    const isPermitted = this.mayRetry(retryReason);
     if (reason === 'silent') {
       recordSilence(this.context, attempt, isPermitted);
       if (!isPermitted && !isWaitingUseless(attempt, silentMs)) return;
       this.abandon(attempt, 'silent');
     }
     if (!isPermitted) return this.ending.fail(detail);
-    if (delivery?.hasStarted === true) {
-      delivery.prepareResume();
-      return this.retry(attempt, 'resume', detail, delivery.lastEventId);
-    }
-    this.delivery = undefined;
-    this.retry(attempt, reason, detail);
+    response.prepareRetry();
+    this.retry(attempt, retryReason, detail);
   }
 
   private checkSilence(attempt: Attempt, nowMs: number): void {
-    const { assignment, context, winner, lastActivityAtMs } = this;
+    const { assignment, context } = this;
+    const { winner, lastActivityAtMs } = this.response;
     if (assignment === undefined || attempt.sentAtMs === 0) return;
     const lastDataAtMs = attempt === winner ? lastActivityAtMs : undefined;
     const hasOthers = this.attempts.live.length > 1 || this.opener.isWaiting;
@@ -321,7 +316,7 @@
 
   /** Moves a stream off a silent endpoint if it can and may continue at another one; otherwise keeps waiting. */
   private leaveSilentEndpoint(attempt: Attempt, silentMs: number): void {
-    if (this.delivery?.hasStarted === true && !this.delivery.canResume) return;
+    if (!this.response.mayMove) return;
     if (!this.attempts.mayRepeat(this.assignment)) return;
     this.retryOrFail(attempt, 'silent', `silent for ${Math.round(silentMs)} ms`, silentMs);
   }
@@ -332,17 +327,17 @@
     return takeRetry(this.context, { assignment, attempts, requestQuarantine, createLogFields }, reason);
   }
 
-  private retry(attempt: Attempt, reason: RetryReason, detail: string, resumeAfter?: string): void {
+  private retry(attempt: Attempt, reason: RetryReason, detail: string): void {
     this.context.metrics.retries.inc({ reason });
     logRetry(this.context, this.createLogFields(), attempt.row, reason, detail);
-    this.openAttempt(resumeAfter);
+    this.openAttempt();
   }
 
   private expire(): void {
     const { assignment } = this;
     const isRouteTimeout =
       assignment !== undefined && this.context.now() - this.arrivedAtMs >= assignment.route.timeoutMs;
-    if (this.attempts.live.some((attempt) => attempt.sentAtMs > 0) && this.delivery === undefined)
+    if (this.attempts.live.some((attempt) => attempt.sentAtMs > 0) && !this.response.hasHead)
       for (const attempt of this.attempts.live) recordSilence(this.context, attempt, true);
     this.abandonAll('expired');
     if (!this.attempts.mayHaveRun) return this.ending.refuse('overloaded', pickRetryAfterMs());
@@ -378,6 +373,7 @@
 
   private handleEnded(outcome: RequestOutcome): void {
     this.opener.withdraw();
+    this.continuity.recordEnd();
     this.abandonAll(outcome);
     this.context.exchanges.delete(this);
   }
@@ -388,7 +384,7 @@
     route: this.assignment?.route.name,
     service: this.assignment?.service,
     team: this.assignment?.team?.name,
-    endpoint: this.winner?.row.listing.id ?? this.attempts.lastTriedId,
+    endpoint: this.response.winner?.row.listing.id ?? this.attempts.lastTriedId,
     ...this.attempts.createLogFields(),
     ageMs: Math.round(this.context.now() - this.arrivedAtMs),
   });
@@ -404,6 +400,6 @@
 
   private drop(attempt: Attempt, end: AttemptEnd, lacksRoom = false): void {
     this.attempts.drop(attempt, end, lacksRoom);
-    if (this.winner === attempt && end !== 'whole') this.winner = undefined;
+    if (this.response.winner === attempt && end !== 'whole') this.response.winner = undefined;
   }
 }
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -5,6 +5,7 @@
 import type { HttpDialect } from '../httpDialect.js';
 import type { RouterContext } from '../routerContext.js';
 import type { PlacementFailure } from '../systems/placement.js';
+import type { TakeUpFailure } from './streamContinuity.js';
 
 /** The router's response to a request without a usable response from an endpoint. */
 export interface RouterRefusal {
@@ -21,11 +22,29 @@
 const RETRY_AFTER_MS = 60;
 const RETRY_AFTER_JITTER_MS = 60;
 
+/** Retry time where a retry does not help. */
+const NO_RETRY = 0;
+
 /** Picks the time after which a caller should retry a request that did not run. */
 export function pickRetryAfterMs(): number {
   return RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
 }
 
+/**
+ * Picks the time after which a caller should try again to take up a stream: another box may know where it began, but nobody can go
+ * on with it once its version has left.
+ *
+ * @example pickTakeUpRetryMs('streamVersionGone') // 0: a retry does not help
+ */
+export function pickTakeUpRetryMs(failure: TakeUpFailure): number {
+  switch (failure) {
+    case 'streamVersionUnknown':
+      return pickRetryAfterMs();
+    case 'streamVersionGone':
+      return NO_RETRY;
+  }
+}
+
 /**
  * Retry time while all halls are evacuated: an earlier retry would only be refused again, and the caller may have time
  * to wait.
@@ -69,6 +88,8 @@
       return pickAwayMs();
     case 'endpointsBusy':
       return pickRetryAfterMs();
+    case 'streamVersionGone':
+      return NO_RETRY;
     case 'endpointsCold':
       // They take more requests every moment.
       return pickRetryAfterMs();
--- a/packages/router/src/proxy/responseDelivery.ts
+++ b/packages/router/src/proxy/responseDelivery.ts
@@ -15,7 +15,7 @@
   readonly status: number;
   /** Whether anything was sent to the caller. */
   readonly hasStarted: boolean;
-  /** Whether it can continue with the events of another endpoint. */
+  /** Whether it can continue with the events of another endpoint: the last event that was sent must have an id. */
   readonly canResume: boolean;
   readonly lastEventId: string | undefined;
   /** Adds bytes of the response; returns false if the caller reads more slowly than they arrive. */
@@ -96,7 +96,7 @@
   constructor(
     private readonly res: ServerResponse,
     private readonly head: ResponseHead,
-    readonly canResume: boolean,
+    private readonly isResumable: boolean,
   ) {
     this.status = head.status;
     this.isCloseDelimited = isCloseDelimited(head.headers);
@@ -110,6 +110,10 @@
     return this.res.write(events.bytes);
   }
 
+  get canResume(): boolean {
+    return this.isResumable && this.lastEventId !== undefined;
+  }
+
   /** If the response has no length, an end inside an event is the only evidence that it was cut off. */
   isComplete(): boolean {
     return !this.isCloseDelimited || this.splitter.pendingBytes.length === 0;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -15,6 +15,8 @@
 import type { Placement } from './systems/placement.js';
 import type { RetryBudget } from './systems/retryBudget.js';
 import type { RouteIndex } from './systems/routeIndex.js';
+import type { OriginLookup } from './streams/originLookup.js';
+import type { StreamTracker } from './streams/streamTracker.js';
 import type { EndpointRow, EndpointTable } from './tables/endpointTable.js';
 
 /** A request in progress, as the loop drives it. */
@@ -25,6 +27,12 @@
   handlePause(pausedMs: number): void;
 }
 
+/** Records and lookups of the software versions that began streams. */
+export interface StreamParts {
+  readonly tracker: StreamTracker;
+  readonly lookup: OriginLookup;
+}
+
 /** Tables, systems and adapters of one box. */
 export interface RouterContext {
   readonly dialect: HttpDialect;
@@ -51,7 +59,9 @@
   readonly exchanges: Set<RunningRequest>;
   /** Monotonic milliseconds. */
   readonly now: () => number;
-  readonly hash: (text: string) => number;
+  readonly hash: (text: string, seed?: number) => number;
+  /** Which software versions began the streams of the fleet. */
+  readonly streams: StreamParts;
   /** Returns the index of the configuration in force; undefined before the first configuration. */
   readonly readIndex: () => RouteIndex | undefined;
   /** Whether the box has a configuration and endpoints. */
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -3,6 +3,7 @@
 import type { FeatureSet } from './featureSwitches.js';
 import type { HttpDialect } from './httpDialect.js';
 import type { RouterFrame } from './peers/peerFrames.js';
+import type { Reply } from './peers/peerMesh.js';
 import type { Dial } from './proxy/dialTcp.js';
 import type { FleetConfiguration } from './records.js';
 import type { ColdBound } from './systems/coldEndpointLimiter.js';
@@ -18,7 +19,7 @@
   | { readonly type: 'configurationPublished'; readonly text: string }
   /** A call to the platform failed. */
   | { readonly type: 'feedLost'; readonly reason: string }
-  | { readonly type: 'peerFrame'; readonly frame: RouterFrame }
+  | { readonly type: 'peerFrame'; readonly frame: RouterFrame; readonly reply: Reply }
   /** The settings turn optional parts on or off. */
   | { readonly type: 'featuresChanged'; readonly features: FeatureSet }
   | { readonly type: 'stopRequested' };
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -40,6 +40,7 @@
 import { Reachability } from './systems/reachability.js';
 import { RetryBudget } from './systems/retryBudget.js';
 import { EndpointTable } from './tables/endpointTable.js';
+import { BoxStreams } from './streams/boxStreams.js';
 import { BoxTunnels } from './tunnels/boxTunnels.js';
 
 /** What the parts need from the loop that drives them. */
@@ -61,6 +62,7 @@
   readonly table: EndpointTable;
   readonly state: PublishedState;
   readonly tunnels: BoxTunnels;
+  readonly streams: BoxStreams;
   readonly connections: EndpointConnections;
   readonly reachability: Reachability;
   readonly mesh: PeerMesh;
@@ -156,7 +158,7 @@
       {
         createHeartbeat: () => this.heartbeatSender.createInitialHeartbeat(),
         onFrameRead: (type) => this.metrics.peerFrames.inc({ type }),
-        onFrame: (frame) => hooks.pushInput({ type: 'peerFrame', frame }),
+        onFrame: (frame, reply) => hooks.pushInput({ type: 'peerFrame', frame, reply }),
         onProblem: (problem) => this.log.write('notable', 'peerProblem', { ...problem }),
         onStateChange: (address, state, reason) =>
           this.healthLog.logBoxState(address, state, reason, countBoxes()),
@@ -233,6 +235,9 @@
       onDialFailed: (row) => this.reachability.verify(row),
       onAbilityChange: () => this.heartbeatSender.sendToHall(),
     });
+    const rank = (address: string): number => hash(address);
+    this.streams = new BoxStreams({ hall, mesh, table, state, metrics, rank, now });
+    const { tracker: streamTracker, lookup: originLookup } = this.streams;
     const { slotRelay } = this.admission;
     this.heartbeatSender = new HeartbeatSender({
       hall,
@@ -256,6 +261,8 @@
       valueSync,
       feedRelay,
       slotRelay,
+      streamTracker,
+      originLookup,
       state,
     };
     this.callers = new CallerServer(this.createContext(countBoxes));
@@ -310,6 +317,7 @@
       exchanges: this.exchanges,
       now,
       hash,
+      streams: this.streams,
       readIndex: () => this.state.index,
       isInitialized: () => this.state.isInitialized,
       isFull: (service) => this.admission.isFull(service),
--- /dev/null
+++ b/packages/router/src/streams/boxStreams.ts
@@ -0,0 +1,50 @@
+/** The parts of a box that keep streams at the software version that began them. */
+import type { RouterMetrics } from '../observability/metrics.js';
+import type { PeerMesh } from '../peers/peerMesh.js';
+import type { PublishedState } from '../systems/publishedState.js';
+import type { EndpointTable } from '../tables/endpointTable.js';
+import { OriginLookup } from './originLookup.js';
+import { SoftwareVersions } from './softwareVersions.js';
+import { StreamOrigins } from './streamOrigins.js';
+import { StreamTracker } from './streamTracker.js';
+
+/** A caller takes a stream up within this time, or within twice the longest timeout of a stream if that is more. */
+const MIN_RETENTION_MS = 30_000;
+
+/** Settings and dependencies of the parts. */
+export interface BoxStreamsOptions {
+  readonly hall: string;
+  readonly mesh: PeerMesh;
+  readonly table: EndpointTable;
+  readonly state: PublishedState;
+  readonly metrics: RouterMetrics;
+  readonly rank: (address: string) => number;
+  readonly now: () => number;
+}
+
+/** The streams of one box, and what it knows of those of other boxes. */
+export class BoxStreams {
+  readonly tracker: StreamTracker;
+  readonly lookup: OriginLookup;
+  private readonly origins = new StreamOrigins();
+  private readonly versions: SoftwareVersions;
+
+  constructor(private readonly options: BoxStreamsOptions) {
+    const { hall, mesh, table, state, rank, now } = options;
+    const { origins } = this;
+    const readRetentionMs = (): number => Math.max(MIN_RETENTION_MS, 2 * (state.index?.longestStreamMs ?? 0));
+    const isCurrent = (): boolean => state.isListCurrent;
+    this.versions = new SoftwareVersions({ table, now, isCurrent, readRetentionMs });
+    const { versions } = this;
+    this.tracker = new StreamTracker({ mesh, hall, rank, origins, versions, now, readRetentionMs });
+    this.lookup = new OriginLookup({ mesh, hall, origins, versions, now, readRetentionMs });
+  }
+
+  /** Runs once a tick. */
+  tick(nowMs: number): void {
+    this.versions.tick(nowMs);
+    this.tracker.tick(nowMs);
+    this.lookup.tick(nowMs);
+    this.options.metrics.knownStreams.set(this.origins.size);
+  }
+}
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -23,6 +23,7 @@
 import type { Evacuations } from './evacuations.js';
 import { PromptRanking } from './promptRanking.js';
 import { shuffle } from './shuffle.js';
+import { filterVersion, listWithinBound } from './versionChoice.js';
 import type { PromptHolders } from './promptHolders.js';
 import { MAX_HOLDERS } from './promptHolders.js';
 
@@ -38,6 +39,8 @@
   readonly allowedRegions?: readonly (readonly string[])[];
   /** Ids of endpoints that were tried already. */
   readonly excluded: ReadonlySet<string>;
+  /** Software version that the endpoint must have, as it began the stream; absent if any may be chosen. */
+  readonly softwareVersion?: string | undefined;
   /** Tag of the endpoint that has a slot for the request; absent if any endpoint may be chosen. */
   readonly grantedTag?: number | undefined;
 }
@@ -79,7 +82,12 @@
 
 /** Why no endpoint could be chosen; also the result code of the refusal. */
 export type PlacementFailureReason =
-  'noEndpoint' | 'hallsEvacuated' | 'endpointsBackingOff' | 'endpointsCold' | 'endpointsBusy';
+  | 'noEndpoint'
+  | 'hallsEvacuated'
+  | 'endpointsBackingOff'
+  | 'endpointsCold'
+  | 'endpointsBusy'
+  | 'streamVersionGone';
 
 /** Why placement failed, and when a retry may succeed. */
 export interface PlacementFailure {
@@ -182,7 +190,9 @@
   explainFailure(request: PlacementRequest, nowMs: number): PlacementFailure {
     const live = this.listLive(request.service);
     if (live.length === 0) return { reason: 'noEndpoint', waitMs: 0 };
-    const open = this.listOpen(live);
+    const suitable = filterVersion(live, request);
+    if (suitable.length === 0) return { reason: 'streamVersionGone', waitMs: 0 };
+    const open = this.listOpen(suitable);
     if (open.length === 0) return { reason: 'hallsEvacuated', waitMs: 0 };
     const waitMs = this.readLeastBackOffMs(request, nowMs);
     if (waitMs > 0) return { reason: 'endpointsBackingOff', waitMs };
@@ -199,7 +209,7 @@
    * @example placement.readLeastBackOffMs(request, nowMs) // 2_500 if the shortest back-off has 2.5 s left
    */
   readLeastBackOffMs(request: PlacementRequest, nowMs: number): number {
-    const allowed = this.listAllowed(this.listOpen(this.listLive(request.service)), request);
+    const allowed = this.listAllowed(this.listOpen(this.listSuitable(request)), request);
     if (allowed.length === 0) return 0;
     return Math.min(...allowed.map((row) => readBackOffMs(row, nowMs)));
   }
@@ -208,10 +218,12 @@
     const { hasher, hall, random, promptHolders, demand } = this.options;
     const live = this.listLive(request.service);
     const choices = this.listChoices(request, nowMs);
-    const rows = request.grantedTag === undefined ? choices.filter(mayTakeAnother) : choices;
+    const open = request.grantedTag === undefined ? choices.filter(mayTakeAnother) : choices;
+    const means = readMeans(live);
+    const loadPath = this.options.readLoadPath();
+    const rows = listWithinBound(request, { rows: open, live, means, loadPath });
     if (rows.length === 0) return undefined;
     const prompt = readSharedPrompt(request.promptParts);
-    const means = readMeans(live);
     if (prompt === undefined) {
       const plain = choosePlainEndpoint(rows, hall, random);
       return plain === undefined ? undefined : describeChoice(plain, 'plain', means.load, undefined);
@@ -232,7 +244,7 @@
 
   /** Endpoints to which a request may be sent now; only the granted one if there is one. */
   private listChoices(request: PlacementRequest, nowMs: number): readonly EndpointRow[] {
-    const open = this.listAllowed(this.listOpen(this.listLive(request.service)), request);
+    const open = this.listAllowed(this.listOpen(this.listSuitable(request)), request);
     const accepting = open.filter((row) => readBackOffMs(row, nowMs) === 0);
     const admitted = this.listAdmitted(accepting, request.coldStart, nowMs);
     const rows = listCandidates(admitted, request, nowMs);
@@ -245,6 +257,11 @@
     return this.options.table.listService(service).filter((row) => !isLeaving(row));
   }
 
+  /** Endpoints that are not leaving and have the version that the request needs. */
+  private listSuitable(request: PlacementRequest): readonly EndpointRow[] {
+    return filterVersion(this.listLive(request.service), request);
+  }
+
   /** Endpoints outside evacuated halls. */
   private listOpen(rows: readonly EndpointRow[]): readonly EndpointRow[] {
     const { evacuations } = this.options;
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -92,6 +92,11 @@
     return this.contact.connectivity.isReceivingUpdates(this.options.now());
   }
 
+  /** Whether the list of endpoints is that of the platform: no change was missed, and no outage ended just now. */
+  get isListCurrent(): boolean {
+    return this.contact.connectivity.readGracePeriodMs(this.options.now()) === 0;
+  }
+
   /** Report about the platform for peers; undefined if this box cannot make one. */
   get platformReport(): PlatformReport | undefined {
     return this.contact.connectivity.createReport(this.options.now());
--- a/packages/router/src/systems/routeIndex.ts
+++ b/packages/router/src/systems/routeIndex.ts
@@ -20,11 +20,14 @@
   private readonly teamsByKey = new Map<string, Team>();
   private readonly services = new Map<string, Service>();
   private readonly rankings = new Map<string, UrgencyRanking>();
+  /** Longest timeout of the routes whose streams may be resumed; 0 if there are none. */
+  readonly longestStreamMs: number;
   /** Priorities of the routes to each service; listed when the first request needs them. */
   private routePriorities: ReadonlyMap<string, ReadonlySet<number | undefined>> | undefined;
 
   constructor(readonly configuration: FleetConfiguration) {
     for (const route of configuration.routes) this.addRoute(route);
+    this.longestStreamMs = findLongestStreamMs(configuration.routes);
     for (const routes of this.routesByHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
@@ -77,6 +80,12 @@
   }
 }
 
+function findLongestStreamMs(routes: readonly Route[]): number {
+  return routes
+    .filter(({ kind, isResumable }) => kind === 'stream' && isResumable)
+    .reduce((longestMs, { timeoutMs }) => Math.max(longestMs, timeoutMs), 0);
+}
+
 /** Lists the priorities of the routes to each service; undefined among them if a route has none. */
 function listRoutePriorities(routes: readonly Route[]): ReadonlyMap<string, ReadonlySet<number | undefined>> {
   const byService = new Map<string, Set<number | undefined>>();
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -75,6 +75,7 @@
   private readonly byTag = new Map<number, EndpointRow>();
   private readonly notices = new EndpointNotices();
   private lapsed = 0;
+  private changes = 0;
 
   constructor(private readonly hashId: (id: string) => number) {}
 
@@ -83,8 +84,14 @@
     return this.lapsed;
   }
 
+  /** Increases whenever an endpoint is listed, listed anew or removed. */
+  get revision(): number {
+    return this.changes;
+  }
+
   /** Adds an endpoint, or updates the listing of a known one. */
   upsert(listing: ListedEndpoint, nowMs: number): EndpointRow {
+    this.changes += 1;
     const known = this.byId.get(listing.id);
     if (known !== undefined) {
       known.coldUntilMs = readColdUntil(known, listing, nowMs);
@@ -111,6 +118,7 @@
   remove(id: string): void {
     const row = this.byId.get(id);
     if (row === undefined) return;
+    this.changes += 1;
     this.clearLapsed(row);
     this.byId.delete(id);
     this.byTag.delete(row.tag);
