--- a/packages/router/src/streams/streamReplicas.ts
+++ b/packages/router/src/streams/streamReplicas.ts
@@ -2,13 +2,12 @@
  * Which boxes keep what another one knows of its streams, so that it outlives that box and its hall.
  *
  * In a small fleet three other boxes: the next one of its hall in the order of ranks, and one each of two other halls. In a larger fleet a box
- * only links to its hall: it reports to the next box of its hall and to a relay of the hall, which passes the report on to
- * a box of the next hall.
+ * only links to its hall: it reports to the next box of its hall and to a relay, one of those with links to other halls, which
+ * passes the report on to a box of the next hall.
  */
+import { AGGREGATOR_CANDIDATES_PER_HALL } from '../membership/fleetDirectory.js';
 import type { Heartbeat } from '../peers/peerFrames.js';
 
-/** Boxes of a hall that relay between halls; the second makes up for frames that the first loses. */
-export const STREAM_RELAYS_PER_HALL = 2;
 /** Other boxes that keep what a box knows, in a small fleet. */
 const REPLICAS = 3;
 
@@ -47,9 +46,10 @@
 export function pickHallReplicas(owner: ReplicaOwner, peers: readonly ReplicaCandidate[]): string[] {
   const own = owner.rank(owner.address);
   const ranked = [...peers].sort((a, b) => owner.rank(a.address) - owner.rank(b.address));
-  const isRelay = ranked.filter(({ address }) => owner.rank(address) < own).length < STREAM_RELAYS_PER_HALL;
-  const relays = isRelay ? [] : ranked.slice(0, STREAM_RELAYS_PER_HALL);
-  const relay = relays[own % STREAM_RELAYS_PER_HALL] ?? relays[0];
+  const isRelay =
+    ranked.filter(({ address }) => owner.rank(address) < own).length < AGGREGATOR_CANDIDATES_PER_HALL;
+  const relays = isRelay ? [] : ranked.slice(0, AGGREGATOR_CANDIDATES_PER_HALL);
+  const relay = relays[own % AGGREGATOR_CANDIDATES_PER_HALL] ?? relays[0];
   const next = sortByRing(owner, peers).find((peer) => peer !== relay);
   return [relay, next].filter((peer) => peer !== undefined).map(({ address }) => address);
 }
--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -335,3 +335,16 @@
   }
   expect(listViolatedChecks()).toEqual(['urgent first']);
 });
+
+test('reports a stream that goes on at another software version, and accepts one that does not', () => {
+  const takesUp = { requestId: 'a', lastEventId: 1 };
+  const createEvent = (id: string, event: number, version: string): string =>
+    `id: ${event}\ndata: ${id} ${event}/2 ${version}\n\n`;
+  recordRequest('a', 'streamResumable', { type: 'cut', status: 200, body: createEvent('a', 1, 'v2') });
+  recordRequest('b', 'streamResumable', createResponse(200, createEvent('b', 2, 'v2'), 'e-1|b'), { takesUp });
+  expect(listViolatedChecks()).toEqual([]);
+  recordRequest('c', 'streamResumable', createResponse(200, createEvent('c', 2, 'v10'), 'e-2|c'), {
+    takesUp,
+  });
+  expect(listViolatedChecks()).toEqual(['one version a stream']);
+});
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -4,7 +4,8 @@
 import { createCallerHeaders, readMonotonicMs, readSeal } from '@hazelwalk/platform/standins';
 import { pause } from '@hazelwalk/standins';
 import type { Random } from '@hazelwalk/standins';
-import type { CallerOutcome, Ledger, SoakRoute } from './ledger.js';
+import type { BrokenStream, CallerOutcome, Ledger, SoakRoute } from './ledger.js';
+import { findBrokenStream } from './streamChecks.js';
 
 /** Address at which a box accepts callers. */
 export interface BoxAddress {
@@ -18,6 +19,10 @@
 const RESPONSE_GRACE_MS = 2_000;
 const MAX_THINK_MS = 40;
 const MS_PER_S = 1_000;
+const STATUS_OK = 200;
+/** How often a caller takes a stream up again, and how long it waits before at most. */
+const MAX_TAKE_UPS = 2;
+const MAX_TAKE_UP_DELAY_MS = 100;
 /** Shares of routes; they add up to one. */
 type RouteShares = readonly (readonly [SoakRoute, number])[];
 const ROUTE_SHARES: RouteShares = [
@@ -45,13 +50,16 @@
     private readonly ledger: Ledger,
     private readonly random: Random,
     private readonly shares: RouteShares = ROUTE_SHARES,
+    /** Whether it takes up streams that break off. */
+    private readonly takesUpStreams = false,
   ) {}
 
   /** Sends requests until `close` is called. */
   async run(): Promise<void> {
     while (!this.isClosed) {
-      const box = this.boxes[Math.floor(this.random() * this.boxes.length)];
-      const retryAfterMs = box === undefined ? 0 : await this.sendOne(box, this.pickRoute());
+      const { outcome, stream } = await this.sendOne(this.pickBox(), this.pickRoute());
+      if (this.takesUpStreams && stream !== undefined) await this.takeUp(stream);
+      const retryAfterMs = outcome.type === 'answer' ? (outcome.retryAfterMs ?? 0) : 0;
       // Callers of other routes go on with their next request.
       await pause((this.shares === SCARCE_SHARES ? retryAfterMs : 0) + this.random() * MAX_THINK_MS);
     }
@@ -63,17 +71,38 @@
     for (const agent of this.agents.values()) agent.destroy();
   }
 
-  /** Sends a request; returns when its caller should retry, 0 if the response does not say. */
-  private async sendOne(box: BoxAddress, route: SoakRoute): Promise<number> {
+  private async takeUp(broken: BrokenStream): Promise<void> {
+    let rest: BrokenStream | undefined = broken;
+    for (let count = 0; count < MAX_TAKE_UPS && rest !== undefined && !this.isClosed; count += 1) {
+      await pause(this.random() * MAX_TAKE_UP_DELAY_MS);
+      const { outcome, stream } = await this.sendOne(this.pickBox(), 'streamResumable', rest);
+      if (outcome.type === 'answer' && outcome.status === STATUS_OK) return;
+      rest = stream ?? rest;
+    }
+  }
+
+  /** Sends a request; returns its outcome, and the stream that broke off with it. */
+  private async sendOne(
+    box: BoxAddress,
+    route: SoakRoute,
+    takesUp?: BrokenStream,
+  ): Promise<{ outcome: CallerOutcome; stream: BrokenStream | undefined }> {
     this.sentCount += 1;
     const requestId = `${this.name}-${this.sentCount}`;
     const sentAtMs = readMonotonicMs();
-    const outcome = await sendRequest(box, `/${route}/x`, requestId, DEADLINE_MS, this.findAgent(box));
+    const request = { path: `/${route}/x`, requestId, deadlineMs: DEADLINE_MS, takesUp };
+    const outcome = await sendRequest(box, request, this.findAgent(box));
     const endedAtMs = readMonotonicMs();
-    if (this.isClosed) return 0;
-    const record = { requestId, route, box: box.name, sentAtMs, endedAtMs, deadlineMs: DEADLINE_MS, outcome };
-    this.ledger.requests.push(record);
-    return outcome.type === 'answer' ? (outcome.retryAfterMs ?? 0) : 0;
+    const deadlineMs = DEADLINE_MS;
+    const record = { requestId, route, box: box.name, sentAtMs, endedAtMs, deadlineMs, outcome, takesUp };
+    if (!this.isClosed) this.ledger.requests.push(record);
+    return { outcome, stream: findBrokenStream(record) };
+  }
+
+  private pickBox(): BoxAddress {
+    const box = this.boxes[Math.floor(this.random() * this.boxes.length)];
+    if (box === undefined) throw new Error('a caller needs a box');
+    return box;
   }
 
   private pickRoute(): SoakRoute {
@@ -95,16 +124,25 @@
   }
 }
 
+/** A request of a caller. */
+export interface SoakRequest {
+  readonly path: string;
+  readonly requestId: string;
+  readonly deadlineMs: number;
+  readonly takesUp?: BrokenStream | undefined;
+}
+
 /** Sends one request and returns its outcome. */
 export function sendRequest(
   box: BoxAddress,
-  path: string,
-  requestId: string,
-  deadlineMs: number,
+  { path, requestId, deadlineMs, takesUp }: SoakRequest,
   agent: Agent | false,
 ): Promise<CallerOutcome> {
   return new Promise((resolve) => {
-    const headers = createCallerHeaders(requestId, deadlineMs);
+    const headers = {
+      ...createCallerHeaders(requestId, deadlineMs),
+      ...(takesUp && { 'Last-Event-Id': String(takesUp.lastEventId), Resumes: takesUp.requestId }),
+    };
     const req = httpRequest({ host: box.host, port: box.port, path, method: 'POST', headers, agent });
     const timer = setTimeout(() => {
       resolve({ type: 'unanswered' });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,6 +5,7 @@
 import type { CallerRecord, Ledger, PlannedEvent, ProbeRequest, RunRecord, SoakRoute } from './ledger.js';
 import { checkCutOffBoxes } from './cutChecks.js';
 import { checkScarceService, isScarceRoute } from './scarceChecks.js';
+import { checkStreams, parseEvents } from './streamChecks.js';
 import type { Violation } from './violation.js';
 import { createViolation, isRejected, isServed, SETTLE_MS, TOLERANCE_MS } from './violation.js';
 
@@ -55,6 +56,7 @@
     ...checkRecovery(ledger),
     ...checkScarceService(ledger),
     ...checkCutOffBoxes(ledger),
+    ...checkStreams(ledger),
   ];
 }
 
@@ -104,18 +106,21 @@
   return outcome.body === `${requestId}|${endpoint}` ? undefined : `unexpected body ${outcome.body}`;
 }
 
-function findStreamProblem({ outcome, requestId }: CallerRecord): string | undefined {
+function findStreamProblem({ outcome, requestId, takesUp }: CallerRecord): string | undefined {
   if (outcome.type !== 'answer' && outcome.type !== 'cut') return undefined;
   if (outcome.status !== STATUS_OK) return undefined;
-  const events = [...outcome.body.matchAll(/id: (\d+)\ndata: (\S+) (\d+)\/(\d+)\n\n/g)];
+  const events = parseEvents(outcome.body);
+  const before = takesUp?.lastEventId ?? 0;
   for (const [index, event] of events.entries()) {
-    if (event[2] !== requestId) return `event of request ${event[2]}`;
-    if (Number(event[1]) !== index + 1) return `event ${event[1]} at position ${index + 1}`;
+    if (event.requestId !== requestId) return `event of request ${event.requestId}`;
+    if (event.id !== before + index + 1) return `event ${event.id} at position ${before + index + 1}`;
   }
   if (outcome.type === 'cut') return undefined;
-  return events.length > 0 && events.length === Number(events[0]?.[4])
+  // A stream that was taken up after its last event ends without another one.
+  if (takesUp !== undefined && events.length === 0) return undefined;
+  return events.length > 0 && before + events.length === events[0]?.total
     ? undefined
-    : `stream ended after ${events.length} events`;
+    : `stream ended after ${before + events.length} events`;
 }
 
 function checkResponseTimes(ledger: Ledger): Violation[] {
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -28,6 +28,13 @@
   /** The box refused the connection. */
   | { readonly type: 'noConnection' };
 
+/** A stream that broke off, and from where its caller takes it up. */
+export interface BrokenStream {
+  /** Id of the request that brought its first event. */
+  readonly requestId: string;
+  readonly lastEventId: number;
+}
+
 /** A request as recorded by its caller. */
 export interface CallerRecord {
   readonly requestId: string;
@@ -37,6 +44,8 @@
   readonly endedAtMs: number;
   readonly deadlineMs: number;
   readonly outcome: CallerOutcome;
+  /** The stream that the request takes up; absent for other requests. */
+  readonly takesUp?: BrokenStream | undefined;
 }
 
 /** One execution of a request at an endpoint. */
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -48,6 +48,11 @@
     default: false,
     describe: 'also a service with too few slots for its callers, and routes of different priority',
   })
+  .option('versions', {
+    type: 'boolean',
+    default: false,
+    describe: 'also two software versions side by side, and callers who take up streams that break off',
+  })
   .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
   .strict()
   .parse();
@@ -98,6 +103,7 @@
     hasRestores: argv.restores,
     hasCuts: argv.cuts,
     isScarce: argv.scarce,
+    hasVersions: argv.versions,
   });
   report(result);
   if (result.violations.length === 0) passed += 1;
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -34,6 +34,8 @@
   readonly hasCuts: boolean;
   /** Whether there is also a service with too few slots for its callers, and routes of different priority. */
   readonly isScarce: boolean;
+  /** Whether endpoints of two software versions serve side by side, and callers take up streams that break off. */
+  readonly hasVersions: boolean;
 }
 
 /** Result of one seed. */
@@ -69,7 +71,7 @@
 export async function runSeed(options: SoakOptions): Promise<SoakResult> {
   const random = createRandom(options.seed);
   const ledger = new Ledger();
-  const site = new SoakSite(ledger, createNetwork(options.seed), options.isScarce);
+  const site = new SoakSite(ledger, createNetwork(options.seed), options);
   const faults: string[] = [];
   try {
     await site.start(options.boxes, options.endpointsPerService);
@@ -108,10 +110,10 @@
 }
 
 function startLoad(site: SoakSite, ledger: Ledger, options: SoakOptions, random: Random): () => void {
-  const callers = Array.from(
-    { length: options.callers },
-    (_, at) => new Caller(`c${at}`, site.boxes, ledger, createRandom(Math.floor(random() * 2 ** 31))),
-  );
+  const callers = Array.from({ length: options.callers }, (_, at) => {
+    const callerRandom = createRandom(Math.floor(random() * 2 ** 31));
+    return new Caller(`c${at}`, site.boxes, ledger, callerRandom, undefined, options.hasVersions);
+  });
   const scarceCount = options.isScarce
     ? options.endpointsPerService * SCARCE_SLOTS * CALLERS_PER_SCARCE_SLOT
     : 0;
@@ -135,13 +137,8 @@
       const sentAtMs = readMonotonicMs();
       const requestId = `probe-${box.name}-${sentAtMs}`;
       ledger.probeRequests.push({ requestId, box: box.name, sentAtMs });
-      const outcome = await sendRequest(
-        box,
-        `/${versionRouteName(version)}/x`,
-        requestId,
-        PROBE_DEADLINE_MS,
-        false,
-      );
+      const path = `/${versionRouteName(version)}/x`;
+      const outcome = await sendRequest(box, { path, requestId, deadlineMs: PROBE_DEADLINE_MS }, false);
       // A newer version no longer has the route, and a restarted box may have answered instead of the probed incarnation.
       if (version !== site.version || incarnation !== box.incarnation || outcome.type !== 'answer') return;
       const isAbsent = outcome.status === STATUS_NOT_FOUND;
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -93,6 +93,8 @@
   readonly link: LinkProxy;
   readonly address: string;
   readonly process: StartedProcess<number>;
+  /** Version of its software; undefined if its entry states none. */
+  readonly softwareVersion: string | undefined;
   isLeaving: boolean;
   /** State of the endpoint's entry in the store; `removed` after the entry was deleted. */
   entry: 'ready' | 'draining' | 'removed';
@@ -109,6 +111,17 @@
   readonly backOffMs?: number;
 }
 
+/** What a site has besides its two usual services. */
+export interface SiteOptions {
+  /** Whether there is also a service with few slots. */
+  readonly isScarce: boolean;
+  /** Whether endpoints of two software versions serve side by side. */
+  readonly hasVersions: boolean;
+}
+
+/** Versions of the endpoints' software, which have no order. */
+const SOFTWARE_VERSIONS = ['v2', 'v10'] as const;
+
 /** The processes, links and store of one seed. */
 export class SoakSite {
   readonly store = new StandinStore();
@@ -125,8 +138,7 @@
     private readonly ledger: Ledger,
     /** First three numbers of the addresses of this seed's boxes, so that concurrent seeds use different addresses. */
     private readonly network: string,
-    /** Whether there is also a service with few slots. */
-    private readonly isScarce: boolean,
+    private readonly options: SiteOptions,
   ) {}
 
   /** Starts the store, the endpoints and the boxes. */
@@ -136,7 +148,7 @@
     for (let count = 0; count < endpointsPerService; count += 1) {
       await this.addEndpoint('app');
       await this.addEndpoint('llm');
-      if (this.isScarce) await this.addEndpoint('scarce');
+      if (this.options.isScarce) await this.addEndpoint('scarce');
     }
     for (let index = 0; index < boxes; index += 1) await this.addBox(index, boxes);
     await Promise.all(this.boxes.map((box) => this.startBox(box)));
@@ -158,10 +170,14 @@
     this.endpointCount += 1;
     const id = `e-${this.endpointCount}`;
     const hall = HALLS[this.endpointCount % HALLS.length] ?? HALLS[0];
+    const softwareVersion = this.options.hasVersions ? this.pickVersion(service) : undefined;
     const process = await startProcess<number>(
       [ENDPOINT_PROGRAM, id, ...(service === 'scarce' ? ['0', String(SCARCE_SLOTS)] : [])],
       (line) => (JSON.parse(line) as { listening?: number }).listening,
-      { onLine: (line) => this.handleEndpointLine(id, line) },
+      {
+        onLine: (line) => this.handleEndpointLine(id, line),
+        ...(softwareVersion !== undefined && { env: { STANDIN_VERSION: softwareVersion } }),
+      },
     );
     const link = new LinkProxy(process.startupInfo);
     const address = `127.0.0.1:${await link.listen()}`;
@@ -172,6 +188,7 @@
       link,
       address,
       process,
+      softwareVersion,
       isLeaving: false,
       entry: 'ready' as const,
     };
@@ -212,10 +229,11 @@
   }
 
   /** Writes an endpoint's current entry, unless it was removed. */
-  writeEntry({ id, service, address, hall, entry }: SoakEndpoint): void {
+  writeEntry({ id, service, address, hall, entry, softwareVersion }: SoakEndpoint): void {
     if (entry === 'removed') return;
     const slots = service === 'scarce' ? SCARCE_SLOTS : undefined;
-    this.store.put(`servers/${id}`, createEndpointEntry(service, address, hall, entry, slots));
+    const listed = { service, address, hall, state: entry, slots, softwareVersion };
+    this.store.put(`servers/${id}`, createEndpointEntry(listed));
   }
 
   /** Removes entries that the backup restored for endpoints that no longer refresh them. */
@@ -265,7 +283,7 @@
 
   private writeConfiguration(): void {
     const versionRoute = { ...ROUTES[0], name: versionRouteName(this.version) } as StandinRoute;
-    const routes = [...ROUTES, versionRoute, ...(this.isScarce ? SCARCE_ROUTES : [])];
+    const routes = [...ROUTES, versionRoute, ...(this.options.isScarce ? SCARCE_ROUTES : [])];
     this.store.put('op/config', createStandinConfiguration(this.version, routes));
   }
 
@@ -334,6 +352,15 @@
     this.openRuns.delete(key);
   }
 
+  /** The version that has fewer endpoints, so that both go on serving. */
+  private pickVersion(service: string): string {
+    const versions = [...this.endpoints.values()]
+      .filter((endpoint) => endpoint.service === service && !endpoint.isLeaving)
+      .map(({ softwareVersion }) => softwareVersion);
+    const count = (version: string): number => versions.filter((other) => other === version).length;
+    return [...SOFTWARE_VERSIONS].sort((a, b) => count(a) - count(b))[0] ?? SOFTWARE_VERSIONS[0];
+  }
+
   private countListed(service: string): number {
     return [...this.endpoints.values()].filter(
       (endpoint) => endpoint.service === service && !endpoint.isLeaving,
