Logs: a broken attempt names the parts of its prompt

Change: `attemptBroke` lists the ids of the prompt's parts. No decision changes.

Result: the same part in many of these lines points at it, as the same `content` does at a request.

--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -259,6 +259,7 @@
     logBreak(context, { ...this.createLogFields(), content: requestQuarantine.fingerprint }, attempt, {
       reason,
       detail,
+      promptParts: this.request.promptParts.map(({ id }) => id).join(),
     });
     const retryOrFail = (): void => this.retryOrFail(attempt, 'broken', `${reason}: ${detail}`);
     if (reason !== 'connectionLost') return retryOrFail();
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -74,11 +74,13 @@
 export interface BreakDetails {
   readonly reason: string;
   readonly detail: string;
+  /** Ids of the parts of its prompt; empty without a prompt. */
+  readonly promptParts: string;
 }
 
 /**
  * Logs that an endpoint broke off a request. The same `content` in many of these lines points at the request as
- * cause.
+ * cause, the same part of a prompt in many of them at that part.
  */
 export function logBreak(
   context: RouterContext,
