Quarantine: a part of a prompt is blamed and cleared beside the whole request

What callers saw: 77 and 85 engines ended one after the other under requests that shared one part of their prompts, no two of them alike, and what ran beside them broke off.

Cause: crashes were counted by a fingerprint of the whole request, body included. Requests that differ in anything have different fingerprints, and none of them reached the third crash. The class: a request is blamed by more than what identifies the fault.

Change: a crash blames the request and each shared part of its prompt, a whole response clears all of them, on every box. What is quarantined is the part together with what all the crashed requests have in common: its companions and its caller. So sound requests that share some of it are still sent; they clear the companions, and the quarantine widens to the part alone. It widens as well after two more crashes outside it, and to all callers if three have had crashes; one caller cannot take a part from another. A part is not blamed for a crash if another one of the same prompt was in flight during more of them. Reports that arrive after a whole response are no evidence, and a quarantine that another box took over from such reports is contradicted. 16 runs of a suspect are kept in place of 8: with 8, a part of many requests was forgotten at the crashes that it explains.

--- a/packages/router/src/observability/quarantineLog.ts
+++ b/packages/router/src/observability/quarantineLog.ts
@@ -32,6 +32,10 @@
       witnesses: runs.map((run) => run.reporter).join(),
       endedAgoMs: runs.map((run) => Math.round(now() - run.localEndAtMs)).join(),
       lastCrashAgoMs: Math.round(now() - readLastCrashMs(runs)),
+      ...(state.type === 'quarantined' && {
+        together: state.scope.together.join(),
+        callers: state.scope.callers?.join() ?? 'all',
+      }),
       waitMs: state.type === 'quarantined' ? Math.round(state.untilMs - now()) : undefined,
     });
   };
--- a/packages/router/src/peers/crashFrames.ts
+++ b/packages/router/src/peers/crashFrames.ts
@@ -13,6 +13,12 @@
   endedAtMs: z.number(),
   /** Time between its end and the sending of the frame. */
   endedAgoMs: z.number(),
+  /** Identifies the caller of the request. Omitted by earlier versions, like the next two. */
+  caller: z.string().optional(),
+  /** Fingerprints of the request and of the shared parts of its prompt. */
+  fingerprints: z.array(z.string()).optional(),
+  /** Positions in this list of what the crash blames; `content` is the first of these. */
+  blamed: z.array(z.number()).optional(),
 });
 
 /** Schema of a quarantined request, which is no longer sent to endpoints. */
@@ -21,6 +27,10 @@
   content: z.string(),
   /** How long ago it last crashed an endpoint. */
   endedAgoMs: z.number(),
+  /** Fingerprints that a request must have as well to be concerned. Omitted by earlier versions. */
+  together: z.array(z.string()).optional(),
+  /** Callers whose requests are concerned; absent for all. */
+  callers: z.array(z.string()).optional(),
 });
 
 /** Schema of reports on requests that may crash their endpoints. */
--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -79,6 +79,11 @@
   coveredMs: 65,
   listedMs: 66,
   origin: 67,
+  caller: 68,
+  fingerprints: 69,
+  blamed: 70,
+  together: 71,
+  callers: 72,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -195,7 +195,8 @@
     return readExpiry() <= this.context.now() ? 'deadlinePassed' : undefined;
   }
 
-  private listPromptParts({ declared }: Assignment): readonly PromptPart[] {
+  /** Parts of the prompt; none if the service has no engines, whatever the headers contain. */
+  listPromptParts({ declared }: Assignment): readonly PromptPart[] {
     return declared?.isEngine === false ? [] : this.options.request.promptParts;
   }
 
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -73,6 +73,9 @@
       req,
       readCaller: () => this.assignment?.team?.name ?? request.apiKey ?? '',
       readBody: () => this.attempts.body,
+      readService: () => this.assignment?.service ?? '',
+      readPromptParts: () =>
+        this.assignment === undefined ? [] : this.attempts.listPromptParts(this.assignment),
     });
     this.opener = new AttemptOpener(context, {
       attempts: this.attempts,
--- a/packages/router/src/proxy/requestQuarantine.ts
+++ b/packages/router/src/proxy/requestQuarantine.ts
@@ -1,7 +1,10 @@
 /** Connects one request with the quarantine: reports crashes and successes, and reads whether it may be sent. */
 import type { IncomingMessage } from 'node:http';
 import type { RouterContext } from '../routerContext.js';
+import type { BlamedRequest } from '../quarantine/blamedRequest.js';
+import { fingerprintCaller, fingerprintPart, listSharedParts } from '../quarantine/blamedRequest.js';
 import { fingerprintRequest } from '../quarantine/requestFingerprint.js';
+import type { PromptPart } from '../records.js';
 import type { Attempt } from './attempt.js';
 
 const MIN_REDIRECT_STATUS = 300;
@@ -12,11 +15,15 @@
   /** Name of the team, or the API key itself if the caller has no team. */
   readonly readCaller: () => string;
   readonly readBody: () => Buffer | undefined;
+  readonly readService: () => string;
+  /** Parts of its prompt; none if its service has no engines. */
+  readonly readPromptParts: () => readonly PromptPart[];
 }
 
 /** Quarantine of one request. */
 export class RequestQuarantine {
   private cachedFingerprint: string | undefined;
+  private cachedRequest: BlamedRequest | undefined;
   private isWaitingForDecision = false;
 
   constructor(
@@ -45,7 +52,7 @@
   /** Remaining time in quarantine; 0 if the request may be sent. */
   readRemainingMs(): number {
     const { quarantine } = this.context;
-    return quarantine.isEmpty ? 0 : quarantine.readRemainingMs(this.fingerprint);
+    return quarantine.isEmpty ? 0 : quarantine.readRequestRemainingMs(this.blamedRequest);
   }
 
   /**
@@ -56,7 +63,7 @@
   waitForDecision(onDecided: () => void): boolean {
     if (this.isWaitingForDecision) return true;
     const { quarantine } = this.context;
-    const delayMs = quarantine.isEmpty ? 0 : quarantine.readDecisionDelayMs(this.fingerprint);
+    const delayMs = quarantine.isEmpty ? 0 : quarantine.readRequestDecisionDelayMs(this.blamedRequest);
     if (delayMs === 0) return false;
     this.isWaitingForDecision = true;
     setTimeout(() => {
@@ -79,14 +86,18 @@
    */
   handleBroken(attempt: Attempt): { readonly mustWait: boolean; readonly checked: Promise<void> } {
     const { context } = this;
-    const mustWait = !context.quarantine.isEmpty && context.quarantine.isSuspected(this.fingerprint);
+    const { quarantine } = context;
+    const mustWait =
+      !quarantine.isEmpty &&
+      this.blamedRequest.fingerprints.some((fingerprint) => quarantine.isSuspected(fingerprint));
     return { mustWait, checked: this.checkForCrash(attempt, context.now()) };
   }
 
   /** Records a complete response. Only a success clears the request: an error may have been sent before it ran. */
   recordResponse(status: number): void {
     const { quarantine, quarantineRelay } = this.context;
-    if (status < MIN_REDIRECT_STATUS && !quarantine.isEmpty) quarantineRelay.recordSuccess(this.fingerprint);
+    if (status >= MIN_REDIRECT_STATUS || quarantine.isEmpty) return;
+    for (const fingerprint of this.blamedRequest.fingerprints) quarantineRelay.recordSuccess(fingerprint);
   }
 
   private async checkForCrash(attempt: Attempt, endedAtMs: number): Promise<void> {
@@ -94,6 +105,20 @@
     const result = await this.context.crashCheck.check(row);
     if (result !== 'crashed') return;
     const sentAtMs = attempt.handedOverAtMs;
-    this.context.quarantineRelay.recordCrash(this.fingerprint, { endpointTag: row.tag, sentAtMs, endedAtMs });
+    const run = { endpointTag: row.tag, sentAtMs, endedAtMs };
+    this.context.quarantineRelay.recordCrash(this.fingerprint, run, this.blamedRequest);
+  }
+
+  /** All that a crash may be blamed on; computed on first use. */
+  private get blamedRequest(): BlamedRequest {
+    const { readCaller, readService, readPromptParts } = this.source;
+    this.cachedRequest ??= {
+      caller: fingerprintCaller(readCaller()),
+      fingerprints: [
+        this.fingerprint,
+        ...new Set(listSharedParts(readPromptParts()).map(({ id }) => fingerprintPart(readService(), id))),
+      ],
+    };
+    return this.cachedRequest;
   }
 }
--- a/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
+++ b/packages/router/src/quarantine/__fixtures__/virtualCrashes.ts
@@ -14,7 +14,8 @@
 const MEAN_QUEUE_MS = 150;
 const MS_PER_S = 1_000;
 
-class CrashProgram implements VirtualProgram {
+/** The quarantine of one box. */
+export class CrashProgram implements VirtualProgram {
   readonly quarantine: Quarantine;
   readonly relay: QuarantineRelay;
 
--- a/packages/router/src/quarantine/crashedRuns.ts
+++ b/packages/router/src/quarantine/crashedRuns.ts
@@ -7,6 +7,8 @@
  * its endpoints produces a chain of sequential crashes as soon as it has been retried twice.
  */
 
+import type { BlamedRequest } from './blamedRequest.js';
+
 /** A run of a request that ended when its endpoint crashed. */
 export interface CrashedRun {
   /** Tag of the endpoint. */
@@ -21,6 +23,8 @@
   readonly localEndAtMs: number;
   /** The box that keeps the record observed the crash itself. */
   readonly isLocal?: boolean;
+  /** The request that ran; undefined if the reporter is of an earlier version, which blames whole requests only. */
+  readonly request?: BlamedRequest | undefined;
 }
 
 /**
@@ -30,7 +34,7 @@
  */
 const CLOCK_MARGIN_MS = 250;
 /** Runs kept for one request: the chain that counts, and some others. */
-const MAX_KEPT_RUNS = 8;
+const MAX_KEPT_RUNS = 16;
 
 /**
  * Returns the sequential crashes that count, the earliest first.
@@ -81,6 +85,15 @@
   return Math.max(...runs.map((run) => run.localEndAtMs));
 }
 
+/**
+ * Whether two runs are of one request at one endpoint, recorded for different fingerprints of the request.
+ *
+ * @example isOfSameRequest(runOfPart, runOfOtherPart) // their crash blames both
+ */
+export function isOfSameRequest(a: CrashedRun, b: CrashedRun): boolean {
+  return a.request !== undefined && b.request !== undefined && isSameRun(a, b);
+}
+
 function isSameRun(a: CrashedRun, b: CrashedRun): boolean {
   return a.endpointTag === b.endpointTag && a.reporter === b.reporter && a.sentAtMs === b.sentAtMs;
 }
--- a/packages/router/src/quarantine/quarantineRelay.ts
+++ b/packages/router/src/quarantine/quarantineRelay.ts
@@ -10,9 +10,12 @@
 import type { CrashedRunReport, CrashReports, QuarantinedRequest } from '../peers/crashFrames.js';
 import type { Heartbeat } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
+import type { BlamedRequest } from './blamedRequest.js';
 import type { CrashedRun } from './crashedRuns.js';
 import type { Quarantine } from './quarantine.js';
 import { QUARANTINE_MS } from './quarantine.js';
+import type { QuarantineScope } from './quarantineScope.js';
+import { UNLIMITED_SCOPE } from './quarantineScope.js';
 import { ReporterClocks } from './reporterClocks.js';
 
 /** Boxes of a hall that relay reports between halls; the second makes up for frames that the first loses. */
@@ -58,9 +61,9 @@
   readonly loopMs: number;
 }
 
-/** A crashed run and the request that it belongs to. */
+/** A crashed run, and the fingerprints that it blames: of the request itself, and of parts of its prompt. */
 interface RequestCrash {
-  readonly fingerprint: string;
+  readonly blamed: readonly string[];
   readonly run: CrashedRun;
 }
 
@@ -89,13 +92,21 @@
     this.reporter = Math.floor(options.random() * MAX_REPORTER);
   }
 
-  /** Records and reports a run at this box that ended when its endpoint crashed. */
-  recordCrash(fingerprint: string, run: Pick<CrashedRun, 'endpointTag' | 'sentAtMs' | 'endedAtMs'>): void {
-    const crash: RequestCrash = {
-      fingerprint,
-      run: { ...run, reporter: this.reporter, localEndAtMs: run.endedAtMs, isLocal: true },
-    };
-    if (this.options.quarantine.recordCrash(fingerprint, crash.run)) this.crashes.push(crash);
+  /**
+   * Records and reports a run at this box that ended when its endpoint crashed.
+   *
+   * @param fingerprint of the whole request
+   * @param request all of its fingerprints; undefined if it has no prompt
+   */
+  recordCrash(
+    fingerprint: string,
+    run: Pick<CrashedRun, 'endpointTag' | 'sentAtMs' | 'endedAtMs'>,
+    request?: BlamedRequest,
+  ): void {
+    const { reporter } = this;
+    const crashed: CrashedRun = { ...run, reporter, localEndAtMs: run.endedAtMs, isLocal: true, request };
+    const crash = this.keepNew({ blamed: request?.fingerprints ?? [fingerprint], run: crashed });
+    if (crash.blamed.length > 0) this.crashes.push(crash);
   }
 
   /** Clears a request that got a complete response at this box, and reports it. */
@@ -124,15 +135,10 @@
     const { quarantine, now } = this.options;
     const nowMs = now();
     this.reportDelays(crashes, hops, nowMs);
-    const received = crashes.map(({ content, witness, endedAgoMs, ...run }): RequestCrash => ({
-      fingerprint: content,
-      run: { ...run, reporter: witness, localEndAtMs: nowMs - endedAgoMs },
-    }));
-    const quarantined = condemned.filter(({ content, endedAgoMs }) =>
-      quarantine.recordRemoteQuarantine(content, nowMs - endedAgoMs),
-    );
+    const received = crashes.map((report) => readReport(report, nowMs));
+    const quarantined = condemned.filter((report) => this.adoptQuarantine(report, nowMs));
     const batch: ReportBatch = {
-      crashes: received.filter(({ fingerprint, run }) => quarantine.recordCrash(fingerprint, run)),
+      crashes: received.map((crash) => this.keepNew(crash)).filter(({ blamed }) => blamed.length > 0),
       quarantined: quarantined.map(({ content }) => content),
       cleared: cleared.filter((fingerprint) => quarantine.recordSuccess(fingerprint)),
     };
@@ -140,6 +146,24 @@
     if (isNew && this.mustRelay()) this.relay(hops, batch);
   }
 
+  /** Records a crash; returns it with those fingerprints only for which it was not known. */
+  private keepNew({ blamed, run }: RequestCrash): RequestCrash {
+    const { quarantine } = this.options;
+    return { blamed: blamed.filter((fingerprint) => quarantine.recordCrash(fingerprint, run)), run };
+  }
+
+  /** Adopts a quarantine of another box, or contradicts it if an endpoint has answered such a request since. */
+  private adoptQuarantine(report: QuarantinedRequest, nowMs: number): boolean {
+    const { quarantine } = this.options;
+    const { content, endedAgoMs } = report;
+    const lastCrashAtMs = nowMs - endedAgoMs;
+    if (quarantine.wasClearedSince(content, lastCrashAtMs)) {
+      this.cleared.push(content);
+      return false;
+    }
+    return quarantine.recordRemoteQuarantine(content, lastCrashAtMs, readScope(report));
+  }
+
   /** Passes the delays of the crashes reported in a frame to `onReport`. */
   private reportDelays(crashes: readonly CrashedRunReport[], hops: number, nowMs: number): void {
     for (const report of crashes) {
@@ -171,7 +195,7 @@
     const records = quarantine.listBySeverity(MAX_SNAPSHOT_REQUESTS);
     return {
       crashes: records.flatMap(([fingerprint, { runs }]) =>
-        runs.map((run) => this.toReport({ fingerprint, run })),
+        runs.map((run) => this.toReport({ blamed: [fingerprint], run })),
       ),
       condemned: this.listQuarantined(records.map(([fingerprint]) => fingerprint)),
     };
@@ -210,13 +234,18 @@
     );
   }
 
-  private toReport({ fingerprint, run }: RequestCrash): CrashedRunReport {
-    const { reporter, localEndAtMs, isLocal: _isLocal, ...times } = run;
+  private toReport({ blamed, run }: RequestCrash): CrashedRunReport {
+    const { reporter, localEndAtMs, isLocal: _isLocal, request, ...times } = run;
     return {
-      content: fingerprint,
+      content: blamed[0] ?? '',
       ...times,
       witness: reporter,
       endedAgoMs: Math.max(0, this.options.now() - localEndAtMs),
+      ...(request !== undefined && {
+        caller: request.caller,
+        fingerprints: [...request.fingerprints],
+        blamed: blamed.map((fingerprint) => request.fingerprints.indexOf(fingerprint)),
+      }),
     };
   }
 
@@ -229,12 +258,34 @@
       .map(({ fingerprint, remainingMs }) => ({
         content: fingerprint,
         endedAgoMs: QUARANTINE_MS - remainingMs,
+        ...this.describeScope(fingerprint),
       }));
   }
 
+  /** The scope of a quarantine as frames carry it; nothing if it is unlimited. */
+  private describeScope(fingerprint: string): Pick<QuarantinedRequest, 'together' | 'callers'> {
+    const scope = this.options.quarantine.findQuarantineScope(fingerprint) ?? UNLIMITED_SCOPE;
+    return {
+      ...(scope.together.length > 0 && { together: [...scope.together] }),
+      ...(scope.callers !== undefined && { callers: [...scope.callers] }),
+    };
+  }
+
   /** Whether this box relays reports between halls, as one of the first of its hall. In a full mesh none does. */
   private mustRelay(): boolean {
     const { mesh, hall, rank } = this.options;
     return !mesh.isFullMesh && findHallPosition(mesh, hall, rank) < RELAYS_PER_HALL;
   }
 }
+
+function readReport(report: CrashedRunReport, nowMs: number): RequestCrash {
+  const { content, witness, endedAgoMs, caller = '', fingerprints, blamed, ...times } = report;
+  const request = fingerprints === undefined ? undefined : { caller, fingerprints };
+  const named = blamed?.map((position) => fingerprints?.[position]).filter((name) => name !== undefined);
+  const run: CrashedRun = { ...times, reporter: witness, localEndAtMs: nowMs - endedAgoMs, request };
+  return { blamed: named ?? [content], run };
+}
+
+function readScope({ together = [], callers }: QuarantinedRequest): QuarantineScope {
+  return { together, callers };
+}
--- a/packages/router/src/quarantine/requestFingerprint.ts
+++ b/packages/router/src/quarantine/requestFingerprint.ts
@@ -16,7 +16,7 @@
 }
 
 /** Hex digits of a fingerprint: with 64 bits, the chance of a collision among a million requests is about 1 in 10^7. */
-const FINGERPRINT_DIGITS = 16;
+export const FINGERPRINT_DIGITS = 16;
 /** Separates the parts; none of them can contain it. */
 const SEPARATOR = '\0';
 
--- a/packages/router/src/quarantine/suspectTable.ts
+++ b/packages/router/src/quarantine/suspectTable.ts
@@ -4,6 +4,7 @@
  */
 import { LRUCache } from 'lru-cache';
 import type { CrashedRun } from './crashedRuns.js';
+import type { QuarantineScope } from './quarantineScope.js';
 
 /** Crashes after which a request is kept in another cache, from which requests with a single crash cannot evict it. */
 const SEEN_TWICE_CRASHES = 2;
@@ -14,17 +15,23 @@
 /** Requests in quarantine. */
 const MAX_QUARANTINED = 1_024;
 
-/** Quarantine state of one request. */
+/** Quarantine state of one request, or of one part of a prompt. */
 export type QuarantineState =
   | { readonly type: 'none' }
   /** It may have crashed enough endpoints; the decision waits for the reports of other boxes. */
   | { readonly type: 'pending'; readonly decideAtMs: number }
-  /** It is not sent to endpoints, by the decision of this box or of another one. */
-  | { readonly type: 'quarantined'; readonly untilMs: number }
+  /** Requests in the scope are not sent to endpoints, by the decision of this box or of another one. */
+  | {
+      readonly type: 'quarantined';
+      readonly untilMs: number;
+      readonly scope: QuarantineScope;
+      /** When it is decided whether the scope widens, as a request outside it has crashed; undefined if none has. */
+      readonly reviewAtMs?: number | undefined;
+    }
   /** Its quarantine has expired. */
-  | { readonly type: 'released' };
+  | { readonly type: 'released'; readonly scope: QuarantineScope };
 
-/** What a box has recorded about one request. */
+/** What a box has recorded about one request, or about one part of a prompt. */
 export interface SuspectRecord {
   readonly runs: readonly CrashedRun[];
   /** Number of sequential crashes. */
