Connections: a box that most callers come to uses what the others leave free

Cause: of an endpoint's connections each box had an equal part, whatever it was asked for.

Change: beyond its part a box may use a quarter of the connections that are not in use, by the loads that the other boxes report.

Result: a test of its own, red before: 100 boxes, 100 connections an endpoint: 22 in place of 0 where the others have nothing in flight, 10 with 50 in flight.

--- a/packages/router/src/__tests__/endpointConnections.test.ts
+++ b/packages/router/src/__tests__/endpointConnections.test.ts
@@ -43,3 +43,26 @@
   expect((await connections.acquire(row, LONG_MS, 1)).val).toBe('connectionLimit');
   first.socket.destroy();
 });
+
+/** Guards against refusals at a box of a large fleet to which most callers come, while the others hardly use the endpoints. */
+test('a box uses connections that the others leave free, and its own part in any case', async () => {
+  const boxes = 100;
+  const large = new EndpointConnections({ countBoxes: () => boxes, now: () => 0, onOpened: () => {} });
+  const open = async (): Promise<number> => {
+    const opened = [];
+    for (;;) {
+      const acquired = await large.acquire(row, LONG_MS, boxes);
+      if (acquired.err) break;
+      opened.push(acquired.val);
+    }
+    for (const { socket } of opened) socket.destroy();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    return opened.length;
+  };
+  expect(await open()).toBe(22);
+  row.peersInFlight = 50;
+  expect(await open()).toBe(10);
+  row.peersInFlight = 90;
+  expect(await open()).toBe(1);
+  large.close();
+});
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -17,6 +17,11 @@
 const IDLE_TIMEOUT_MS = 60_000;
 /** Share of an endpoint's connections that all boxes together may use. */
 const USABLE_CONNECTIONS_SHARE = 0.9;
+/**
+ * Share of the connections not in use that one box may take beyond its own part: most callers may come to one box of each hall, while
+ * the others keep idle connections.
+ */
+const LENT_SHARE = 0.25;
 
 /** Why no connection was acquired. Nothing was sent in any of these cases. */
 export type ConnectFailure = DialFailure | 'connectionLimit';
@@ -71,10 +76,7 @@
     const pool = this.findPool(row.listing.id);
     const idle = this.takeIdle(pool, maxIdleMs);
     if (idle !== undefined) return Ok(idle);
-    const share = Math.floor(
-      (maxConnections * USABLE_CONNECTIONS_SHARE) / Math.max(1, this.options.countBoxes()),
-    );
-    if (countUsable(pool) >= Math.max(1, share)) return Err('connectionLimit');
+    if (countUsable(pool) >= this.readLimit(row, maxConnections)) return Err('connectionLimit');
     return this.open(row, pool);
   }
 
@@ -129,6 +131,13 @@
     return closeAfter(await this.dialer.connectDirectly(row));
   }
 
+  /** Connections that this box may have to an endpoint: an equal part, or more if the others use few. */
+  private readLimit({ peersInFlight }: EndpointRow, maxConnections: number): number {
+    const usable = maxConnections * USABLE_CONNECTIONS_SHARE;
+    const part = usable / Math.max(1, this.options.countBoxes());
+    return Math.max(1, Math.floor(Math.max(part, (usable - peersInFlight) * LENT_SHARE)));
+  }
+
   private findPool(endpointId: string): EndpointPool {
     let pool = this.pools.get(endpointId);
     if (pool === undefined) {
