Streams: one that ends inside an event has been broken off, however it is framed

Cause: where a response had chunks or a length, a regular end counted as the end of the stream, also inside an event; the caller got half an event and took the stream for whole. Only responses that end with their connection were checked. A response that broke off as its first events arrived was also closed before these were sent, so that its caller got no answer at all.

Change: a stream is whole if it does not end inside an event; it goes on elsewhere, or ends incomplete. What was written is sent before the connection of an incomplete response closes, within a second.

--- a/packages/router/src/proxy/eventSplitter.ts
+++ b/packages/router/src/proxy/eventSplitter.ts
@@ -31,12 +31,20 @@
     this.pending = Buffer.alloc(0);
   }
 
+  /** Whether the bytes so far end inside an event; blank lines and comments after the last one belong to none. */
+  get isInsideEvent(): boolean {
+    return EVENT_LINE.test(this.pending.toString('latin1'));
+  }
+
   /** Bytes of the incomplete event at the end. */
   get pendingBytes(): Buffer {
     return this.pending;
   }
 }
 
+/** A line of an event: neither blank nor a comment. */
+const EVENT_LINE = /^[^:\r\n]/m;
+
 /** Offset after the last blank line; 0 if there is none. */
 function findLastEventEnd(bytes: Buffer): number {
   for (let at = bytes.length - 1; at > 0; at -= 1) {
--- a/packages/router/src/proxy/requestEnding.ts
+++ b/packages/router/src/proxy/requestEnding.ts
@@ -8,6 +8,9 @@
 import type { RouterRefusal } from './refusal.js';
 import { sendRefusal } from './refusal.js';
 
+/** A caller that reads more slowly than this loses the rest of a response that broke off. */
+const MAX_FLUSH_MS = 1_000;
+
 /** The request, and what the end of it needs to know. */
 export interface RequestEndingOptions {
   readonly req: IncomingMessage;
@@ -52,7 +55,7 @@
     if (this.isOver) return;
     const hasStarted = this.options.hasResponseStarted();
     this.end(code, detail);
-    if (hasStarted) this.options.res.destroy();
+    if (hasStarted) closeAfterFlush(this.options.res);
     else this.respond({ code, ran: 'unknown', retryAfterMs: 0 }, false);
   }
 
@@ -68,3 +71,11 @@
     sendRefusal(res, this.context.dialect, refusal, request.requestId, closes);
   }
 }
+
+/** Closes the connection of an incomplete response: the caller gets what has been written, and no regular end. */
+function closeAfterFlush(res: ServerResponse): void {
+  const { socket } = res;
+  if (socket === null || socket === undefined) return void res.destroy();
+  socket.destroySoon();
+  setTimeout(() => socket.destroy(), MAX_FLUSH_MS).unref();
+}
--- a/packages/router/src/proxy/responseDelivery.ts
+++ b/packages/router/src/proxy/responseDelivery.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseHead } from './attempt.js';
 import { EventSplitter } from './eventSplitter.js';
-import { isCloseDelimited, selectResponseHeaders } from './forwardHeaders.js';
+import { selectResponseHeaders } from './forwardHeaders.js';
 
 /** A plain response longer than this is delivered before it is complete. */
 const MAX_BUFFERED_BYTES = 262_144;
@@ -91,7 +91,6 @@
   hasStarted = false;
   lastEventId: string | undefined;
   private readonly splitter = new EventSplitter();
-  private readonly isCloseDelimited: boolean;
 
   constructor(
     private readonly res: ServerResponse,
@@ -99,7 +98,6 @@
     private readonly isResumable: boolean,
   ) {
     this.status = head.status;
-    this.isCloseDelimited = isCloseDelimited(head.headers);
   }
 
   push(chunk: Buffer): boolean {
@@ -114,9 +112,9 @@
     return this.isResumable && this.lastEventId !== undefined;
   }
 
-  /** If the response has no length, an end inside an event is the only evidence that it was cut off. */
+  /** A stream that ends inside an event was broken off, even if its response ends as it should. */
   isComplete(): boolean {
-    return !this.isCloseDelimited || this.splitter.pendingBytes.length === 0;
+    return !this.splitter.isInsideEvent;
   }
 
   prepareResume(): void {
