--- a/packages/router/src/streams/boxStreams.ts
+++ b/packages/router/src/streams/boxStreams.ts
@@ -11,6 +11,9 @@
 /** A caller takes a stream up within this time, or within twice the longest timeout of a stream if that is more. */
 const MIN_RETENTION_MS = 30_000;
 
+/** Interval at which the number of known streams is measured. */
+const MEASURE_INTERVAL_MS = 1_000;
+
 /** Settings and dependencies of the parts. */
 export interface BoxStreamsOptions {
   readonly hall: string;
@@ -28,6 +31,7 @@
   readonly lookup: OriginLookup;
   private readonly origins = new StreamOrigins();
   private readonly versions: SoftwareVersions;
+  private measuredAtMs = -Infinity;
 
   constructor(private readonly options: BoxStreamsOptions) {
     const { hall, mesh, table, state, rank, now } = options;
@@ -45,6 +49,8 @@
     this.versions.tick(nowMs);
     this.tracker.tick(nowMs);
     this.lookup.tick(nowMs);
+    if (nowMs - this.measuredAtMs < MEASURE_INTERVAL_MS) return;
+    this.measuredAtMs = nowMs;
     this.options.metrics.knownStreams.set(this.origins.size);
   }
 }
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -23,6 +23,9 @@
 /** How often a caller takes a stream up again, and how long it waits before at most. */
 const MAX_TAKE_UPS = 2;
 const MAX_TAKE_UP_DELAY_MS = 100;
+/** The part that crashes endpoints, and how often a request with it is sent. */
+export const HARMFUL_PART = 'dead';
+const HARMFUL_INTERVAL_MS = 150;
 /** Shares of routes; they add up to one. */
 type RouteShares = readonly (readonly [SoakRoute, number])[];
 const ROUTE_SHARES: RouteShares = [
@@ -38,6 +41,14 @@
   ['scarceLow', 0.4],
 ];
 
+/** What a caller does besides. */
+export interface CallerHabits {
+  /** Whether it takes up streams that break off. */
+  readonly takesUpStreams: boolean;
+  /** Whether no two of its requests have the same body. */
+  readonly hasOwnBodies: boolean;
+}
+
 /** A caller that sends requests to random boxes. */
 export class Caller {
   private readonly agents = new Map<string, Agent>();
@@ -50,15 +61,14 @@
     private readonly ledger: Ledger,
     private readonly random: Random,
     private readonly shares: RouteShares = ROUTE_SHARES,
-    /** Whether it takes up streams that break off. */
-    private readonly takesUpStreams = false,
+    private readonly habits: CallerHabits = { takesUpStreams: false, hasOwnBodies: false },
   ) {}
 
   /** Sends requests until `close` is called. */
   async run(): Promise<void> {
     while (!this.isClosed) {
       const { outcome, stream } = await this.sendOne(this.pickBox(), this.pickRoute());
-      if (this.takesUpStreams && stream !== undefined) await this.takeUp(stream);
+      if (this.habits.takesUpStreams && stream !== undefined) await this.takeUp(stream);
       const retryAfterMs = outcome.type === 'answer' ? (outcome.retryAfterMs ?? 0) : 0;
       // Callers of other routes go on with their next request.
       await pause((this.shares === SCARCE_SHARES ? retryAfterMs : 0) + this.random() * MAX_THINK_MS);
@@ -90,7 +100,8 @@
     this.sentCount += 1;
     const requestId = `${this.name}-${this.sentCount}`;
     const sentAtMs = readMonotonicMs();
-    const request = { path: `/${route}/x`, requestId, deadlineMs: DEADLINE_MS, takesUp };
+    const body = this.habits.hasOwnBodies ? requestId : undefined;
+    const request = { path: `/${route}/x`, requestId, deadlineMs: DEADLINE_MS, takesUp, body };
     const outcome = await sendRequest(box, request, this.findAgent(box));
     const endedAtMs = readMonotonicMs();
     const deadlineMs = DEADLINE_MS;
@@ -124,23 +135,42 @@
   }
 }
 
+/** Sends requests, no two alike, with a part that crashes endpoints, to random boxes; returns how to stop. */
+export function startHarmfulCaller(boxes: readonly BoxAddress[], ledger: Ledger, random: Random): () => void {
+  let count = 0;
+  const timer = setInterval(() => {
+    const box = boxes[Math.floor(random() * boxes.length)];
+    if (box === undefined) return;
+    count += 1;
+    const requestId = `harmful-${count}`;
+    ledger.harmfulIds.add(requestId);
+    const path = '/streamResumable/x';
+    const request = { path, requestId, deadlineMs: DEADLINE_MS, part: HARMFUL_PART, body: requestId };
+    void sendRequest(box, request, false);
+  }, HARMFUL_INTERVAL_MS);
+  return () => clearInterval(timer);
+}
+
 /** A request of a caller. */
 export interface SoakRequest {
   readonly path: string;
   readonly requestId: string;
   readonly deadlineMs: number;
   readonly takesUp?: BrokenStream | undefined;
+  /** Part of its prompt besides those that all requests share. */
+  readonly part?: string | undefined;
+  readonly body?: string | undefined;
 }
 
 /** Sends one request and returns its outcome. */
 export function sendRequest(
   box: BoxAddress,
-  { path, requestId, deadlineMs, takesUp }: SoakRequest,
+  { path, requestId, deadlineMs, takesUp, part, body = 'body' }: SoakRequest,
   agent: Agent | false,
 ): Promise<CallerOutcome> {
   return new Promise((resolve) => {
     const headers = {
-      ...createCallerHeaders(requestId, deadlineMs),
+      ...createCallerHeaders(requestId, deadlineMs, part),
       ...(takesUp && { 'Last-Event-Id': String(takesUp.lastEventId), Resumes: takesUp.requestId }),
     };
     const req = httpRequest({ host: box.host, port: box.port, path, method: 'POST', headers, agent });
@@ -160,7 +190,7 @@
           : { type: 'cut', status: undefined, body: '' },
       ),
     );
-    req.end('body');
+    req.end(body);
   });
 }
 
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -4,6 +4,7 @@
  */
 import type { CallerRecord, Ledger, PlannedEvent, ProbeRequest, RunRecord, SoakRoute } from './ledger.js';
 import { checkCutOffBoxes } from './cutChecks.js';
+import { checkHarmfulParts } from './harmfulChecks.js';
 import { checkScarceService, isScarceRoute } from './scarceChecks.js';
 import { checkStreams, parseEvents } from './streamChecks.js';
 import type { Violation } from './violation.js';
@@ -57,6 +58,7 @@
     ...checkScarceService(ledger),
     ...checkCutOffBoxes(ledger),
     ...checkStreams(ledger),
+    ...checkHarmfulParts(ledger),
   ];
 }
 
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -120,6 +120,10 @@
   readonly disturbances: Disturbance[] = [];
   /** Spans in which the process of a box was paused or restarted and may have lost its in-memory state. */
   readonly interruptions: Disturbance[] = [];
+  /** Ids of requests with a part that crashes endpoints. */
+  readonly harmfulIds = new Set<string>();
+  /** Times at which such requests crashed endpoints. */
+  readonly harmfulCrashesAtMs: number[] = [];
   /** Spans in which a box was cut off from all endpoints. */
   readonly cuts: Disturbance[] = [];
   readonly events: PlannedEvent[] = [];
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -53,6 +53,11 @@
     default: false,
     describe: 'also two software versions side by side, and callers who take up streams that break off',
   })
+  .option('harmful', {
+    type: 'boolean',
+    default: false,
+    describe: 'also requests with a part of their prompts that crashes endpoints',
+  })
   .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
   .strict()
   .parse();
@@ -104,6 +109,7 @@
     hasCuts: argv.cuts,
     isScarce: argv.scarce,
     hasVersions: argv.versions,
+    hasHarmfulParts: argv.harmful,
   });
   report(result);
   if (result.violations.length === 0) passed += 1;
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -2,7 +2,7 @@
 import { readMonotonicMs } from '@hazelwalk/platform/standins';
 import { createRandom, pause } from '@hazelwalk/standins';
 import type { Random } from '@hazelwalk/standins';
-import { Caller, SCARCE_SHARES, sendRequest } from './callers.js';
+import { Caller, SCARCE_SHARES, sendRequest, startHarmfulCaller } from './callers.js';
 import { checkGuarantees } from './checks.js';
 import type { FaultKind } from './faults.js';
 import {
@@ -36,6 +36,8 @@
   readonly isScarce: boolean;
   /** Whether endpoints of two software versions serve side by side, and callers take up streams that break off. */
   readonly hasVersions: boolean;
+  /** Whether callers send requests with a part that crashes endpoints. */
+  readonly hasHarmfulParts: boolean;
 }
 
 /** Result of one seed. */
@@ -112,7 +114,8 @@
 function startLoad(site: SoakSite, ledger: Ledger, options: SoakOptions, random: Random): () => void {
   const callers = Array.from({ length: options.callers }, (_, at) => {
     const callerRandom = createRandom(Math.floor(random() * 2 ** 31));
-    return new Caller(`c${at}`, site.boxes, ledger, callerRandom, undefined, options.hasVersions);
+    const habits = { takesUpStreams: options.hasVersions, hasOwnBodies: options.hasHarmfulParts };
+    return new Caller(`c${at}`, site.boxes, ledger, callerRandom, undefined, habits);
   });
   const scarceCount = options.isScarce
     ? options.endpointsPerService * SCARCE_SLOTS * CALLERS_PER_SCARCE_SLOT
@@ -122,9 +125,13 @@
     callers.push(new Caller(`s${at}`, site.boxes, ledger, callerRandom, SCARCE_SHARES));
   }
   for (const caller of callers) void caller.run();
+  const stopHarmful = options.hasHarmfulParts
+    ? startHarmfulCaller(site.boxes, ledger, createRandom(options.seed))
+    : () => {};
   const prober = setInterval(() => void probeAll(site, ledger), PROBE_INTERVAL_MS);
   return () => {
     clearInterval(prober);
+    stopHarmful();
     for (const caller of callers) caller.close();
   };
 }
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -10,13 +10,15 @@
   createEndpointEntry,
   createStandinConfiguration,
   formatBoxSettings,
+  HARMFUL_EXIT_CODE,
   readMonotonicMs,
   StandinStore,
 } from '@hazelwalk/platform/standins';
 import type { StandinRoute } from '@hazelwalk/platform/standins';
-import { endProcess, LinkProxy, startProcess } from '@hazelwalk/standins';
+import { endProcess, LinkProxy, pause, startProcess } from '@hazelwalk/standins';
 import type { StartedProcess } from '@hazelwalk/standins';
 import type { BoxAddress } from './callers.js';
+import { HARMFUL_PART } from './callers.js';
 import { LINK_CUT_PRELOAD, LINK_CUT_VARIABLES, writeLinkCut } from './linkCut.js';
 import type { Ledger, RunRecord } from './ledger.js';
 
@@ -117,8 +119,12 @@
   readonly isScarce: boolean;
   /** Whether endpoints of two software versions serve side by side. */
   readonly hasVersions: boolean;
+  /** Whether callers send requests with a part that crashes endpoints. */
+  readonly hasHarmfulParts: boolean;
 }
 
+/** After this time an endpoint that crashed is replaced by a new one. */
+const RETURN_MS = 2_000;
 /** Versions of the endpoints' software, which have no order. */
 const SOFTWARE_VERSIONS = ['v2', 'v10'] as const;
 
@@ -130,6 +136,7 @@
   version = 0;
   private storePort = 0;
   private endpointCount = 0;
+  private isClosed = false;
   /** Runs in progress, by endpoint id and request id. */
   private readonly openRuns = new Map<string, RunRecord>();
   private readonly settingsFolder = mkdtempSync(join(tmpdir(), 'hazelwalk-soak-'));
@@ -176,11 +183,16 @@
       (line) => (JSON.parse(line) as { listening?: number }).listening,
       {
         onLine: (line) => this.handleEndpointLine(id, line),
-        ...(softwareVersion !== undefined && { env: { STANDIN_VERSION: softwareVersion } }),
+        env: {
+          ...(softwareVersion !== undefined && { STANDIN_VERSION: softwareVersion }),
+          ...(this.options.hasHarmfulParts && { STANDIN_HARMFUL_PART: HARMFUL_PART }),
+        },
       },
     );
     const link = new LinkProxy(process.startupInfo);
-    const address = `127.0.0.1:${await link.listen()}`;
+    // A link accepts connections also when its endpoint has crashed.
+    const port = this.options.hasHarmfulParts ? process.startupInfo : await link.listen();
+    const address = `127.0.0.1:${port}`;
     const endpoint: SoakEndpoint = {
       id,
       service,
@@ -194,9 +206,24 @@
     };
     this.endpoints.set(id, endpoint);
     this.writeEntry(endpoint);
+    process.child.once('exit', (code) => {
+      if (code === HARMFUL_EXIT_CODE) void this.replaceCrashed(endpoint);
+    });
     return endpoint;
   }
 
+  /** A crashed endpoint is back after some seconds, as a new one. */
+  private async replaceCrashed(endpoint: SoakEndpoint): Promise<void> {
+    this.ledger.harmfulCrashesAtMs.push(readMonotonicMs());
+    const disturbance = this.ledger.beginDisturbance(endpoint.id);
+    await pause(RETURN_MS);
+    if (!this.isClosed && this.endpoints.has(endpoint.id)) {
+      await this.removeEndpoint(endpoint, 'SIGKILL');
+      await this.addEndpoint(endpoint.service);
+    }
+    disturbance.toMs = readMonotonicMs();
+  }
+
   /** Marks an endpoint as draining in the store. */
   announceLeaving(endpoint: SoakEndpoint): void {
     endpoint.entry = 'draining';
@@ -264,6 +291,7 @@
 
   /** Ends all processes of the site and closes the links and the store. */
   async close(): Promise<void> {
+    this.isClosed = true;
     await Promise.all(this.boxes.map((box) => box.process && endProcess(box.process.child, 'SIGKILL')));
     for (const endpoint of this.endpoints.values()) {
       await endProcess(endpoint.process.child, 'SIGKILL');
