--- a/packages/core/src/problemBody.ts
+++ b/packages/core/src/problemBody.ts
@@ -1,4 +1,5 @@
 /** The response body of a refusal: problem+json (RFC 9457) with the numbered code and whether the request ran. */
+import { STATUS_CODES } from 'node:http';
 import type { Ran, ResultCode } from './resultCodes.js';
 import { RESULT_CODES } from './resultCodes.js';
 
@@ -38,3 +39,20 @@
     requestId,
   };
 }
+
+/**
+ * Formats a refusal as a raw HTTP response, for a request that could not be parsed.
+ *
+ * @example socket.end(formatRawProblem({ code: 'malformedRequest', ran: 'no', retryAfterMs: 0 }))
+ */
+export function formatRawProblem(refusal: Parameters<typeof createProblemBody>[0]): string {
+  const body = createProblemBody(refusal, '');
+  const text = JSON.stringify(body);
+  const lines = [
+    `HTTP/1.1 ${body.status} ${STATUS_CODES[body.status] ?? 'Error'}`,
+    `content-type: ${PROBLEM_CONTENT_TYPE}`,
+    `content-length: ${Buffer.byteLength(text)}`,
+    'connection: close',
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${text}`;
+}
--- a/packages/daemon/src/adapters/callerServer.ts
+++ b/packages/daemon/src/adapters/callerServer.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { BoxId, RequestHead, ResultCode, StreamFrame } from '@hazelwalk/core';
+import { formatRawProblem } from '@hazelwalk/core';
 import { z } from 'zod';
 import type { EmitEvent } from '../coreLoop.js';
 import { listenOn } from './addresses.js';
@@ -13,7 +14,7 @@
 import type { HeaderPairs } from './headers.js';
 import { HEADER, listEndToEndHeaders, readHeader } from './headers.js';
 import type { Metrics } from './metrics.js';
-import { formatRawProblem, sendProblem } from './problemJson.js';
+import { sendProblem } from './problemJson.js';
 
 const CHAT_PATH = '/v1/chat/completions';
 const TICKET_PATH = '/v1/tickets';
--- a/packages/daemon/src/adapters/problemJson.ts
+++ b/packages/daemon/src/adapters/problemJson.ts
@@ -1,5 +1,4 @@
 /** Refusals as callers receive them: problem+json (RFC 9457) with the numbered code, `ran` and Retry-After. */
-import { STATUS_CODES } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import type { Refusal } from '@hazelwalk/core';
 import { createProblemBody, PROBLEM_CONTENT_TYPE } from '@hazelwalk/core';
@@ -22,16 +21,3 @@
   if (closes) res.setHeader('connection', 'close');
   res.end(JSON.stringify(body));
 }
-
-/** Formats a refusal as a raw HTTP response, for a request that could not be parsed. */
-export function formatRawProblem(refusal: Refusal): string {
-  const body = createProblemBody(refusal, '');
-  const text = JSON.stringify(body);
-  const lines = [
-    `HTTP/1.1 ${body.status} ${STATUS_CODES[body.status] ?? 'Error'}`,
-    `content-type: ${PROBLEM_CONTENT_TYPE}`,
-    `content-length: ${Buffer.byteLength(text)}`,
-    'connection: close',
-  ];
-  return `${lines.join('\r\n')}\r\n\r\n${text}`;
-}
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -4,10 +4,10 @@
  * During a graceful shutdown the server keeps accepting for a while, because callers are still sent here until the
  * platform has noticed that the box is not ready. It then closes idle connections and stops after the last response.
  */
-import { createServer, STATUS_CODES } from 'node:http';
+import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { createProblemBody, PROBLEM_CONTENT_TYPE } from '@hazelwalk/core';
+import { formatRawProblem } from '@hazelwalk/core';
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerLimits } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
@@ -106,7 +106,8 @@
     if (code !== undefined) {
       this.context.metrics.outcomes.inc({ outcome: code });
       this.context.log.write('notable', 'requestRefused', { code, detail: error.code });
-      if (socket.writable && socket.bytesWritten === 0) return void socket.end(formatProblemResponse(code));
+      if (socket.writable && socket.bytesWritten === 0)
+        return void socket.end(formatRawProblem({ code, ran: 'no', retryAfterMs: 0 }));
     }
     socket.destroy();
   }
@@ -124,15 +125,3 @@
   const text = (req.method?.length ?? 0) + (req.url?.length ?? 0) + req.rawHeaders.length * 2;
   return req.rawHeaders.reduce((sum, part) => sum + part.length, text + HEADER_LINE_OVERHEAD_BYTES);
 }
-
-function formatProblemResponse(code: ResultCode): string {
-  const body = createProblemBody({ code, ran: 'no', retryAfterMs: 0 }, '');
-  const text = JSON.stringify(body);
-  const lines = [
-    `HTTP/1.1 ${body.status} ${STATUS_CODES[body.status] ?? 'Error'}`,
-    `content-type: ${PROBLEM_CONTENT_TYPE}`,
-    `content-length: ${Buffer.byteLength(text)}`,
-    'connection: close',
-  ];
-  return `${lines.join('\r\n')}\r\n\r\n${text}`;
-}
