Loads and slots: the view of loads, queues of holders and answers are modules

Change: LoadView (what is known, how complete and old), HolderQueue and SlotAnswers. No decision changes.

--- a/packages/router/src/admission/serviceSchedule.ts
+++ b/packages/router/src/admission/serviceSchedule.ts
@@ -13,6 +13,7 @@
 import { MAX_SHARE_OF_PATIENCE, ReturnPlanner, ROUND_TRIP_MS } from './returnPlanner.js';
 import type { EndpointUse, Grant } from './slotLedger.js';
 import { SlotLedger } from './slotLedger.js';
+import { SlotAnswers } from './slotAnswers.js';
 import type { SchedulableEndpoint, SlotAnswer, SlotRelease, SlotRequest } from './slotMessages.js';
 import { readSlotRequestKey } from './slotMessages.js';
 import { SlotQueue } from './slotQueue.js';
@@ -65,7 +66,7 @@
   private readonly planner: ReturnPlanner;
   private readonly returns = new RememberedReturns();
   private readonly ended = new EndedSlotRequests();
-  private answers: SlotAnswer[] = [];
+  private readonly answers: SlotAnswers;
   private nowMs = 0;
   private requestedAtMs = -Infinity;
   /** Until then a predecessor's requests and grants count. */
@@ -80,6 +81,7 @@
     private readonly createdAtMs: number,
   ) {
     this.planner = new ReturnPlanner(random);
+    this.answers = new SlotAnswers(service);
   }
 
   /** Whether nothing waits or is granted, and nothing has been requested for a while. */
@@ -148,14 +150,13 @@
   /** Applies a change, grants the slots that are free then, and returns the answers. */
   private update(nowMs: number, change: () => void): SlotAnswer[] {
     this.nowMs = nowMs;
-    this.answers = [];
     this.estimates.update(nowMs);
     change();
     this.estimates.update(nowMs);
     this.grantFreeSlots();
     if (nowMs - this.reviewedAtMs >= REVIEW_INTERVAL_MS) this.reviewWaiting();
     this.estimates.setFull(this.ledger.isFull(nowMs));
-    return this.answers;
+    return this.answers.take();
   }
 
   /** Answers a request that was answered before; false if it is new. */
@@ -163,9 +164,9 @@
     const grant = this.ledger.find(request);
     const waiting = this.waitingByKey.get(readSlotRequestKey(request));
     const ended = this.ended.find(request);
-    if (grant !== undefined) this.answerGranted(grant);
-    else if (waiting !== undefined) this.answerQueued(waiting);
-    else if (ended?.type === 'rejected') this.answerRejected(request, ended.returnAtMs - this.nowMs);
+    if (grant !== undefined) this.answers.addGranted(grant);
+    else if (waiting !== undefined) this.answers.addQueued(waiting.request, this.readExpectedWaitMs(waiting));
+    else if (ended?.type === 'rejected') this.answers.addRejected(request, ended.returnAtMs - this.nowMs);
     return grant !== undefined || waiting !== undefined || ended !== undefined;
   }
 
@@ -219,7 +220,7 @@
     if (!this.queue.has(waiting)) return;
     const promptness = this.queue.isPunctual(waiting) ? 'punctual' : 'overdue';
     this.queue.recordEntry(waiting, promptness, this.nowMs);
-    this.answerQueued(waiting);
+    this.answers.addQueued(waiting.request, this.readExpectedWaitMs(waiting));
   }
 
   private rejectLast(): void {
@@ -279,7 +280,7 @@
     };
     this.ledger.add(grant);
     this.waitingByKey.delete(readSlotRequestKey(request));
-    this.answerGranted(grant);
+    this.answers.addGranted(grant);
   }
 
   private endGrant(grant: Grant, { outcome, heldMs }: SlotRelease): void {
@@ -334,7 +335,12 @@
     this.rejectedCount += 1;
     this.returns.remember(request.content, remembered);
     this.ended.add(request, { type: 'rejected', returnAtMs });
-    this.answerRejected(request, returnAtMs - this.nowMs);
+    this.answers.addRejected(request, returnAtMs - this.nowMs);
+  }
+
+  private readExpectedWaitMs(waiting: WaitingRequest): number {
+    const estimatedMs = this.estimates.estimateWaitMs(waiting, this.nowMs);
+    return Math.min(estimatedMs, waiting.latestStartAtMs - this.nowMs);
   }
 
   private planReturn({ request, latestStartAtMs }: WaitingRequest): ReturnPlan {
@@ -344,21 +350,4 @@
     const { ratePerMs } = this.estimates;
     return this.planner.plan({ rank, patienceMs, backlog, ratePerMs }, this.nowMs);
   }
-
-  private answerGranted({ requestId, endpointTag }: Grant): void {
-    this.answers.push({ ...requestId, type: 'granted', service: this.service, endpointTag });
-  }
-
-  private answerQueued(waiting: WaitingRequest): void {
-    const { box, number } = waiting.request;
-    const expectedWaitMs = Math.min(
-      this.estimates.estimateWaitMs(waiting, this.nowMs),
-      waiting.latestStartAtMs - this.nowMs,
-    );
-    this.answers.push({ box, number, type: 'queued', expectedWaitMs });
-  }
-
-  private answerRejected({ box, number }: SlotRequest, retryAfterMs: number): void {
-    this.answers.push({ box, number, type: 'rejected', retryAfterMs: Math.max(0, retryAfterMs) });
-  }
 }
--- a/packages/router/src/peers/loadRelay.ts
+++ b/packages/router/src/peers/loadRelay.ts
@@ -16,6 +16,9 @@
 import { planFanOut } from '../membership/fanOutPlan.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { BoxLoads, FleetLoads, HallLoads, Heartbeat, LoadCoverage } from './peerFrames.js';
+import { HolderQueue, MAX_HOLDERS_PER_SUM } from './holderQueue.js';
+import type { LoadViewStatus } from './loadView.js';
+import { LoadView } from './loadView.js';
 import type { PaceField, PaceRelay } from './paceRelay.js';
 import type { PeerMesh } from './peerMesh.js';
 
@@ -26,29 +29,16 @@
 /** The second aggregator takes over when the first one has missed two intervals. */
 const TAKEOVER_MS = 2 * LOAD_INTERVAL_MS + LOAD_INTERVAL_MS / 2;
 
-/** Maximum number of prompt holders in one sum: two kilobytes. In a steady state a hall's boxes send almost none. */
-const MAX_HOLDERS_PER_SUM = 256;
 /** Maximum number of prompt holders sent on a new link: about ten kilobytes, once. */
 const MAX_HOLDERS_ON_NEW_LINK = 1_024;
 
 /** Maximum number of demand lists that wait for a heartbeat. More would mean that heartbeats are no longer sent. */
 const MAX_UNSENT_DEMAND_LISTS = 4;
 
-/** A sum of less than this share of the boxes is partial. Some may be missing for a moment as boxes join and leave. */
-const MIN_WHOLE_SHARE = 0.9;
-
 /** Coverage of sums from boxes of an earlier version, which do not report it. */
 const UNKNOWN_COVERAGE = { boxes: 0, ageMs: 0 } as const;
 
-/** Completeness and age of a box's view of the loads of other boxes. */
-export interface LoadViewStatus {
-  /** `missing`: nothing was received for so long that the loads of other boxes count as zero. */
-  readonly extent: 'whole' | 'partial' | 'missing';
-  /** Number of boxes whose loads are known, including this one. */
-  readonly boxes: number;
-  /** Age of the oldest of these loads. */
-  readonly ageMs: number;
-}
+export type { LoadViewStatus } from './loadView.js';
 
 /** Dependencies and settings of the relay. */
 export interface LoadRelayOptions {
@@ -79,14 +69,14 @@
   private fleetLoadsAtMs = -Infinity;
   /** The loads that this box sent last, which the received sums therefore include. */
   private sentLoads: LoadList = [];
-  /** Coverage of the loads of other boxes that were applied last, and when they were applied. */
-  private appliedCoverage: LoadCoverage = { boxes: 1, ageMs: 0 };
-  private appliedAtMs = -Infinity;
+  private readonly view: LoadView;
   /** Prompt holders that this box, if it aggregates, has yet to send to its own hall and to the other halls. */
-  private readonly holdersForOwnHall: number[] = [];
-  private readonly holdersForOtherHalls: number[] = [];
+  private readonly holdersForOwnHall = new HolderQueue();
+  private readonly holdersForOtherHalls = new HolderQueue();
 
-  constructor(private readonly options: LoadRelayOptions) {}
+  constructor(private readonly options: LoadRelayOptions) {
+    this.view = new LoadView(options);
+  }
 
   /** Runs once per tick of the loop and acts at its own interval. */
   tick(): void {
@@ -103,17 +93,12 @@
 
   /** Completeness and age of this box's view of the loads of other boxes. */
   readViewStatus(): LoadViewStatus {
-    const { mesh, now } = this.options;
-    const ageMs = this.readLoadAgeMs();
-    if (!mesh.isFullMesh && now() - this.appliedAtMs > REPORT_TTL_MS)
-      return { extent: 'missing', boxes: 1, ageMs };
-    const { boxes } = this.appliedCoverage;
-    return { extent: boxes < MIN_WHOLE_SHARE * mesh.countBoxes() ? 'partial' : 'whole', boxes, ageMs };
+    return this.view.readStatus();
   }
 
   /** Age of the oldest loads that this box knows; infinite before the first. */
   readLoadAgeMs(): number {
-    return this.appliedCoverage.ageMs + this.options.now() - this.appliedAtMs;
+    return this.view.readAgeMs();
   }
 
   /** In a small fleet, the prompt demand at this box since its last heartbeat: every box sums the demand of all boxes. */
@@ -151,7 +136,7 @@
   handleHallLoads(frame: HallLoads): void {
     if (frame.hall === this.options.hall) return;
     this.options.promptHolders.addReported(frame.homes);
-    this.queueHolders(frame.homes, this.holdersForOwnHall);
+    this.holdersForOwnHall.add(frame.homes);
     this.options.paces.addOtherHall(frame.paces);
     this.demandAggregate.setHallCounts(frame.hall, frame.prompts, this.options.now());
     const { boxes, ageMs } = frame.coverage ?? UNKNOWN_COVERAGE;
@@ -164,7 +149,7 @@
     this.options.promptHolders.addReported(frame.homes);
     this.options.demand.setHotPrompts(frame.prompts, this.fleetLoadsAtMs);
     this.options.paces.apply(frame.paces, this.fleetLoadsAtMs);
-    this.applyLoads([subtractLoads(frame.loads, this.sentLoads)], frame.coverage ?? UNKNOWN_COVERAGE);
+    this.view.apply([subtractLoads(frame.loads, this.sentLoads)], frame.coverage ?? UNKNOWN_COVERAGE);
     this.relayFleetLoads(frame, frame.passTo);
   }
 
@@ -178,14 +163,8 @@
 
   /** Queues prompt holders that a box of this hall has learned, for the own hall and for the other halls. */
   private queueHoldersForAllHalls(holders: HolderList): void {
-    this.queueHolders(holders, this.holdersForOwnHall);
-    this.queueHolders(holders, this.holdersForOtherHalls);
-  }
-
-  /** Queues prompt holders for the next sums. A box that does not aggregate keeps the newest in case it takes over. */
-  private queueHolders(holders: HolderList, queue: number[]): void {
-    queue.push(...holders);
-    if (queue.length > 2 * MAX_HOLDERS_PER_SUM) queue.splice(0, queue.length - 2 * MAX_HOLDERS_PER_SUM);
+    this.holdersForOwnHall.add(holders);
+    this.holdersForOtherHalls.add(holders);
   }
 
   /** Sends the loads of this box, and the sums if this box aggregates. */
@@ -218,19 +197,12 @@
     const { mesh } = this.options;
     const peers = mesh.listRecentlySeen();
     const ageMs = Math.max(0, ...peers.map((peer) => nowMs - peer.lastSeenAtMs));
-    this.applyLoads(
+    this.view.apply(
       peers.map((peer) => peer.heartbeat.loads),
       { boxes: peers.length + 1, ageMs },
     );
   }
 
-  /** Writes the loads of other boxes into the table. */
-  private applyLoads(lists: readonly LoadList[], { boxes, ageMs }: LoadCoverage): void {
-    this.appliedCoverage = { boxes, ageMs };
-    this.appliedAtMs = this.options.now();
-    applyPeerLoads(this.options.table, lists);
-  }
-
   private sendToAggregators(): void {
     const { mesh, table, hall, promptHolders, demand, paces, now } = this.options;
     this.sentLoads = listOwnLoads(table);
@@ -271,7 +243,7 @@
     const { mesh, hall, demand, paces } = this.options;
     const paceReports = paces.takeSums(nowMs);
     const { ownHall, others, fleet } = this.sumLoads(nowMs);
-    this.applyLoads([others], fleet);
+    this.view.apply([others], fleet);
     const hot = this.demandAggregate.listHot();
     demand.setHotPrompts(hot, nowMs);
     const hallFrame: HallLoads = {
@@ -279,7 +251,7 @@
       hall,
       loads: [...ownHall.loads],
       coverage: toCoverage(ownHall),
-      homes: this.holdersForOtherHalls.splice(0),
+      homes: this.holdersForOtherHalls.take(),
       prompts: this.demandAggregate.listHallCounts(),
       ...paceReports.ownHall,
     };
@@ -288,7 +260,7 @@
       type: 'fleetLoads',
       loads: [...fleet.loads],
       coverage: toCoverage(fleet),
-      homes: this.holdersForOwnHall.splice(0),
+      homes: this.holdersForOwnHall.take(),
       prompts: hot,
       ...paceReports.fleet,
       passTo: [],
