--- a/packages/router/src/quarantine/quarantine.ts
+++ b/packages/router/src/quarantine/quarantine.ts
@@ -13,22 +13,15 @@
 import { LRUCache } from 'lru-cache';
 import type { BlamedRequest } from './blamedRequest.js';
 import type { CrashedRun } from './crashedRuns.js';
-import {
-  addCrashedRun,
-  findCrashChain,
-  isOfSameRequest,
-  isSameCrash,
-  readLastCrashMs,
-} from './crashedRuns.js';
+import { addCrashedRun, findCrashChain, readLastCrashMs } from './crashedRuns.js';
+import { findProvenScope, listUnexplained, QUARANTINE_THRESHOLD } from './crashEvidence.js';
 import type { QuarantineScope } from './quarantineScope.js';
 import { findScope, isInScope, isSameScope, joinScopes, UNLIMITED_SCOPE } from './quarantineScope.js';
 import type { QuarantineState, SuspectRecord } from './suspectTable.js';
 import { SuspectTable } from './suspectTable.js';
 
-/** Sequential crashes, none of them explained by another request, after which a request is quarantined. */
-export const QUARANTINE_THRESHOLD = 3;
-/** Crashes after which other possible causes no longer matter: two requests at fault may always arrive together. */
-const UNCONDITIONAL_THRESHOLD = 6;
+export { QUARANTINE_THRESHOLD } from './crashEvidence.js';
+
 /** Crashes of requests outside the scope of a quarantine after which it widens. */
 const WIDENING_THRESHOLD = 2;
 /** Crashes after which the endpoint of a request is drawn at random instead of by its prompt. */
@@ -239,25 +232,17 @@
     this.pending.delete(fingerprint);
     if (record?.state.type === 'quarantined') return this.widen(fingerprint, record, record.state.scope);
     if (record?.state.type !== 'pending') return false;
-    const scope = this.findProvenScope(fingerprint, record);
+    const scope = findProvenScope(this.table, fingerprint, record);
     if (scope === undefined) this.table.set(fingerprint, { ...record, state: { type: 'none' } });
     else this.startQuarantine(fingerprint, record.runs, readLastCrashMs(record.runs), scope);
     return scope !== undefined;
   }
 
-  /** The requests that the crashes of a fingerprint prove to be at fault; undefined if they prove nothing. */
-  private findProvenScope(fingerprint: string, record: SuspectRecord): QuarantineScope | undefined {
-    const unexplained = this.listUnexplained(fingerprint, record);
-    if (findCrashChain(unexplained).length >= QUARANTINE_THRESHOLD)
-      return findScope(fingerprint, unexplained);
-    return record.crashes >= UNCONDITIONAL_THRESHOLD ? findScope(fingerprint, record.runs) : undefined;
-  }
-
   /** Widens a quarantine if enough requests that it did not concern have crashed. */
   private widen(fingerprint: string, record: SuspectRecord, scope: QuarantineScope): boolean {
     const isOutside = ({ request }: CrashedRun): boolean =>
       request !== undefined && !isInScope(scope, request);
-    const outside = this.listUnexplained(fingerprint, record).filter(isOutside);
+    const outside = listUnexplained(this.table, fingerprint, record).filter(isOutside);
     const inside = record.runs.filter((run) => !isOutside(run));
     const isProven = findCrashChain(outside).length >= WIDENING_THRESHOLD;
     const found = isProven ? findScope(fingerprint, [...inside, ...outside]) : undefined;
@@ -277,37 +262,6 @@
     this.pending.add(fingerprint);
   }
 
-  private listUnexplained(fingerprint: string, record: SuspectRecord): CrashedRun[] {
-    return record.runs.filter(
-      (run) =>
-        !this.isExplained(fingerprint, record, run) && !this.isExplainedByOtherPart(fingerprint, record, run),
-    );
-  }
-
-  /**
-   * Whether another part of the same prompt was in flight during more crashes, so that the part is one of many that came with
-   * it. The whole request is never explained by its parts: it is the least that can be at fault.
-   */
-  private isExplainedByOtherPart(fingerprint: string, { runs }: SuspectRecord, run: CrashedRun): boolean {
-    const [whole, ...parts] = run.request?.fingerprints ?? [];
-    if (whole === fingerprint) return false;
-    return parts.some((part) => (this.table.find(part)?.runs.length ?? 0) > runs.length);
-  }
-
-  /** Whether another request in flight during that crash is quarantined, or was in flight during at least as many. */
-  private isExplained(fingerprint: string, { crashes }: SuspectRecord, run: CrashedRun): boolean {
-    return this.table
-      .listConcurrent(fingerprint, run)
-      .some((other) =>
-        other.runs.some(
-          (one) =>
-            (other.crashes >= crashes || isRunQuarantined(other.state, one)) &&
-            isSameCrash(one, run) &&
-            !isOfSameRequest(one, run),
-        ),
-      );
-  }
-
   /** Whether the quarantine of a fingerprint concerns a request that has it. */
   private isConcerned(fingerprint: string, request: BlamedRequest): boolean {
     const scope = this.findQuarantineScope(fingerprint);
@@ -396,7 +350,3 @@
       return undefined;
   }
 }
-
-function isRunQuarantined(state: QuarantineState, { request }: CrashedRun): boolean {
-  return state.type === 'quarantined' && (request === undefined || isInScope(state.scope, request));
-}
