Streams: a list that lacks a version proves nothing

Cause: where boxes of an earlier release relay part of the list, versions are missing in it. Such a list counted in an outage as one that had been known for long, so that a service could seem to have one version.

Change: it counts as known for no time at all.

Result: a test of its own in virtualStreams, red without the change.

--- a/packages/router/src/streams/__tests__/virtualStreams.test.ts
+++ b/packages/router/src/streams/__tests__/virtualStreams.test.ts
@@ -3,6 +3,7 @@
  * gone, in halls that are cut off, and at boxes that have just started or that have an old list. No stream may go on at
  * another version than the one that began it; while both serve, nearly all have to go on.
  */
+import { createListing } from '../../__fixtures__/createEndpoints.js';
 import type { VirtualBox } from '../../membership/__fixtures__/virtualFleet.js';
 import { VirtualStreams } from '../__fixtures__/virtualStreams.js';
 
@@ -129,3 +130,17 @@
   await fleet.run(2);
   expect(await streams.takeUp(() => true, fleet.boxes)).toMatchObject({ wrong: 0, right: 0 });
 });
+
+test('a list in which a version is missing proves nothing', async () => {
+  const streams = await VirtualStreams.create(8, 3, 8, ['v1']);
+  const { fleet } = streams;
+  for (const box of fleet.boxes) {
+    const { table } = streams.findProgram(box);
+    table.upsert(createListing('relayed-by-an-earlier-version', { softwareVersion: undefined }), 0);
+  }
+  const results: string[] = [];
+  const { lookup } = streams.findProgram(fleet.boxes[0]!);
+  lookup.find({ key: 999_999, service: 'llm' }, ({ type }) => results.push(type));
+  await fleet.run(1);
+  expect(results).toEqual(['unknown']);
+});
--- a/packages/router/src/streams/softwareVersions.ts
+++ b/packages/router/src/streams/softwareVersions.ts
@@ -10,7 +10,7 @@
   readonly softwareVersions: readonly string[];
   /** For how long every change has reached this box; 0 while it may miss some. */
   readonly coveredMs: number;
-  /** For how long this box has had a list of endpoints, be it an old one. */
+  /** For how long this box has had a list of endpoints, be it an old one; 0 if it lacks the version of one of them. */
   readonly listedMs: number;
 }
 
@@ -60,7 +60,7 @@
     return {
       softwareVersions,
       coveredMs: isCertain ? Math.max(0, nowMs - this.coveredSinceMs) : 0,
-      listedMs: Math.max(0, nowMs - this.listedSinceMs),
+      listedMs: this.lacksVersion(service) ? 0 : Math.max(0, nowMs - this.listedSinceMs),
     };
   }
 
--- a/packages/router/src/streams/streamOrigins.ts
+++ b/packages/router/src/streams/streamOrigins.ts
@@ -14,7 +14,7 @@
 /** Identifies a stream in the messages between boxes: 48 bits, which a number holds exactly. */
 export type StreamKey = number;
 
-/** Streams whose origin a box keeps: some ten megabytes when full. The oldest are evicted first. */
+/** Streams whose origin a box keeps: seven megabytes when full. The oldest are evicted first. */
 const MAX_ORIGINS = 65_536;
 /** A key consists of a hash of 32 bits and the low half of a second one. */
 const LOW_HALF = 0x1_0000;
