Comments: examples for what crashes prove and for answers to slots

Cause: public functions of the two new modules had no example, three methods no comment.

Change: comments only.

--- a/packages/router/src/admission/slotAnswers.ts
+++ b/packages/router/src/admission/slotAnswers.ts
@@ -15,14 +15,17 @@
     return this.answers.splice(0);
   }
 
+  /** The request got a slot at this endpoint. */
   addGranted({ requestId, endpointTag }: Grant): void {
     this.answers.push({ ...requestId, type: 'granted', service: this.service, endpointTag });
   }
 
+  /** The request waits, probably for so long. */
   addQueued({ box, number }: RequestId, expectedWaitMs: number): void {
     this.answers.push({ box, number, type: 'queued', expectedWaitMs });
   }
 
+  /** The request was rejected; its caller should retry after this time. */
   addRejected({ box, number }: RequestId, retryAfterMs: number): void {
     this.answers.push({ box, number, type: 'rejected', retryAfterMs: Math.max(0, retryAfterMs) });
   }
--- a/packages/router/src/quarantine/crashEvidence.ts
+++ b/packages/router/src/quarantine/crashEvidence.ts
@@ -13,7 +13,11 @@
 /** Crashes after which other possible causes no longer matter: two requests at fault may always arrive together. */
 const UNCONDITIONAL_THRESHOLD = 6;
 
-/** The requests that the crashes of a fingerprint prove to be at fault; undefined if they prove nothing. */
+/**
+ * The requests that the crashes of a fingerprint prove to be at fault; undefined if they prove nothing.
+ *
+ * @example findProvenScope(table, fingerprint, record) // UNLIMITED_SCOPE for a whole request with three crashes
+ */
 export function findProvenScope(
   table: SuspectTable,
   fingerprint: string,
@@ -24,7 +28,11 @@
   return record.crashes >= UNCONDITIONAL_THRESHOLD ? findScope(fingerprint, record.runs) : undefined;
 }
 
-/** The crashed runs of a fingerprint that nothing else explains. */
+/**
+ * The crashed runs of a fingerprint that nothing else explains.
+ *
+ * @example listUnexplained(table, fingerprint, record).length // 0 if a quarantined request was in flight at each crash
+ */
 export function listUnexplained(
   table: SuspectTable,
   fingerprint: string,
