Quarantine: one digest for all fingerprints

Cause: the fingerprints of parts and callers hashed their names in a copy of what the fingerprint of a request does.

Change: digestNames serves all three, with the same result; an alias in a test fixture is gone.

--- a/packages/router/src/quarantine/__fixtures__/virtualParts.ts
+++ b/packages/router/src/quarantine/__fixtures__/virtualParts.ts
@@ -131,11 +131,8 @@
   }
 
   private endRun(group: string, engine: number, run: Run, isHarmful: boolean): void {
-    if (this.runs[engine]?.has(run) !== true) {
-      const broken = run;
-      // Its engine ended meanwhile; its box sends it once more.
-      return this.send(group, broken);
-    }
+    // Its engine ended meanwhile; its box sends it once more.
+    if (this.runs[engine]?.has(run) !== true) return this.send(group, run);
     if (isHarmful) {
       this.crashedAtMs.push(this.fleet.timeline.nowMs);
       this.crash(engine);
--- a/packages/router/src/quarantine/blamedRequest.ts
+++ b/packages/router/src/quarantine/blamedRequest.ts
@@ -1,7 +1,6 @@
 /** What a request is blamed by when its endpoint crashes: itself, and the parts of its prompt that it shares with others. */
-import { createHash } from 'node:crypto';
 import type { PromptPart } from '../records.js';
-import { FINGERPRINT_DIGITS } from './requestFingerprint.js';
+import { digestNames } from './requestFingerprint.js';
 
 /** A request by its fingerprints. */
 export interface BlamedRequest {
@@ -17,7 +16,7 @@
  * @example fingerprintPart('llm', '5c1e07a2') // the same at every box
  */
 export function fingerprintPart(service: string, partId: string): string {
-  return hashNames('part', service, partId);
+  return digestNames(['part', service, partId]);
 }
 
 /**
@@ -26,7 +25,7 @@
  * @example fingerprintCaller('team-1')
  */
 export function fingerprintCaller(caller: string): string {
-  return hashNames('caller', caller);
+  return digestNames(['caller', caller]);
 }
 
 /**
@@ -37,7 +36,3 @@
 export function listSharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
   return parts.slice(0, -1);
 }
-
-function hashNames(...names: readonly string[]): string {
-  return createHash('sha256').update(names.join('\0')).digest('hex').slice(0, FINGERPRINT_DIGITS);
-}
--- a/packages/router/src/quarantine/requestFingerprint.ts
+++ b/packages/router/src/quarantine/requestFingerprint.ts
@@ -16,7 +16,7 @@
 }
 
 /** Hex digits of a fingerprint: with 64 bits, the chance of a collision among a million requests is about 1 in 10^7. */
-export const FINGERPRINT_DIGITS = 16;
+const FINGERPRINT_DIGITS = 16;
 /** Separates the parts; none of them can contain it. */
 const SEPARATOR = '\0';
 
@@ -29,8 +29,16 @@
  * fingerprintRequest({ method: 'GET', host: 'shop.example', path: '/a', caller: 'team-1', body: undefined })
  */
 export function fingerprintRequest({ method, host, path, caller, body }: FingerprintInput): string {
-  const hash = createHash('sha256');
-  hash.update([method, host, path, caller, ''].join(SEPARATOR));
+  return digestNames([method, host, path, caller, ''], body);
+}
+
+/**
+ * Hashes names, and bytes after them, to a fingerprint.
+ *
+ * @example digestNames(['part', 'llm', '5c1e07a2']) // 16 hex digits
+ */
+export function digestNames(names: readonly string[], body?: Buffer): string {
+  const hash = createHash('sha256').update(names.join(SEPARATOR));
   if (body !== undefined) hash.update(body);
   return hash.digest('hex').slice(0, FINGERPRINT_DIGITS);
 }
