Streams: one rule for resumable streams, no order of boxes without a report

Cause: which routes have resumable streams stood twice. While two versions served, the boxes that keep reports were sorted at every tick, also with nothing to report. Three comments needed a second reading.

Change: hasResumableStreams is in routeIndex and serves both; a report without streams ends before boxes are listed; the comments are plain.

--- a/packages/router/src/proxy/assignment.ts
+++ b/packages/router/src/proxy/assignment.ts
@@ -47,7 +47,7 @@
 /**
  * Assigns a request to another service of its route; undefined if the route does not lead there.
  *
- * @example moveToService(context, assignment, 'llm') // where its stream began, before the route was split anew
+ * @example moveToService(context, assignment, 'llm') // its stream began there, before the weights of the route changed
  */
 export function moveToService(
   context: RouterContext,
--- a/packages/router/src/proxy/streamContinuity.ts
+++ b/packages/router/src/proxy/streamContinuity.ts
@@ -4,10 +4,11 @@
  */
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
-import type { CallerRequest, Route } from '../records.js';
+import type { CallerRequest } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { StreamKey, StreamOrigin } from '../streams/streamOrigins.js';
 import { computeStreamKey } from '../streams/streamOrigins.js';
+import { hasResumableStreams } from '../systems/routeIndex.js';
 import type { Assignment } from './assignment.js';
 import { moveToService } from './assignment.js';
 
@@ -21,11 +22,6 @@
   /** It began at an endpoint whose version is not known, so no other endpoint may continue it. */
   | { readonly type: 'untraceable' };
 
-/** Whether the streams of a route may go on at another endpoint. */
-function hasResumableStreams({ kind, isResumable }: Route): boolean {
-  return kind === 'stream' && isResumable;
-}
-
 /** The stream of one request; does nothing for other requests. */
 export class StreamContinuity {
   private state: ContinuityState = { type: 'unbound' };
--- a/packages/router/src/streams/originLookup.ts
+++ b/packages/router/src/streams/originLookup.ts
@@ -4,7 +4,7 @@
  *
  * A stream that no box knows began at the only version of its service, if there has been only one for as long as streams go on.
  * This holds if one box is certain of it; or else, as in an outage of the platform, if all halls reply that they have seen
- * no other. Otherwise the origin is unknown: to guess would be to mix two versions.
+ * no other. Otherwise the origin is unknown, and the stream must not go on.
  */
 import type { PeerMesh, Reply } from '../peers/peerMesh.js';
 import type { SoftwareVersions, VersionView } from './softwareVersions.js';
--- a/packages/router/src/streams/streamTracker.ts
+++ b/packages/router/src/streams/streamTracker.ts
@@ -84,6 +84,7 @@
   private report(nowMs: number): void {
     this.reportedAtMs = nowMs;
     const streams = this.takeUnreported();
+    if (streams.length + this.relayed.length === 0) return;
     const { mesh } = this.options;
     if (mesh.isFullMesh) return this.send(pickReplicas(this.owner, this.listPeers()), streams, 0);
     const hallPeers = this.listPeers().filter(({ hall }) => hall === this.options.hall);
--- a/packages/router/src/systems/routeIndex.ts
+++ b/packages/router/src/systems/routeIndex.ts
@@ -80,9 +80,18 @@
   }
 }
 
+/**
+ * Whether the streams of a route may go on at another endpoint.
+ *
+ * @example hasResumableStreams({ kind: 'stream', isResumable: true }) // true
+ */
+export function hasResumableStreams({ kind, isResumable }: Pick<Route, 'kind' | 'isResumable'>): boolean {
+  return kind === 'stream' && isResumable;
+}
+
 function findLongestStreamMs(routes: readonly Route[]): number {
   return routes
-    .filter(({ kind, isResumable }) => kind === 'stream' && isResumable)
+    .filter(hasResumableStreams)
     .reduce((longestMs, { timeoutMs }) => Math.max(longestMs, timeoutMs), 0);
 }
 
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -84,7 +84,7 @@
     return this.lapsed;
   }
 
-  /** Increases whenever an endpoint is listed, listed anew or removed. */
+  /** Increases whenever an endpoint is added, updated or removed. */
   get revision(): number {
     return this.changes;
   }
