--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,129 +1,152 @@
 /**
- * Workers of a service are replaced one after the other. Between two steps, the open connections of all boxes to the store go
- * silent for good, without a reset, while new ones work. The worker of the second step says that it drains; the store takes
- * that at once. Boxes that are in touch again must send it nothing more than `DrainMs` later.
+ * Clients of one box each read a stream and then, on the same connection, send an order that cannot be repeated. The box gets
+ * SIGTERM while the streams go on. Every order that a worker ran for this box has to be answered.
  */
 import { join } from 'node:path';
 import process from 'node:process';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { createAgent, sendRequest } from '../lib/client.mjs';
 import { createConfiguration, createRoute, HOST, KEY } from '../lib/config.mjs';
+import { createRandom } from '../lib/random.mjs';
 import { BOUNDS, pause, Site } from '../lib/site.mjs';
 import { Worker } from '../lib/worker.mjs';
 
 const isTrouble = process.env.TROUBLE !== '0';
+const SEED = 1;
 const BOXES = 4;
-const WORKERS = 4;
-/** Work of an order: 85.7 ms on average on the sheet. */
-const WORK_MS = 86;
+const CLIENTS = 96;
+/** The streams of the sheet have 42 events with pauses of 300 ms at most, and 10,000 ms until their deadline. */
+const EVENTS = 42;
+const MIN_GAP_MS = 150;
+const MAX_GAP_MS = 190;
+const STREAM_DEADLINE_MS = 10_000;
+/** Work of an order: 85.7 ms on average on the sheet, 450 ms at most in the site file. */
+const WORK_MS = 150;
 const ORDER_DEADLINE_MS = 3_000;
+/** The machines are in touch before the SIGTERM: they have run for longer than `ContactMs`. */
 const CALM_MS = BOUNDS.ContactMs + 1_000;
-/** Steps of the release: one worker each second. */
-const STEP_MS = 1_000;
-/** When the connections go silent, after the first step. */
-const SILENCE_AFTER_MS = 300;
-/** A worker that drains serves on for `DrainMs` and a little longer, and ends. */
-const LINGER_MS = 1_200;
-/** Requests of all clients for the service: 41.2 unsafe and 16.5 safe ones a second on the sheet. */
-const ORDER_INTERVAL_MS = 17;
-/** Every third or fourth request is safe. */
-const SAFE_SHARE = 16.5 / 57.7;
-const WATCHED_MS = 5_000;
+const START_SPREAD_MS = 500;
+const GRACE_MS = BOUNDS.GraceS * 1_000;
+/** The rule excuses requests that were sent no later than this after the SIGTERM and are still worked on. */
+const EXCUSED_MS = 3_000;
 
+const random = createRandom(SEED);
 const site = new Site(join(import.meta.dirname, 'record.txt'));
-const agent = createAgent();
 
-async function startWorker(n) {
-  const options = { id: `i-${n}`, service: 'reservas', zone: 'mixco', workMs: WORK_MS };
-  return new Worker(site, options).start(site.ip(100 + n));
+/** Answers with a stream of events at a steady pace. */
+function answerWithStream(req, res, { requestId }) {
+  const gapMs = MIN_GAP_MS + random() * (MAX_GAP_MS - MIN_GAP_MS);
+  let event = 0;
+  res.writeHead(200, {
+    'Hazelwalk-Response-Seal': `stream.${requestId}`,
+    'Content-Type': 'text/event-stream',
+  });
+  const timer = setInterval(() => {
+    event += 1;
+    res.write(`id: ${event}\ndata: nine tokens of a plan\n\n`);
+    if (event < EVENTS) return;
+    clearInterval(timer);
+    res.end();
+  }, gapMs);
+  res.on('close', () => clearInterval(timer));
 }
 
-/** Replaces a worker: the new one starts first, the old one drains. Returns when the store acknowledged that. */
-async function replace(worker, n) {
-  const started = await startWorker(n);
-  site.record('worker started', { worker: started.options.id });
-  const ackAtMs = worker.drain();
-  site.record('draining acknowledged', { worker: worker.options.id });
-  void pause(BOUNDS.DrainMs + LINGER_MS).then(() => {
-    site.record('worker ends', { worker: worker.options.id });
-    site.store.remove(`servers/${worker.options.id}`);
-    worker.close();
-  });
-  return ackAtMs;
+async function startSite() {
+  await site.startStore();
+  for (let n = 1; n <= 3; n += 1) {
+    const options = { id: `e-${n}`, service: 'asistente', zone: 'mixco', slots: 64, workMs: 20 };
+    await new Worker(site, { ...options, answer: answerWithStream }).start(site.ip(100 + n));
+  }
+  const workers = [];
+  for (let n = 1; n <= 4; n += 1) {
+    const options = { id: `i-${n}`, service: 'reservas', zone: 'mixco', workMs: WORK_MS };
+    workers.push(await new Worker(site, options).start(site.ip(110 + n)));
+  }
+  const routes = [
+    createRoute('plan', {
+      Kind: 'streaming',
+      Service: 'asistente',
+      MaxAttempts: 1,
+      TimeoutMs: STREAM_DEADLINE_MS,
+      TargetLatencyMs: 600,
+      GapAimMs: 300,
+      Priority: 1,
+    }),
+    createRoute('pickup', { Kind: 'unsafe', Service: 'reservas', MaxAttempts: 1 }),
+  ];
+  site.store.put('op/config', createConfiguration(1, routes));
+  await site.startBoxes(BOXES);
+  return workers;
 }
 
-async function sendOrder(box, isSafe) {
+/** A client on one connection: a stream, and then an order. */
+async function runClient(box) {
+  await pause(random() * START_SPREAD_MS);
+  const agent = createAgent();
+  const common = { agent, host: HOST, key: KEY };
+  const plan = await sendRequest(box, {
+    ...common,
+    path: '/plan/today',
+    deadlineMs: STREAM_DEADLINE_MS,
+    body: 'p'.repeat(24_000),
+  });
+  site.record('stream answered', { request: plan.requestId, status: plan.status, whole: plan.isWhole });
+  if (plan.isWhole !== true) return undefined;
   const sentAtMs = site.now();
-  const kind = isSafe
-    ? { method: 'GET', path: '/delivery/now' }
-    : { method: 'POST', path: '/pickup/now', body: 'o'.repeat(600) };
-  const common = { agent, host: HOST, key: KEY, deadlineMs: ORDER_DEADLINE_MS };
-  const answer = await sendRequest(box, { ...common, ...kind });
-  const { requestId, status, error } = answer;
+  const order = await sendRequest(box, {
+    ...common,
+    path: '/pickup/now',
+    deadlineMs: ORDER_DEADLINE_MS,
+    body: 'o'.repeat(600),
+  });
+  const { requestId, status, error } = order;
   site.record('order answered', {
     request: requestId,
-    box: box.name,
     status,
     error,
-    sentMs: Math.round(sentAtMs),
+    afterMs: Math.round(site.now() - sentAtMs),
   });
-  return { ...answer, sentAtMs, box: box.name };
+  agent.destroy();
+  return { ...order, sentAtMs, endedAtMs: site.now() };
 }
 
-/** Sends orders to all boxes in turn until a time. */
-async function sendOrders(untilMs) {
-  const orders = [];
-  for (let count = 0; site.now() < untilMs(); count += 1) {
-    const isSafe = Math.floor((count + 1) * SAFE_SHARE) > Math.floor(count * SAFE_SHARE);
-    orders.push(sendOrder(site.boxes[count % BOXES], isSafe));
-    await pause(ORDER_INTERVAL_MS);
-  }
-  return Promise.all(orders);
+/** Stops a box as the platform does: SIGTERM, and SIGKILL after `GraceS`. */
+function stopBox(box) {
+  const { child } = box;
+  site.record('SIGTERM', { box: box.name });
+  child.kill('SIGTERM');
+  setTimeout(() => child.exitCode === null && child.kill('SIGKILL'), GRACE_MS).unref();
+  return site.now();
 }
 
 async function run() {
-  await site.startStore();
-  const workers = [];
-  for (let n = 1; n <= WORKERS; n += 1) workers.push(await startWorker(n));
-  const routes = [
-    createRoute('pickup', { Kind: 'unsafe', Service: 'reservas', MaxAttempts: 1 }),
-    createRoute('delivery', { Kind: 'safe', Service: 'reservas', MaxAttempts: 2 }),
-  ];
-  site.store.put('op/config', createConfiguration(1, routes));
-  await site.startBoxes(BOXES);
-  let untilMs = Infinity;
-  const sending = sendOrders(() => untilMs);
+  const workers = await startSite();
   await pause(CALM_MS);
-  await replace(workers[0], WORKERS + 1);
-  await pause(SILENCE_AFTER_MS);
-  const silentAtMs = site.now();
-  if (isTrouble) {
-    site.record('connections to the store go silent');
-    for (const { link } of site.boxes) link.silence();
-  }
-  await pause(STEP_MS - SILENCE_AFTER_MS);
-  const leaving = workers[1];
-  const ackAtMs = await replace(leaving, WORKERS + 2);
-  untilMs = ackAtMs + WATCHED_MS;
-  const orders = await sending;
-  const inTouchAtMs = isTrouble ? silentAtMs + BOUNDS.ContactMs : 0;
-  const byId = new Map(orders.map((order) => [order.requestId, order]));
-  const late = leaving.runs
-    .filter(({ atMs }) => atMs > ackAtMs + BOUNDS.DrainMs)
-    .map((each) => ({ ...each, order: byId.get(each.requestId) }))
-    .filter(({ order }) => order !== undefined && order.sentAtMs > inTouchAtMs);
-  for (const { requestId, atMs, order } of late)
-    site.record('DRAIN', {
+  const [box] = site.boxes;
+  const clients = Array.from({ length: CLIENTS }, () => runClient(box));
+  await pause(START_SPREAD_MS);
+  const stoppedAtMs = isTrouble ? stopBox(box) : site.now();
+  const orders = (await Promise.all(clients)).filter((order) => order !== undefined);
+  const ran = new Set(workers.flatMap(({ runs }) => runs.map(({ requestId }) => requestId)));
+  const lost = orders.filter(
+    ({ requestId, isWhole, sentAtMs, endedAtMs }) =>
+      isWhole !== true &&
+      ran.has(requestId) &&
+      sentAtMs > stoppedAtMs + EXCUSED_MS &&
+      endedAtMs < stoppedAtMs + GRACE_MS + 1_000 &&
+      endedAtMs < sentAtMs + ORDER_DEADLINE_MS,
+  );
+  for (const { requestId, sentAtMs, endedAtMs, error } of lost)
+    site.record('LOST', {
       request: requestId,
-      box: order.box,
-      afterAckMs: Math.round(atMs - ackAtMs),
-      status: order.status,
+      sentAfterSigtermMs: Math.round(sentAtMs - stoppedAtMs),
+      endedAfterSigtermMs: Math.round(endedAtMs - stoppedAtMs),
+      error,
     });
-  const lost = late.filter(({ order }) => order.status !== 200).length;
-  site.record('result', { orders: orders.length, lateRuns: late.length, lateRunsFailed: lost });
-  process.stdout.write(
-    `orders ${orders.length}, run by the draining worker too late ${late.length}, of these failed ${lost}\n`,
-  );
-  return late.length > 0 ? 1 : 0;
+  const answered = orders.filter(({ isWhole }) => isWhole === true).length;
+  site.record('result', { orders: orders.length, answered, ranAndLost: lost.length });
+  process.stdout.write(`orders ${orders.length}, answered ${answered}, run and lost ${lost.length}\n`);
+  return lost.length > 0 ? 1 : 0;
 }
 
 let code = 2;
@@ -132,7 +155,6 @@
 } catch (error) {
   process.stderr.write(`${error.stack}\n`);
 } finally {
-  agent.destroy();
   await site.close();
 }
 process.exit(code);
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -12,7 +12,7 @@
 
 /** A client with kept connections. */
 export function createAgent() {
-  return new Agent({ keepAlive: true, maxSockets: 64 });
+  return new Agent({ keepAlive: true });
 }
 
 /** Sends a request to a box; resolves with status, headers and body, or with the error that ended the connection. */
--- a/review/lib/config.mjs
+++ b/review/lib/config.mjs
@@ -20,13 +20,13 @@
 }
 
 /** A version of the configuration. */
-export function createConfiguration(version, routes, { keys = [KEY], services } = {}) {
-  const names = services ?? [...new Set(routes.map(({ Service }) => Service))];
+export function createConfiguration(version, routes, tenants = [{ Name: 'hule930', ApiKeys: [KEY] }]) {
+  const names = [...new Set(routes.map(({ Service }) => Service))];
   return {
     Version: version,
     Routes: routes,
     Services: names.map((name) => ({ Name: name, HealthPath: '/health', MaxConns: 110 })),
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMs: 5000, IdleTimeoutMs: 20000 },
-    Tenants: [{ Name: 'hule930', ApiKeys: keys }],
+    Tenants: tenants,
   };
 }
