--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -84,28 +84,20 @@
   await pause(random() * START_SPREAD_MS);
   const agent = createAgent();
   const common = { agent, host: HOST, key: KEY };
-  const plan = await sendRequest(box, {
+  const plan = await sendRequest(site, box, {
     ...common,
     path: '/plan/today',
     deadlineMs: STREAM_DEADLINE_MS,
     body: 'p'.repeat(24_000),
   });
-  site.record('stream answered', { request: plan.requestId, status: plan.status, whole: plan.isWhole });
   if (plan.isWhole !== true) return undefined;
   const sentAtMs = site.now();
-  const order = await sendRequest(box, {
+  const order = await sendRequest(site, box, {
     ...common,
     path: '/pickup/now',
     deadlineMs: ORDER_DEADLINE_MS,
     body: 'o'.repeat(600),
   });
-  const { requestId, status, error } = order;
-  site.record('order answered', {
-    request: requestId,
-    status,
-    error,
-    afterMs: Math.round(site.now() - sentAtMs),
-  });
   agent.destroy();
   return { ...order, sentAtMs, endedAtMs: site.now() };
 }
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -5,7 +5,7 @@
 let lastNumber = 0;
 
 /** Returns an id that no other request of this process has. */
-export function nextRequestId() {
+function nextRequestId() {
   lastNumber += 1;
   return `r${String(lastNumber).padStart(6, '0')}`;
 }
@@ -15,45 +15,46 @@
   return new Agent({ keepAlive: true });
 }
 
-/** Sends a request to a box; resolves with status, headers and body, or with the error that ended the connection. */
-export function sendRequest(
+/**
+ * Sends a request to a box and records it; resolves with status, headers and body, or with the error that ended the connection.
+ */
+export async function sendRequest(
+  site,
   box,
-  { agent, method = 'POST', host, path, key, deadlineMs, body = '', id, headers = {} },
+  { agent, method = 'POST', host, path, key, deadlineMs, body = '' },
 ) {
-  const requestId = id ?? nextRequestId();
+  const requestId = nextRequestId();
+  site.record('sent', { request: requestId, box: box.name, method, path });
+  const headers = {
+    Host: host,
+    'Hazelwalk-Request-Id': requestId,
+    'Hazelwalk-Deadline-Ms': String(deadlineMs),
+    'Api-Key': key,
+    ...(method === 'GET' ? {} : { 'Content-Length': Buffer.byteLength(body) }),
+  };
+  const options = { host: box.ip, port: 8227, method, path, agent, headers };
+  const answer = await exchange(options, method === 'GET' ? undefined : body);
+  const { status, isWhole, error } = answer;
+  site.record('answered', { request: requestId, status, isWhole, bytes: answer.body?.length, error });
+  return { requestId, ...answer };
+}
+
+function exchange(options, body) {
   return new Promise((resolve) => {
-    const req = request(
-      {
-        host: box.ip,
-        port: 8227,
-        method,
-        path,
-        agent: agent ?? false,
-        headers: {
-          Host: host,
-          'Hazelwalk-Request-Id': requestId,
-          'Hazelwalk-Deadline-Ms': String(deadlineMs),
-          'Api-Key': key,
-          ...(method === 'GET' ? {} : { 'Content-Length': Buffer.byteLength(body) }),
-          ...headers,
-        },
-      },
-      (res) => {
-        const chunks = [];
-        res.on('data', (chunk) => chunks.push(chunk));
-        res.on('close', () =>
-          resolve({
-            requestId,
-            status: res.statusCode,
-            headers: res.headers,
-            isWhole: res.complete,
-            body: Buffer.concat(chunks),
-          }),
-        );
-        res.on('error', () => {});
-      },
-    );
-    req.on('error', (error) => resolve({ requestId, error: error.code ?? error.message }));
-    req.end(method === 'GET' ? undefined : body);
+    const req = request(options, (res) => {
+      const chunks = [];
+      res.on('data', (chunk) => chunks.push(chunk));
+      res.on('error', () => {});
+      res.on('close', () =>
+        resolve({
+          status: res.statusCode,
+          headers: res.headers,
+          isWhole: res.complete,
+          body: Buffer.concat(chunks),
+        }),
+      );
+    });
+    req.on('error', (error) => resolve({ error: error.code ?? error.message }));
+    req.end(body);
   });
 }
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -40,8 +40,6 @@
 };
 const ZONES = ['mixco', 'villa-nueva', 'zona-doce', 'antigua'];
 const READY_TIMEOUT_MS = 15_000;
-/** The platform starts a process that has ended again after a short delay. */
-const RESTART_MS = 500;
 
 export function pause(ms) {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -112,7 +110,6 @@
     writeFileSync(recordPath, '');
     this.network = `127.${64 + (process.pid % 128)}.${(process.pid >> 7) % 250}`;
     this.store = new Store(this.now);
-    this.lines = [];
   }
 
   /** Milliseconds since the start of the run. */
@@ -121,9 +118,9 @@
   record(what, fields = {}) {
     const atMs = Math.round(this.now());
     const text = Object.entries(fields)
+      .filter(([, value]) => value !== undefined)
       .map(([name, value]) => `${name}=${value}`)
       .join(' ');
-    this.lines.push({ atMs, what, ...fields });
     appendFileSync(this.recordPath, `${String(atMs).padStart(7)} ms  ${what} ${text}\n`);
   }
 
@@ -157,7 +154,7 @@
   }
 
   /** Starts the process of a box with the command of the deploy file. */
-  startBox(box, restarts = false) {
+  startBox(box) {
     const [program, ...args] = readRunCommand();
     const { PATH, HOME, LANG } = process.env;
     const child = spawn(program, args, {
@@ -172,8 +169,6 @@
     child.on('exit', (code, signal) => {
       this.record('box ended', { box: box.name, pid: child.pid, code, signal });
       if (box.child === child) box.child = undefined;
-      if (restarts && !this.isClosed)
-        setTimeout(() => !this.isClosed && this.startBox(box, restarts), RESTART_MS);
     });
     return child;
   }
@@ -189,7 +184,6 @@
 
   /** Ends all processes that were started, and the stand-ins. */
   async close() {
-    this.isClosed = true;
     const running = this.boxes.flatMap(({ child }) => child ?? []);
     await Promise.all(
       running.map(
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -1,9 +1,7 @@
-/** Stand-in of a worker of an application service, as PROTOCOL.md describes it. */
+/** Stand-in of a worker, as PROTOCOL.md describes it. */
 import { createServer } from 'node:http';
 import { setTimeout } from 'node:timers';
 
-const HEARTBEAT_MS = 1_200;
-
 /** A worker: one incarnation of a server that keeps its entry in the store. */
 export class Worker {
   state = 'ready';
@@ -84,5 +82,3 @@
     );
   }
 }
-
-export { HEARTBEAT_MS };
