--- a/packages/router/src/__tests__/exchange.test.ts
+++ b/packages/router/src/__tests__/exchange.test.ts
@@ -121,17 +121,11 @@
   } as unknown as RouterContext;
   const req = Object.assign(Readable.from([]), { headers: {}, rawHeaders: [], complete: true, socket: {} });
   const res = Object.assign(new PassThrough(), { setHeader: () => {}, writeHead: () => {} });
-  const exchange = new Exchange(
-    context,
-    req as unknown as IncomingMessage,
-    res as unknown as ServerResponse,
-    {
-      requestId: 'r',
-      deadlineMs: undefined,
-      apiKey: undefined,
-      promptParts: [],
-    },
-  );
+  const exchange = new Exchange(context, {
+    req: req as unknown as IncomingMessage,
+    res: res as unknown as ServerResponse,
+    request: { requestId: 'r', deadlineMs: undefined, apiKey: undefined, promptParts: [] },
+  });
   exchange.start();
   await new Promise((resolve) => setTimeout(resolve, 10));
   const [attempt] = mockOpened;
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -90,7 +90,7 @@
     }
     const request = context.dialect.readRequest(req.headers);
     if (request === undefined) return this.refuse(req, res, 'malformedRequest', '');
-    new Exchange(context, req, res, request).start();
+    new Exchange(context, { req, res, request }).start();
   }
 
   private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode, requestId: string): void {
