Shutdown: the log names each request that the exit of a box cuts off

Cause: at its exit a box logged only how many requests it cut off. The review saw orders that a worker ran and whose connection was reset as their box exited; three explanations could not be told apart:

The order was read long after the stop was requested, on a connection that a stream from before the stop kept open, and was sent on however little time was left. Then it is cut off at the exit, `sent`, with `arrivedAfterStopMs` close to the grace time and `earlierOnConnection` 1 or more. 2. The shutdown closes idle connections every 40 ms, among them one whose order has just been read. Then the order ends as `callerGone` at a tick before the exit, beside an increase of `hazelwalk_idle_callers_closed`, and is not cut off at the exit. 3. The worker's answer was there, but its bytes were still in the box. Then the order ends as `answered` and is not cut off either.

Change: `requestCutOff` for each request in progress at the exit, with how far it had come, when it arrived and how many requests its connection had carried; counters of the stages and of idle connections closed.

--- a/packages/router/src/__tests__/exchange.test.ts
+++ b/packages/router/src/__tests__/exchange.test.ts
@@ -125,6 +125,7 @@
     req: req as unknown as IncomingMessage,
     res: res as unknown as ServerResponse,
     request: { requestId: 'r', deadlineMs: undefined, apiKey: undefined, promptParts: [] },
+    earlierOnConnection: 0,
   });
   exchange.start();
   await new Promise((resolve) => setTimeout(resolve, 10));
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -18,6 +18,10 @@
   readonly requests = this.counter('requests', 'Requests taken from callers', ['service']);
   /** Completed requests by outcome: `answered`, or a result code. */
   readonly outcomes = this.counter('outcomes', 'Requests by outcome', ['outcome']);
+  /** Requests that were in progress when the box exited, by how far they had come. */
+  readonly requestsCutOff = this.counter('requests_cut_off', 'Requests cut off by the exit', ['stage']);
+  /** Connections of callers closed between two requests by a graceful shutdown. */
+  readonly idleCallersClosed = this.counter('idle_callers_closed', 'Idle callers closed by a shutdown', []);
   /** Retries by reason. */
   readonly retries = this.counter('retries', 'Requests sent again', ['reason']);
   /** Denied retries by reason. */
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -11,6 +11,7 @@
 import type { ResultCode } from '@hazelwalk/core';
 import type { CallerLimits } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
+import { CallerConnections } from './callerConnections.js';
 import { Exchange } from './exchange.js';
 import { sendRefusal } from './refusal.js';
 
@@ -31,6 +32,7 @@
 /** Serves callers. */
 export class CallerServer {
   private readonly server: Server;
+  private readonly connections: CallerConnections;
 
   constructor(private readonly context: RouterContext) {
     this.server = createServer(
@@ -42,6 +44,7 @@
       },
       (req, res) => this.handleRequest(req, res),
     );
+    this.connections = new CallerConnections(this.server);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.handleParseError(error, socket as Socket),
     );
@@ -70,10 +73,10 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
-  /** Stops accepting connections and closes those without a request in progress. */
-  stopAccepting(): void {
+  /** Stops accepting connections and closes those without a request in progress; returns how many they were. */
+  stopAccepting(): number {
     if (this.server.listening) this.server.close();
-    this.server.closeIdleConnections();
+    return this.connections.closeIdle();
   }
 
   /** Stops accepting connections and closes all of them. */
@@ -84,13 +87,14 @@
 
   private handleRequest(req: IncomingMessage, res: ServerResponse): void {
     const { context } = this;
+    const earlierOnConnection = this.connections.countRequest(req.socket);
     const limits = context.readIndex()?.configuration.limits;
     if (limits !== undefined && measureHead(req) > limits.maxHeaderBytes) {
       return this.refuse(req, res, 'headersTooLarge', '');
     }
     const request = context.dialect.readRequest(req.headers);
     if (request === undefined) return this.refuse(req, res, 'malformedRequest', '');
-    new Exchange(context, { req, res, request }).start();
+    new Exchange(context, { req, res, request, earlierOnConnection }).start();
   }
 
   private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode, requestId: string): void {
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -5,6 +5,8 @@
  * allows it to run more than once; and only within the route's attempt limit and the fleet's retry budget.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { LogFields } from '../observability/decisionLog.js';
+import type { RequestStage } from '../observability/stopLog.js';
 import type { CallerRequest } from '../records.js';
 import type { RouterContext, RunningRequest } from '../routerContext.js';
 import { ActiveResponse } from './activeResponse.js';
@@ -29,11 +31,13 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly request: CallerRequest;
+  /** Requests that its connection carried before. */
+  readonly earlierOnConnection: number;
 }
 
 /** One request in progress. */
 export class Exchange implements RunningRequest {
-  private readonly arrivedAtMs: number;
+  readonly arrivedAtMs: number;
   private expiresAtMs = Infinity;
   private assignment: Assignment | undefined;
   private readonly attempts: AttemptSet;
@@ -122,6 +126,16 @@
     this.intake.start();
   }
 
+  get earlierOnConnection(): number {
+    return this.received.earlierOnConnection;
+  }
+
+  get stage(): RequestStage {
+    if (this.response.hasStarted) return 'answering';
+    if (this.attempts.mayHaveRun) return 'sent';
+    return this.assignment === undefined ? 'reading' : 'waiting';
+  }
+
   /** Runs once a tick: handles timeouts and unresponsive endpoints. */
   tick(nowMs: number): void {
     if (this.ending.hasEnded) return;
@@ -184,7 +198,7 @@
     this.context.exchanges.delete(this);
   }
 
-  private readonly createLogFields = (): ExchangeLogFields => ({
+  readonly createLogFields = (): ExchangeLogFields & LogFields => ({
     requestId: this.received.request.requestId,
     content: this.requestQuarantine.knownFingerprint,
     route: this.assignment?.route.name,
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -3,8 +3,9 @@
 import type { OutageReturns } from './admission/outageReturns.js';
 import type { FeatureSwitches } from './featureSwitches.js';
 import type { HttpDialect } from './httpDialect.js';
-import type { DecisionLog } from './observability/decisionLog.js';
+import type { DecisionLog, LogFields } from './observability/decisionLog.js';
 import type { RouterMetrics } from './observability/metrics.js';
+import type { RequestStage } from './observability/stopLog.js';
 import type { CrashCheck } from './proxy/crashCheck.js';
 import type { EndpointConnections } from './proxy/endpointConnections.js';
 import type { PaceObserver } from './proxy/paceObserver.js';
@@ -21,6 +22,11 @@
 
 /** A request in progress, as the loop drives it. */
 export interface RunningRequest {
+  readonly arrivedAtMs: number;
+  /** Requests that its connection carried before. */
+  readonly earlierOnConnection: number;
+  readonly stage: RequestStage;
+  readonly createLogFields: () => LogFields;
   /** Called once a tick. */
   tick(nowMs: number): void;
   /** Called after the process was paused for the given time. */
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -10,6 +10,7 @@
 import { createCrashReportLog, createQuarantineLog } from './observability/quarantineLog.js';
 import { HealthLog } from './observability/healthLog.js';
 import { PaceLog } from './observability/paceLog.js';
+import { StopLog } from './observability/stopLog.js';
 import { WorkMeter } from './observability/workMeter.js';
 import { FeatureSwitches } from './featureSwitches.js';
 import type { PeerFrameHandlers } from './peers/dispatchPeerFrame.js';
@@ -58,6 +59,7 @@
   readonly metrics = new RouterMetrics();
   readonly features: FeatureSwitches;
   readonly log: DecisionLog;
+  readonly stopLog: StopLog;
   readonly work: WorkMeter;
   readonly table: EndpointTable;
   readonly state: PublishedState;
@@ -93,6 +95,7 @@
     const { now } = this;
     this.features = new FeatureSwitches(options.features);
     this.log = new DecisionLog(options.boxId, this.metrics, now);
+    this.stopLog = new StopLog(this.log, this.metrics);
     this.healthLog = new HealthLog(this.log, this.metrics, now);
     this.work = new WorkMeter({ log: this.log, metrics: this.metrics, now });
     const { work } = this;
@@ -273,7 +276,7 @@
       countExchanges: () => this.exchanges.size,
       countTunnels: () => this.tunnels.server.size,
       retireTunnels: () => this.tunnels.server.retireAll(),
-      stopAccepting: () => this.callers.stopAccepting(),
+      stopAccepting: () => this.stopLog.countClosedIdle(this.callers.stopAccepting()),
       onStopped: () => hooks.handleStopped(),
     });
   }
--- a/packages/router/src/systems/gracefulShutdown.ts
+++ b/packages/router/src/systems/gracefulShutdown.ts
@@ -54,6 +54,11 @@
     return this.options.now() - this.requestedAtMs < STOP_LINGER_MS ? 'lingering' : 'finishing';
   }
 
+  /** Time since the stop was requested; 0 before. */
+  get sinceRequestMs(): number {
+    return this.requestedAtMs === undefined ? 0 : this.options.now() - this.requestedAtMs;
+  }
+
   /** Starts the shutdown; does nothing if it has started. */
   request(): void {
     if (this.isInProgress) return;
