Shutdown: nothing is sent on that cannot end before the box exits

Cause: a stopping box took a request like at any other time, however little time was left, and exited half a second before its kill whatever was in progress.

Change: the box knows until when a response must have ended. Before anything is sent on, and once a tick for all that wait, it asks whether the response will have ended by then: by the last 64 responses of the route, by its target before there are enough, and by requests in progress that take longer. What will not is refused at once as not run (2012), to be sent to another box. Connections that have just become free stay open for a caller that goes on at once, every response of a stopping box closes its connection, and new connections are accepted as long as anything can be served. Requests on one connection begin one after another, as an answer behind a stream may not be deliverable. What is left just before the kill gets a final answer (2012, or 3012 if it may have run), or its stream breaks off.

Why this works: whether an order ends in time is decided where it is sent, by what orders take, so an order that could be lost is not run, and one that fits is still served. The times follow from the grace time.

--- a/packages/core/src/resultCodes.ts
+++ b/packages/core/src/resultCodes.ts
@@ -171,6 +171,7 @@
     'Ask the service for it.',
   ),
   routeTimeout: info(3011, 504, 'The time-out of the route passed', 'See `ran` before asking again.'),
+  boxStopped: info(3012, 502, 'The box had to exit before the response', 'See `ran` before asking again.'),
 
   frameTruncated: info(4001, 0, 'A peer closed inside a frame', 'Look for a crash of the peer.'),
   frameTooLarge: info(4002, 0, 'A peer frame is too large', 'Check for a foreign sender.'),
--- a/packages/router/src/__tests__/attempt.test.ts
+++ b/packages/router/src/__tests__/attempt.test.ts
@@ -19,7 +19,7 @@
       row,
       connections,
       findAbortReason: () => undefined,
-      maySend: () => maySend,
+      findObstacle: () => (maySend ? undefined : 'endpointDeclined'),
       createRequest: () => ({ requestId: 'r', method: 'GET', path: '/', headers: [], body: undefined }),
       onEvent: (_attempt, event) => events.push(event),
     };
--- a/packages/router/src/__tests__/exchange.test.ts
+++ b/packages/router/src/__tests__/exchange.test.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { PassThrough, Readable } from 'node:stream';
 import { createTable } from '../__fixtures__/createEndpoints.js';
+import { RequestDurations } from '../capacity/requestDurations.js';
 import { FeatureSwitches } from '../featureSwitches.js';
 import { RouterMetrics } from '../observability/metrics.js';
 import type { Attempt, AttemptOptions, ResponseHead } from '../proxy/attempt.js';
@@ -98,7 +99,8 @@
     hash: () => 0,
     isInitialized: () => true,
     isFull: () => true,
-    isStopping: () => false,
+    durations: new RequestDurations(),
+    readRemainingMs: () => Infinity,
     log: { write: () => {} },
     metrics: new RouterMetrics(),
     paceObserver: { recordHead: () => {}, recordEnd: () => {} },
@@ -125,6 +127,7 @@
     req: req as unknown as IncomingMessage,
     res: res as unknown as ServerResponse,
     request: { requestId: 'r', deadlineMs: undefined, apiKey: undefined, promptParts: [] },
+    arrivedAtMs: nowMs,
     earlierOnConnection: 0,
   });
   exchange.start();
--- a/packages/router/src/__tests__/retryPermission.test.ts
+++ b/packages/router/src/__tests__/retryPermission.test.ts
@@ -8,7 +8,7 @@
 const NOW_MS = 10_000;
 const request = {
   assignment: { service: 's', route: {} },
-  attempts: { mayOpenAnother: () => true },
+  attempts: { mayOpenAnother: () => true, endsInTime: () => true },
   requestQuarantine: { readRemainingMs: () => 0 },
   createLogFields: () => ({}),
 } as unknown as RetryingRequest;
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -119,7 +119,6 @@
   /** Closes everything immediately, including requests in progress. */
   close(): void {
     clearInterval(this.ticker);
-    this.logCutOff();
     this.parts.callers.close();
     this.parts.mesh.close();
     this.parts.connections.close();
@@ -128,18 +127,6 @@
     this.parts.log.close();
   }
 
-  private logCutOff(): void {
-    const { exchanges, stopLog, gracefulShutdown, now } = this.parts;
-    const stoppedAtMs = now() - gracefulShutdown.sinceRequestMs;
-    for (const { stage, arrivedAtMs, earlierOnConnection, createLogFields } of exchanges)
-      stopLog.logCutOff({
-        stage,
-        arrivedAfterStopMs: arrivedAtMs - stoppedAtMs,
-        earlierOnConnection,
-        fields: createLogFields(),
-      });
-  }
-
   private handle(input: RouterInput): void {
     switch (input.type) {
       case 'tick':
@@ -160,6 +147,8 @@
         return this.applyFeatures(input.features);
       case 'stopRequested':
         return this.parts.gracefulShutdown.request();
+      case 'stopDue':
+        return this.parts.gracefulShutdown.tick();
     }
   }
 
--- a/packages/router/src/proxy/activeResponse.ts
+++ b/packages/router/src/proxy/activeResponse.ts
@@ -86,7 +86,6 @@
   private start({ service, route }: Assignment, head: ResponseHead): void {
     const { context } = this;
     const { res, arrivedAtMs } = this.options;
-    if (context.isStopping()) res.shouldKeepAlive = false;
     this.delivery = createDelivery(res, head, route.kind === 'stream', route.isResumable);
     context.metrics.firstByteMs.observe({ service }, context.now() - arrivedAtMs);
   }
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -31,11 +31,14 @@
 }
 
 /** Why an attempt ended before its request was sent. */
-export type UnsentReason =
-  | ConnectFailure
-  /** The endpoint stopped accepting requests while the attempt waited for a connection. */
+export type UnsentReason = ConnectFailure | SendObstacle | AbortReason;
+
+/** Why nothing is sent although there is a connection: it became so while the attempt waited for one. */
+export type SendObstacle =
+  /** The endpoint accepts no more requests. */
   | 'endpointDeclined'
-  | AbortReason;
+  /** The response would not end before this box exits. */
+  | 'boxStopping';
 
 /** Why a request is no longer wanted. */
 export type AbortReason =
@@ -51,6 +54,7 @@
   switch (reason) {
     case 'connectionLimit':
     case 'endpointDeclined':
+    case 'boxStopping':
     case 'callerLeft':
     case 'deadlinePassed':
       return undefined;
@@ -103,8 +107,8 @@
    * Returns why the request is no longer wanted, if so; called after all data received from the caller has been read.
    */
   readonly findAbortReason: () => AbortReason | undefined;
-  /** Whether the endpoint still accepts requests; called after the connection has been acquired. */
-  readonly maySend: () => boolean;
+  /** Returns why the request may not be sent any more, if so; called after the connection has been acquired. */
+  readonly findObstacle: () => SendObstacle | undefined;
   /** Builds the request; called right before sending, so that the remaining time that it states is correct. */
   readonly createRequest: () => ForwardedRequest;
   readonly maxIdleMs: number;
@@ -189,9 +193,10 @@
       return;
     }
     if (acquired.err) return this.finish({ type: 'unsent', reason: acquired.val });
-    if (!this.options.maySend()) {
+    const obstacle = this.options.findObstacle();
+    if (obstacle !== undefined) {
       connections.release(row, acquired.val);
-      return this.finish({ type: 'unsent', reason: 'endpointDeclined' });
+      return this.finish({ type: 'unsent', reason: obstacle });
     }
     this.phase = { type: 'open', connection: acquired.val };
     this.tunnel = acquired.val.tunnel;
--- a/packages/router/src/proxy/attemptEvents.ts
+++ b/packages/router/src/proxy/attemptEvents.ts
@@ -14,7 +14,7 @@
 import type { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields, RetryReason } from './exchangeLog.js';
 import { logBreak, logContinuation, logRetry } from './exchangeLog.js';
-import { pickRetryAfterMs } from './refusal.js';
+import { pickElsewhereMs, pickRetryAfterMs } from './refusal.js';
 import type { RequestEnding } from './requestEnding.js';
 import type { RequestQuarantine } from './requestQuarantine.js';
 import { takeRetry } from './retryPermission.js';
@@ -109,6 +109,8 @@
     // The endpoint confirms this for itself only; another attempt may still be running.
     if (this.hasOtherWayThan(attempt)) return;
     if (this.mayRetry('notRun')) return this.retry(attempt, 'notRun', `status ${head.status}`);
+    if (this.assignment !== undefined && !this.options.attempts.endsInTime(this.assignment))
+      return this.giveUp('stopping', pickElsewhereMs);
     const backOffMs =
       this.assignment === undefined ? 0 : this.options.attempts.readLeastBackOffMs(this.assignment);
     this.giveUp('endpointsBusy', () => backOffMs + pickRetryAfterMs());
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -8,7 +8,7 @@
 import type { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields } from './exchangeLog.js';
 import { logRejection } from './exchangeLog.js';
-import { pickRetryAfterFailureMs, pickReturnMs } from './refusal.js';
+import { pickElsewhereMs, pickRetryAfterFailureMs, pickReturnMs } from './refusal.js';
 import type { RequestQuarantine } from './requestQuarantine.js';
 import { isRepeatable } from './silence.js';
 
@@ -58,8 +58,9 @@
    * attempt waits already.
    */
   open(assignment: Assignment): void {
-    const { requestQuarantine, hasEnded, giveUp } = this.options;
+    const { attempts, requestQuarantine, hasEnded, giveUp } = this.options;
     if (hasEnded() || this.isWaiting) return;
+    if (!attempts.endsInTime(assignment)) return giveUp('stopping', pickElsewhereMs);
     const quarantinedMs = requestQuarantine.readRemainingMs();
     if (quarantinedMs > 0) return giveUp('requestQuarantined', () => quarantinedMs);
     if (requestQuarantine.waitForDecision(() => this.open(assignment))) return;
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -3,6 +3,7 @@
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
 import type { AdmissionHandle } from '../admission/admission.js';
+import type { RunningRequestDuration } from '../capacity/requestDurations.js';
 import type { CallerRequest, PromptPart, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import type { PlacementChoice, PlacementFailure, PlacementRequest } from '../systems/placement.js';
@@ -10,13 +11,14 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
-import type { AbortReason, AttemptEvent, ForwardedRequest } from './attempt.js';
+import type { AbortReason, AttemptEvent, ForwardedRequest, SendObstacle } from './attempt.js';
 import type { AttemptEnd } from './attemptEnd.js';
 import { findSlotOutcome } from './attemptEnd.js';
 import type { AttemptLogFields } from './exchangeLog.js';
 import { describePlacement } from './exchangeLog.js';
 import { selectRequestHeaders } from './forwardHeaders.js';
 import { isRepeatable } from './silence.js';
+import { endsInTime } from './timeUntilExit.js';
 
 /** Longest idle time of a connection reused for a request that must run at most once; otherwise a new one is opened. */
 const ONCE_MAX_IDLE_MS = 1_000;
@@ -40,6 +42,8 @@
   readonly request: CallerRequest;
   /** Returns the time at which the request expires. */
   readonly readExpiry: () => number;
+  /** Id of the last event that the caller has received of this box; undefined if it has received none. */
+  readonly readResumeAfter: () => string | undefined;
   /** Version that the endpoint must have; undefined if any may be chosen. */
   readonly readSoftwareVersion: () => string | undefined;
   readonly onEvent: (attempt: Attempt, event: AttemptEvent) => void;
@@ -70,6 +74,8 @@
   private sentCount = 0;
   private readonly triedIds = new Set<string>();
   private readonly handles = new Map<Attempt, AdmissionHandle>();
+  private readonly durations = new Map<Attempt, RunningRequestDuration>();
+  private firstSentAtMs: number | undefined;
 
   constructor(
     private readonly context: RouterContext,
@@ -97,6 +103,14 @@
     return hasTime && this.sentCount < route.maxAttempts;
   }
 
+  /** Whether the response is expected to end before the box exits, if the request is sent now. */
+  endsInTime({ route }: Assignment): boolean {
+    const { context, firstSentAtMs } = this;
+    const isResumed = this.options.readResumeAfter() !== undefined;
+    const answeredForMs = isResumed && firstSentAtMs !== undefined ? context.now() - firstSentAtMs : 0;
+    return endsInTime(context, { route, expiresAtMs: this.options.readExpiry(), answeredForMs });
+  }
+
   /** Whether the request may be sent once more after an attempt that may have run. */
   mayRepeat(assignment: Assignment | undefined): boolean {
     return (
@@ -151,11 +165,12 @@
       connections: context.connections,
       dialect: context.dialect,
       findAbortReason: () => this.findAbortReason(),
-      maySend: () => acceptsRequests(row, context.now()),
+      findObstacle: () => this.findObstacle(assignment, row),
       createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
       maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
       maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
       onEvent: (source, event) => {
+        if (event.type === 'sent') this.recordSent(assignment.route, source);
         if (event.type === 'head') context.paceObserver.recordHead(row, event.head);
         options.onEvent(source, event);
       },
@@ -186,6 +201,20 @@
     this.context.metrics.attempts.inc({ end });
     this.handles.get(attempt)?.release(findSlotOutcome({ end, wasSent: attempt.sentAtMs > 0, lacksRoom }));
     this.handles.delete(attempt);
+    this.durations.get(attempt)?.end(this.context.now(), end === 'whole');
+    this.durations.delete(attempt);
+  }
+
+  private recordSent(route: Route, attempt: Attempt): void {
+    const nowMs = this.context.now();
+    this.firstSentAtMs ??= nowMs;
+    this.durations.set(attempt, this.context.durations.begin(route.name, nowMs));
+  }
+
+  /** Why nothing may be sent to an endpoint although there is a connection. */
+  private findObstacle(assignment: Assignment, row: EndpointRow): SendObstacle | undefined {
+    if (!acceptsRequests(row, this.context.now())) return 'endpointDeclined';
+    return this.endsInTime(assignment) ? undefined : 'boxStopping';
   }
 
   private findAbortReason(): AbortReason | undefined {
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -6,14 +6,18 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { formatRawProblem } from '@hazelwalk/core';
 import type { ResultCode } from '@hazelwalk/core';
+import { afterSocketReads } from '../afterSocketReads.js';
+import type { StopLog } from '../observability/stopLog.js';
 import type { CallerLimits } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
 import { CallerConnections } from './callerConnections.js';
 import { Exchange } from './exchange.js';
-import { sendRefusal } from './refusal.js';
+import type { RequestArrival } from './exchange.js';
+import { pickElsewhereMs, sendRefusal } from './refusal.js';
 
 /** The parser refuses request heads larger than this, whatever the configuration allows. */
 const PARSER_MAX_HEADER_BYTES = 65_536;
@@ -34,7 +38,10 @@
   private readonly server: Server;
   private readonly connections: CallerConnections;
 
-  constructor(private readonly context: RouterContext) {
+  constructor(
+    private readonly context: RouterContext,
+    private readonly stopLog: StopLog,
+  ) {
     this.server = createServer(
       {
         maxHeaderSize: PARSER_MAX_HEADER_BYTES,
@@ -42,9 +49,9 @@
         requestTimeout: 0,
         noDelay: true,
       },
-      (req, res) => this.handleRequest(req, res),
+      (req, res) => this.acceptRequest(req, res),
     );
-    this.connections = new CallerConnections(this.server);
+    this.connections = new CallerConnections(this.server, context.now);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.handleParseError(error, socket as Socket),
     );
@@ -73,10 +80,37 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
-  /** Stops accepting connections and closes those without a request in progress; returns how many they were. */
-  stopAccepting(): number {
-    if (this.server.listening) this.server.close();
-    return this.connections.closeIdle();
+  /** Number of open connections. */
+  get openCount(): number {
+    return this.connections.size;
+  }
+
+  /** Whether new connections are accepted. */
+  get isAccepting(): boolean {
+    return this.server.listening;
+  }
+
+  /** From now on, each response asks its caller to use the connection for no further request. */
+  closeAfterResponses(): void {
+    this.connections.closeAfterResponses();
+  }
+
+  /** Refuses new connections, after those that have come up were accepted; those that are open stay so. */
+  stopAccepting(): void {
+    afterSocketReads(() => {
+      // The method of the HTTP server would close idle connections as well.
+      if (this.isAccepting) NetServer.prototype.close.call(this.server);
+    });
+  }
+
+  /** Closes the connections that are not about to be used again. */
+  closeIdle(): void {
+    this.stopLog.countClosedIdle(this.connections.closeIdle());
+  }
+
+  /** Closes all connections, after what has arrived on them was read and what was written is delivered. */
+  closeAll(): void {
+    afterSocketReads(() => this.connections.closeAll());
   }
 
   /** Stops accepting connections and closes all of them. */
@@ -85,16 +119,23 @@
     this.server.closeAllConnections();
   }
 
-  private handleRequest(req: IncomingMessage, res: ServerResponse): void {
+  private acceptRequest(req: IncomingMessage, res: ServerResponse): void {
+    const arrivedAtMs = this.context.now();
+    this.connections.accept(req, res, (earlierOnConnection) =>
+      this.handleRequest(req, res, { arrivedAtMs, earlierOnConnection }),
+    );
+  }
+
+  private handleRequest(req: IncomingMessage, res: ServerResponse, arrival: RequestArrival): void {
     const { context } = this;
-    const earlierOnConnection = this.connections.countRequest(req.socket);
     const limits = context.readIndex()?.configuration.limits;
     if (limits !== undefined && measureHead(req) > limits.maxHeaderBytes) {
       return this.refuse(req, res, 'headersTooLarge', '');
     }
     const request = context.dialect.readRequest(req.headers);
     if (request === undefined) return this.refuse(req, res, 'malformedRequest', '');
-    new Exchange(context, { req, res, request, earlierOnConnection }).start();
+    if (context.readRemainingMs() <= 0) return this.refuse(req, res, 'stopping', request.requestId);
+    new Exchange(context, { req, res, request, ...arrival }).start();
   }
 
   private refuse(req: IncomingMessage, res: ServerResponse, code: ResultCode, requestId: string): void {
@@ -102,7 +143,8 @@
     context.metrics.outcomes.inc({ outcome: code });
     context.log.write('notable', 'requestRefused', { code, path: req.url, requestId });
     req.resume();
-    sendRefusal(res, context.dialect, { code, ran: 'no', retryAfterMs: 0 }, requestId, true);
+    const retryAfterMs = code === 'stopping' ? pickElsewhereMs() : 0;
+    sendRefusal(res, context.dialect, { code, ran: 'no', retryAfterMs }, requestId, true);
   }
 
   private handleParseError(error: NodeJS.ErrnoException, socket: Socket): void {
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -15,7 +15,7 @@
 import { AttemptOpener } from './attemptOpener.js';
 import { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields } from './exchangeLog.js';
-import { pickReturnMs, pickRetryAfterMs, pickTakeUpRetryMs } from './refusal.js';
+import { pickElsewhereMs, pickReturnMs, pickRetryAfterMs, pickTakeUpRetryMs } from './refusal.js';
 import { RequestIntake } from './requestIntake.js';
 import { RequestEnding } from './requestEnding.js';
 import type { RequestOutcome } from './requestEnding.js';
@@ -26,13 +26,18 @@
 /** Deadline of a request that states none; the timeout of its route applies as well. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
+/** When a request arrived, and what its connection had carried. */
+export interface RequestArrival {
+  readonly arrivedAtMs: number;
+  /** Requests that its connection carried before. */
+  readonly earlierOnConnection: number;
+}
+
 /** A request as it was received from its caller. */
-export interface ReceivedRequest {
+export interface ReceivedRequest extends RequestArrival {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly request: CallerRequest;
-  /** Requests that its connection carried before. */
-  readonly earlierOnConnection: number;
 }
 
 /** One request in progress. */
@@ -54,7 +59,7 @@
     private readonly received: ReceivedRequest,
   ) {
     const { req, res, request } = received;
-    this.arrivedAtMs = context.now();
+    this.arrivedAtMs = received.arrivedAtMs;
     this.intake = new RequestIntake(context, {
       req,
       request,
@@ -70,6 +75,7 @@
       req,
       request,
       readExpiry: () => this.expiresAtMs,
+      readResumeAfter: () => this.response.resumeAfter,
       readSoftwareVersion: () => this.continuity.softwareVersion,
       onEvent: (attempt, event) => this.events.handle(attempt, event),
     });
@@ -140,10 +146,17 @@
   tick(nowMs: number): void {
     if (this.ending.hasEnded) return;
     if (nowMs >= this.expiresAtMs) return this.expire();
+    if (!this.attempts.mayHaveRun && !this.endsInTime()) return this.leave();
     if (this.intake.isWaiting) return this.intake.waitForInitialization(nowMs);
     for (const attempt of [...this.attempts.live]) this.events.checkSilence(attempt, nowMs);
   }
 
+  /** Ends the request with a final response, as the box exits. */
+  cutOff(): void {
+    if (this.attempts.mayHaveRun) this.ending.fail('the box exits', 'boxStopped');
+    else this.leave();
+  }
+
   /** Shifts the timestamps by a pause of this process, during which it could not receive responses. */
   handlePause(pausedMs: number): void {
     this.response.lastActivityAtMs += pausedMs;
@@ -181,6 +194,17 @@
     else this.ending.fail('deadline', 'deadlineExceeded');
   }
 
+  /** Whether the response can end before the box exits, as far as its route is known. */
+  private endsInTime(): boolean {
+    if (this.assignment === undefined) return this.context.readRemainingMs() > 0;
+    return this.attempts.endsInTime(this.assignment);
+  }
+
+  /** Refuses the request, which has not run, as the box is about to exit. */
+  private leave(): void {
+    this.ending.refuse('stopping', pickElsewhereMs());
+  }
+
   /** Picks when the caller should retry as its service is away. */
   private readonly pickReturnMs = (): number =>
     pickReturnMs(this.context, this.assignment?.service, this.expiresAtMs);
--- a/packages/router/src/proxy/refusal.ts
+++ b/packages/router/src/proxy/refusal.ts
@@ -30,6 +30,11 @@
   return RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
 }
 
+/** Picks the time after which a caller should go to another box, which has nothing to recover from. */
+export function pickElsewhereMs(): number {
+  return 1 + Math.random() * RETRY_AFTER_JITTER_MS;
+}
+
 /**
  * Picks the time after which a caller should try again to take up a stream: another box may know where it began, but nobody can go
  * on with it once its version has left.
--- a/packages/router/src/proxy/retryPermission.ts
+++ b/packages/router/src/proxy/retryPermission.ts
@@ -29,6 +29,10 @@
     context.metrics.retriesDenied.inc({ reason: 'attempts' });
     return false;
   }
+  if (!attempts.endsInTime(assignment)) {
+    context.metrics.retriesDenied.inc({ reason: 'stopping' });
+    return false;
+  }
   if (requestQuarantine.readRemainingMs() > 0) {
     context.metrics.retriesDenied.inc({ reason: 'quarantine' });
     return false;
--- /dev/null
+++ b/packages/router/src/proxy/timeUntilExit.ts
@@ -0,0 +1,57 @@
+/** Decides whether a request that a stopping box sends on now can end before the box exits. */
+import type { RequestDurations } from '../capacity/requestDurations.js';
+import type { Route } from '../records.js';
+import { isRepeatable } from './silence.js';
+
+/** What the decision depends on. */
+export interface ExitContext {
+  readonly durations: RequestDurations;
+  /** Time left for responses to end; infinite while no stop is in progress. */
+  readonly readRemainingMs: () => number;
+  readonly now: () => number;
+}
+
+/** A request that is about to be sent. */
+export interface RequestInTime {
+  readonly route: Route;
+  readonly expiresAtMs: number;
+  /** How long it has been answered already, if its stream is resumed. */
+  readonly answeredForMs: number;
+}
+
+/**
+ * Share of the requests of a route that take no longer than the time that a request is given. A request that ran and whose response
+ * is lost cannot be repeated; a refused one is sent to another box.
+ */
+const ONCE_SHARE = 1;
+/** A stream that is broken off has been of some use; so many would be refused in vain if the longest counted. */
+const STREAM_SHARE = 0.9;
+/** One that may be repeated is only served later. */
+const REPEATABLE_SHARE = 0.5;
+
+/**
+ * Whether the response to a request is expected to end before the box exits.
+ *
+ * @example endsInTime(context, { route, expiresAtMs, answeredForMs: 0 }) // true while no stop is in progress
+ */
+export function endsInTime(
+  { durations, readRemainingMs, now }: ExitContext,
+  { route, expiresAtMs, answeredForMs }: RequestInTime,
+): boolean {
+  const remainingMs = readRemainingMs();
+  if (remainingMs === Infinity) return true;
+  const nowMs = now();
+  if (remainingMs <= 0 || expiresAtMs - nowMs <= remainingMs) return remainingMs > 0;
+  const query = { share: readShare(route), assumedMs: readAssumedMs(route), nowMs };
+  return durations.read(route.name, query) - answeredForMs <= remainingMs;
+}
+
+function readShare(route: Route): number {
+  if (isRepeatable(route)) return REPEATABLE_SHARE;
+  return route.kind === 'stream' ? STREAM_SHARE : ONCE_SHARE;
+}
+
+/** The target is the time until the first event of a stream, and says nothing about its length. */
+function readAssumedMs({ kind, targetLatencyMs }: Route): number | undefined {
+  return kind === 'stream' ? undefined : targetLatencyMs;
+}
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -1,6 +1,7 @@
 /** Dependencies that the parts of the proxy share. */
 import type { AdmissionGate } from './admission/admission.js';
 import type { OutageReturns } from './admission/outageReturns.js';
+import type { RequestDurations } from './capacity/requestDurations.js';
 import type { FeatureSwitches } from './featureSwitches.js';
 import type { HttpDialect } from './httpDialect.js';
 import type { DecisionLog, LogFields } from './observability/decisionLog.js';
@@ -31,6 +32,8 @@
   tick(nowMs: number): void;
   /** Called after the process was paused for the given time. */
   handlePause(pausedMs: number): void;
+  /** Ends the request with a final response, as the box exits. */
+  cutOff(): void;
 }
 
 /** Records and lookups of the software versions that began streams. */
@@ -74,8 +77,10 @@
   readonly isInitialized: () => boolean;
   /** Whether a service is so full that hedges and repeats would take slots from others, as far as this box knows. */
   readonly isFull: (service: string) => boolean;
-  /** Whether a graceful shutdown is in progress. */
-  readonly isStopping: () => boolean;
+  /** How long requests take at their endpoints. */
+  readonly durations: RequestDurations;
+  /** Time left for responses to end before the box exits; infinite while no stop is in progress. */
+  readonly readRemainingMs: () => number;
   /** Records a health signal of an endpoint. */
   readonly recordHealthSignal: (row: EndpointRow, signal: HealthSignal) => void;
   /** Records what the head of a response announces about its endpoint. */
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -22,7 +22,9 @@
   | { readonly type: 'peerFrame'; readonly frame: RouterFrame; readonly reply: Reply }
   /** The settings turn optional parts on or off. */
   | { readonly type: 'featuresChanged'; readonly features: FeatureSet }
-  | { readonly type: 'stopRequested' };
+  | { readonly type: 'stopRequested' }
+  /** A step of the shutdown is due. */
+  | { readonly type: 'stopDue' };
 
 /** Options of a box. Times are in milliseconds. */
 export interface FleetRouterOptions {
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of a box (tables, systems and adapters) and connects them with each other. */
 import { OutageReturns } from './admission/outageReturns.js';
+import { RequestDurations } from './capacity/requestDurations.js';
 import { EndpointPaces } from './capacity/endpointPaces.js';
 import { LoadShedder } from './admission/loadShedder.js';
 import { BoxAdmission } from './admission/boxAdmission.js';
@@ -86,6 +87,7 @@
   private readonly promptHolders = new PromptHolders();
   private readonly demand = new PromptDemand();
   private readonly quarantine: Quarantine;
+  private readonly durations = new RequestDurations();
 
   constructor(
     private readonly options: FleetRouterOptions,
@@ -268,15 +270,17 @@
       originLookup,
       state,
     };
-    this.callers = new CallerServer(this.createContext(countBoxes));
+    this.callers = new CallerServer(this.createContext(countBoxes), this.stopLog);
     this.gracefulShutdown = new GracefulShutdown({
       now,
       log,
       graceMs: options.stopGraceMs,
+      callers: this.callers,
       countExchanges: () => this.exchanges.size,
       countTunnels: () => this.tunnels.server.size,
       retireTunnels: () => this.tunnels.server.retireAll(),
-      stopAccepting: () => this.stopLog.countClosedIdle(this.callers.stopAccepting()),
+      cutOff: () => this.cutOffRequests(),
+      wakeAfter: (delayMs) => void setTimeout(() => hooks.pushInput({ type: 'stopDue' }), delayMs).unref(),
       onStopped: () => hooks.handleStopped(),
     });
   }
@@ -324,7 +328,8 @@
       readIndex: () => this.state.index,
       isInitialized: () => this.state.isInitialized,
       isFull: (service) => this.admission.isFull(service),
-      isStopping: () => this.gracefulShutdown.isInProgress,
+      durations: this.durations,
+      readRemainingMs: () => this.gracefulShutdown.remainingMs,
       recordHealthSignal: (row, signal) => this.observer.record(row, signal),
       recordAnnouncements: (row, metadata) => {
         this.observer.recordAnnouncements(row, metadata);
@@ -334,6 +339,18 @@
     };
   }
 
+  /** Ends the requests in progress, as the box exits. */
+  private cutOffRequests(): void {
+    const stoppedAtMs = this.now() - this.gracefulShutdown.sinceRequestMs;
+    for (const request of [...this.exchanges]) {
+      const { stage, arrivedAtMs, earlierOnConnection } = request;
+      const arrivedAfterStopMs = arrivedAtMs - stoppedAtMs;
+      const fields = request.createLogFields();
+      this.stopLog.logCutOff({ stage, arrivedAfterStopMs, earlierOnConnection, fields });
+      request.cutOff();
+    }
+  }
+
   private createColdEndpointLimiter(): ColdEndpointLimiter {
     const { mesh, options, hash } = this;
     return new ColdEndpointLimiter({
--- a/packages/router/src/tunnels/boxTunnels.ts
+++ b/packages/router/src/tunnels/boxTunnels.ts
@@ -5,6 +5,7 @@
 import type { PeerMesh } from '../peers/peerMesh.js';
 import type { EndpointDialer } from '../proxy/endpointDialer.js';
 import type { StopPhase } from '../systems/gracefulShutdown.js';
+import { isClosing } from '../systems/gracefulShutdown.js';
 import type { EndpointAccess, EndpointCounts } from '../systems/endpointAccess.js';
 import { findEndpointAccess } from '../systems/endpointAccess.js';
 import type { PathChange } from '../systems/reachability.js';
@@ -65,7 +66,7 @@
   /** Whether other boxes may ask this one for tunnels. */
   get isAble(): boolean {
     const { features, readStopPhase } = this.options;
-    const isOpen = features.isOn('endpointTunnels') && readStopPhase() !== 'finishing';
+    const isOpen = features.isOn('endpointTunnels') && !isClosing(readStopPhase());
     return isOpen && hasDirectAccess(this.access);
   }
 
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -7,6 +7,7 @@
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { StopPhase } from '../systems/gracefulShutdown.js';
+import { isClosing } from '../systems/gracefulShutdown.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { shuffle } from '../systems/shuffle.js';
 import { KEEP_ALIVE_PROBE_MS } from '../proxy/dialTcp.js';
@@ -76,7 +77,7 @@
       return this.refuse(request, socket, await this.findDialRefusal(row, dialed.val));
     }
     const phase = readStopPhase();
-    if (socket.destroyed || phase === 'finishing') {
+    if (socket.destroyed || isClosing(phase)) {
       dialed.val.destroy();
       return this.refuse(request, socket, 'stopping');
     }
@@ -110,7 +111,7 @@
   private findRefusal(row: EndpointRow | undefined): TunnelRefusal | undefined {
     const { isEnabled, readStopPhase } = this.options;
     if (!isEnabled()) return 'turnedOff';
-    if (readStopPhase() === 'finishing') return 'stopping';
+    if (isClosing(readStopPhase())) return 'stopping';
     if (this.open.size + this.dialing >= MAX_TUNNELS) return 'full';
     if (row === undefined) return 'unknownEndpoint';
     const isDark = row.health.type === 'unreachable' && !row.health.isProcessGone;
