Tunnels: a stopping box states when they close

What callers saw: orders of a box that reaches endpoints only through others were run and answered with 502 `ran: "unknown"`, as the box that they passed through exited.

Cause: a stopping box serves tunnels for as long as callers are sent to it, and says that it stops, but not when it exits. The box that decides about an order could not tell that the time would not suffice.

Change: `tunnelReply` and `tunnelRetire` carry the time until the tunnel closes. A connection knows it, and nothing is sent on it that will not have ended by then: the request takes another way, or is refused as not run. Boxes of earlier versions leave the field out and are used as before.

Why this works: the box that knows what the order takes now also knows what time there is, at the moment at which it sends.

--- a/packages/router/src/__tests__/timeUntilExit.test.ts
+++ b/packages/router/src/__tests__/timeUntilExit.test.ts
@@ -14,14 +14,22 @@
 function decide(
   route: Route,
   remainingMs: number,
-  { tookMs = [], agesMs = [], expiresInMs = 60_000, answeredForMs = 0 }: Partial<Seen> = {},
+  {
+    tookMs = [],
+    agesMs = [],
+    expiresInMs = 60_000,
+    answeredForMs = 0,
+    closesInMs = Infinity,
+  }: Partial<Seen> = {},
 ): boolean {
   const nowMs = 100_000;
   const durations = new RequestDurations();
   for (const each of tookMs) durations.begin('r', nowMs - each).end(nowMs, true);
   for (const each of agesMs) durations.begin('r', nowMs - each);
   const context = { durations, readRemainingMs: () => remainingMs, now: () => nowMs };
-  return endsInTime(context, { route, expiresAtMs: nowMs + expiresInMs, answeredForMs });
+  const expiresAtMs = nowMs + expiresInMs;
+  const connectionClosesAtMs = nowMs + closesInMs;
+  return endsInTime(context, { route, expiresAtMs, answeredForMs, connectionClosesAtMs });
 }
 
 interface Seen {
@@ -29,6 +37,7 @@
   readonly agesMs: readonly number[];
   readonly expiresInMs: number;
   readonly answeredForMs: number;
+  readonly closesInMs: number;
 }
 
 const many = (count: number, tookMs: number): number[] => Array.from({ length: count }, () => tookMs);
@@ -58,6 +67,7 @@
     true,
   ],
   ['its deadline passes before the exit', once, 200, { agesMs: [900], expiresInMs: 200 }, true],
+  ['its connection closes sooner than it takes', once, Infinity, { closesInMs: TARGET_MS - 1 }, false],
   ['no time is left', once, 0, { expiresInMs: 0 }, false],
   ['nothing is known of a stream', stream, 1, {}, true],
   [
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -38,7 +38,9 @@
   /** The endpoint accepts no more requests. */
   | 'endpointDeclined'
   /** The response would not end before this box exits. */
-  | 'boxStopping';
+  | 'boxStopping'
+  /** The response would not end before the box exits through which the connection passes. */
+  | 'tunnelClosing';
 
 /** Why a request is no longer wanted. */
 export type AbortReason =
@@ -55,6 +57,7 @@
     case 'connectionLimit':
     case 'endpointDeclined':
     case 'boxStopping':
+    case 'tunnelClosing':
     case 'callerLeft':
     case 'deadlinePassed':
       return undefined;
@@ -108,7 +111,7 @@
    */
   readonly findAbortReason: () => AbortReason | undefined;
   /** Returns why the request may not be sent any more, if so; called after the connection has been acquired. */
-  readonly findObstacle: () => SendObstacle | undefined;
+  readonly findObstacle: (connection: EndpointConnection) => SendObstacle | undefined;
   /** Builds the request; called right before sending, so that the remaining time that it states is correct. */
   readonly createRequest: () => ForwardedRequest;
   readonly maxIdleMs: number;
@@ -193,7 +196,7 @@
       return;
     }
     if (acquired.err) return this.finish({ type: 'unsent', reason: acquired.val });
-    const obstacle = this.options.findObstacle();
+    const obstacle = this.options.findObstacle(acquired.val);
     if (obstacle !== undefined) {
       connections.release(row, acquired.val);
       return this.finish({ type: 'unsent', reason: obstacle });
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -103,12 +103,17 @@
     return hasTime && this.sentCount < route.maxAttempts;
   }
 
-  /** Whether the response is expected to end before the box exits, if the request is sent now. */
-  endsInTime({ route }: Assignment): boolean {
+  /**
+   * Whether the response is expected to end before the box exits, if the request is sent now.
+   *
+   * @param connectionClosesAtMs when the connection to the endpoint is closed
+   */
+  endsInTime({ route }: Assignment, connectionClosesAtMs = Infinity): boolean {
     const { context, firstSentAtMs } = this;
     const isResumed = this.options.readResumeAfter() !== undefined;
     const answeredForMs = isResumed && firstSentAtMs !== undefined ? context.now() - firstSentAtMs : 0;
-    return endsInTime(context, { route, expiresAtMs: this.options.readExpiry(), answeredForMs });
+    const expiresAtMs = this.options.readExpiry();
+    return endsInTime(context, { route, expiresAtMs, answeredForMs, connectionClosesAtMs });
   }
 
   /** Whether the request may be sent once more after an attempt that may have run. */
@@ -165,7 +170,7 @@
       connections: context.connections,
       dialect: context.dialect,
       findAbortReason: () => this.findAbortReason(),
-      findObstacle: () => this.findObstacle(assignment, row),
+      findObstacle: ({ closesAtMs }) => this.findObstacle(assignment, row, closesAtMs),
       createRequest: () => this.createRequest(row, assignment, resumeAfter, cacheSource),
       maxIdleMs: isRepeatable(assignment.route) ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS,
       maxConnections: assignment.declared?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
@@ -212,9 +217,14 @@
   }
 
   /** Why nothing may be sent to an endpoint although there is a connection. */
-  private findObstacle(assignment: Assignment, row: EndpointRow): SendObstacle | undefined {
+  private findObstacle(
+    assignment: Assignment,
+    row: EndpointRow,
+    connectionClosesAtMs: number,
+  ): SendObstacle | undefined {
     if (!acceptsRequests(row, this.context.now())) return 'endpointDeclined';
-    return this.endsInTime(assignment) ? undefined : 'boxStopping';
+    if (!this.endsInTime(assignment)) return 'boxStopping';
+    return this.endsInTime(assignment, connectionClosesAtMs) ? undefined : 'tunnelClosing';
   }
 
   private findAbortReason(): AbortReason | undefined {
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -34,6 +34,8 @@
   isKept: boolean;
   /** It carries no further request: the box that it passes through is about to stop, or a better path has been found. */
   isRetired: boolean;
+  /** When it is closed, as that box exits; infinite if it is not about to. */
+  closesAtMs: number;
 }
 
 interface EndpointPool {
@@ -170,16 +172,21 @@
       return connected;
     }
     this.options.onOpened();
-    const { socket } = connected.val;
+    const { socket, closesInMs } = connected.val;
+    const nowMs = this.options.now();
     const connection: EndpointConnection = {
       ...connected.val,
       client: createClient(row, socket),
-      idleSinceMs: this.options.now(),
+      idleSinceMs: nowMs,
       isKept: false,
       isRetired: false,
+      closesAtMs: nowMs + closesInMs,
     };
     pool.open.add(connection);
-    connection.setRetireHandler(() => retireConnection(connection, pool));
+    connection.setRetireHandler((retiredClosesInMs) => {
+      connection.closesAtMs = this.options.now() + retiredClosesInMs;
+      retireConnection(connection, pool);
+    });
     socket.once('close', () => {
       pool.openCount -= 1;
       pool.open.delete(connection);
--- a/packages/router/src/proxy/endpointDialer.ts
+++ b/packages/router/src/proxy/endpointDialer.ts
@@ -37,8 +37,13 @@
   readonly tunnel: string | undefined;
   /** Whether it ended by a reset. */
   readonly wasReset: () => boolean;
-  /** Sets what is called when the other end asks for no further request on it; a direct connection never does. */
-  readonly setRetireHandler: (onRetire: () => void) => void;
+  /** Time after which the other end closes it, counted from now, as a box on the way exits; infinite if none is about to. */
+  readonly closesInMs: number;
+  /**
+   * Sets what is called when the other end asks for no further request on it, with the time after which it closes; a direct
+   * connection never does.
+   */
+  readonly setRetireHandler: (onRetire: (closesInMs: number) => void) => void;
 }
 
 /** Why one way to connect failed. */
@@ -123,6 +128,7 @@
       socket,
       tunnel: undefined,
       wasReset: () => wasReset(socket),
+      closesInMs: Infinity,
       setRetireHandler: () => {},
     });
   }
@@ -203,10 +209,11 @@
   }
 }
 
-function describeTunnel({ stream, name }: OpenTunnel): DialedConnection {
+function describeTunnel({ stream, name, closesInMs }: OpenTunnel): DialedConnection {
   return {
     socket: stream,
     tunnel: name,
+    closesInMs,
     wasReset: () => stream.errored !== null,
     setRetireHandler: (onRetire) => stream.setRetireHandler(onRetire),
   };
--- a/packages/router/src/proxy/timeUntilExit.ts
+++ b/packages/router/src/proxy/timeUntilExit.ts
@@ -1,4 +1,4 @@
-/** Decides whether a request that a stopping box sends on now can end before the box exits. */
+/** Decides whether a request that is sent on now can end before its box exits, or the one through which it passes. */
 import type { RequestDurations } from '../capacity/requestDurations.js';
 import type { Route } from '../records.js';
 import { isRepeatable } from './silence.js';
@@ -17,6 +17,8 @@
   readonly expiresAtMs: number;
   /** How long it has been answered already, if its stream is resumed. */
   readonly answeredForMs: number;
+  /** When the connection to its endpoint is closed, as another box exits; infinite if none is about to. */
+  readonly connectionClosesAtMs: number;
 }
 
 /**
@@ -30,17 +32,17 @@
 const REPEATABLE_SHARE = 0.5;
 
 /**
- * Whether the response to a request is expected to end before the box exits.
+ * Whether the response to a request is expected to end before a box exits that it needs.
  *
- * @example endsInTime(context, { route, expiresAtMs, answeredForMs: 0 }) // true while no stop is in progress
+ * @example endsInTime(context, { route, expiresAtMs, answeredForMs: 0, connectionClosesAtMs: Infinity }) // true if nothing stops
  */
 export function endsInTime(
   { durations, readRemainingMs, now }: ExitContext,
-  { route, expiresAtMs, answeredForMs }: RequestInTime,
+  { route, expiresAtMs, answeredForMs, connectionClosesAtMs }: RequestInTime,
 ): boolean {
-  const remainingMs = readRemainingMs();
-  if (remainingMs === Infinity) return true;
   const nowMs = now();
+  const remainingMs = Math.min(readRemainingMs(), connectionClosesAtMs - nowMs);
+  if (remainingMs === Infinity) return true;
   if (remainingMs <= 0 || expiresAtMs - nowMs <= remainingMs) return remainingMs > 0;
   const query = { share: readShare(route), assumedMs: readAssumedMs(route), nowMs };
   return durations.read(route.name, query) - answeredForMs <= remainingMs;
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -24,6 +24,7 @@
 import { PeerValueSync } from './peers/peerValueSync.js';
 import { CallerServer } from './proxy/callerServer.js';
 import { CrashCheck } from './proxy/crashCheck.js';
+import { cutOffRequests } from './proxy/cutOffRequests.js';
 import { EndpointConnections } from './proxy/endpointConnections.js';
 import { EndpointDialer } from './proxy/endpointDialer.js';
 import { PaceObserver } from './proxy/paceObserver.js';
@@ -236,6 +237,7 @@
       log,
       now,
       readStopPhase: () => this.gracefulShutdown.phase,
+      readRemainingMs: () => this.gracefulShutdown.remainingMs,
       dialSocket: (row) => this.dialer.dialSocket(row),
       onDialFailed: (row) => this.reachability.verify(row),
       onAbilityChange: () => this.heartbeatSender.sendToHall(),
@@ -279,7 +281,8 @@
       countExchanges: () => this.exchanges.size,
       countTunnels: () => this.tunnels.server.size,
       retireTunnels: () => this.tunnels.server.retireAll(),
-      cutOff: () => this.cutOffRequests(),
+      cutOff: () =>
+        cutOffRequests(this.exchanges, this.stopLog, now() - this.gracefulShutdown.sinceRequestMs),
       wakeAfter: (delayMs) => void setTimeout(() => hooks.pushInput({ type: 'stopDue' }), delayMs).unref(),
       onStopped: () => hooks.handleStopped(),
     });
@@ -339,18 +342,6 @@
     };
   }
 
-  /** Ends the requests in progress, as the box exits. */
-  private cutOffRequests(): void {
-    const stoppedAtMs = this.now() - this.gracefulShutdown.sinceRequestMs;
-    for (const request of [...this.exchanges]) {
-      const { stage, arrivedAtMs, earlierOnConnection } = request;
-      const arrivedAfterStopMs = arrivedAtMs - stoppedAtMs;
-      const fields = request.createLogFields();
-      this.stopLog.logCutOff({ stage, arrivedAfterStopMs, earlierOnConnection, fields });
-      request.cutOff();
-    }
-  }
-
   private createColdEndpointLimiter(): ColdEndpointLimiter {
     const { mesh, options, hash } = this;
     return new ColdEndpointLimiter({
--- a/packages/router/src/tunnels/boxTunnels.ts
+++ b/packages/router/src/tunnels/boxTunnels.ts
@@ -24,6 +24,8 @@
   readonly log: DecisionLog;
   readonly now: () => number;
   readonly readStopPhase: () => StopPhase;
+  /** Time until this box has to exit; infinite while no stop is in progress. */
+  readonly readRemainingMs: () => number;
   /** Connects to an endpoint directly. */
   readonly dialSocket: EndpointDialer['dialSocket'];
   /** Called when a direct connection for another box failed. */
@@ -39,7 +41,8 @@
   private access: EndpointAccess = 'direct';
 
   constructor(private readonly options: BoxTunnelsOptions) {
-    const { hall, mesh, table, metrics, now, readStopPhase, dialSocket, onDialFailed } = options;
+    const { hall, mesh, table, metrics, now, readStopPhase, readRemainingMs, dialSocket, onDialFailed } =
+      options;
     const log = new TunnelLog(options.log, metrics);
     const isEnabled = (): boolean => options.features.isOn('endpointTunnels');
     this.client = new TunnelClient({
@@ -57,6 +60,7 @@
       listPeers: () => mesh.listTunnelPeers(),
       isEnabled,
       readStopPhase,
+      readRemainingMs,
       onDialFailed,
       log,
       now,
--- a/packages/router/src/tunnels/tunnelClient.ts
+++ b/packages/router/src/tunnels/tunnelClient.ts
@@ -19,6 +19,8 @@
   readonly stream: TunnelStream;
   /** Name of the tunnel in the logs of both boxes. */
   readonly name: string;
+  /** Time after which the other box closes it, counted from its opening; infinite while that box is not stopping. */
+  readonly closesInMs: number;
 }
 
 /** Dependencies of the client. */
@@ -80,18 +82,18 @@
       return opened;
     }
     this.candidates.recordOpened(peer, this.options.now());
-    const stream = opened.val;
+    const { stream, closesInMs } = opened.val;
     stream.on('error', (error) => {
       if (isTunnelLost(error)) this.recordFailure(peer, row, 'unanswered');
     });
-    return Ok({ stream, name });
+    return Ok({ stream, name, closesInMs });
   }
 
   private request(
     peer: TunnelPeer,
     row: EndpointRow,
     number: number,
-  ): Promise<Result<TunnelStream, TunnelFailure>> {
+  ): Promise<Result<Omit<OpenTunnel, 'name'>, TunnelFailure>> {
     const address = this.options.readAddress();
     return new Promise((resolve) => {
       const socket = dialTcp(parseAddress(peer.address));
@@ -123,7 +125,8 @@
           return fail(reply.result);
         }
         stopWaiting();
-        resolve(Ok(new TunnelStream(socket, reader, early)));
+        const { closesInMs = Infinity } = reply;
+        resolve(Ok({ stream: new TunnelStream(socket, reader, early), closesInMs }));
       });
     });
   }
--- a/packages/router/src/tunnels/tunnelFrames.ts
+++ b/packages/router/src/tunnels/tunnelFrames.ts
@@ -23,6 +23,9 @@
 /** Why a box does not extend a tunnel to the endpoint. */
 export type TunnelRefusal = (typeof TUNNEL_REFUSALS)[number];
 
+/** Time after which the tunnel is closed at the latest, as the sender exits; absent while it is not stopping. */
+const closesInMs = z.number().optional();
+
 /** Asks the receiver to extend this connection to an endpoint. */
 export const tunnelRequestSchema = z.object({
   type: z.literal('tunnelRequest'),
@@ -38,6 +41,7 @@
   result: z.enum(['open', ...TUNNEL_REFUSALS]),
   /** With a refusal: boxes that serve tunnels, as far as the sender knows. */
   others: z.array(z.object({ address: z.string(), hall: z.string() })).optional(),
+  closesInMs,
 });
 
 /** Bytes to or from the endpoint. */
@@ -54,7 +58,7 @@
 });
 
 /** The sender is about to stop: the tunnel is to be closed after the request in progress. */
-export const tunnelRetireSchema = z.object({ type: z.literal('tunnelRetire') });
+export const tunnelRetireSchema = z.object({ type: z.literal('tunnelRetire'), closesInMs });
 
 /** Request for a tunnel. */
 export type TunnelRequest = z.infer<typeof tunnelRequestSchema>;
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -33,6 +33,8 @@
   readonly listPeers: () => readonly TunnelPeer[];
   readonly isEnabled: () => boolean;
   readonly readStopPhase: () => StopPhase;
+  /** Time until this box has to exit; infinite while no stop is in progress. */
+  readonly readRemainingMs: () => number;
   /** Called when a connection to an endpoint fails. */
   readonly onDialFailed: (row: EndpointRow) => void;
   readonly log: TunnelLog;
@@ -54,7 +56,8 @@
 
   /** Asks the other boxes to use their tunnels for no further request, as this box is about to stop. */
   retireAll(): void {
-    for (const tunnel of this.open) tunnel.retire();
+    const remainingMs = this.options.readRemainingMs();
+    for (const tunnel of this.open) tunnel.retire(remainingMs);
   }
 
   /**
@@ -82,12 +85,14 @@
       return this.refuse(request, socket, 'stopping');
     }
     socket.setNoDelay().setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
-    socket.write(encodePeerFrame({ type: 'tunnelReply', result: 'open' }));
+    const remainingMs = this.options.readRemainingMs();
+    const closesInMs = remainingMs === Infinity ? undefined : remainingMs;
+    socket.write(encodePeerFrame({ type: 'tunnelReply', result: 'open', closesInMs }));
     const name = formatTunnelName(request.address, request.number);
     const tunnel = new TunnelStream(socket, new PeerFrameReader());
     this.forward(tunnel, dialed.val, name, row);
     // It carries one request, so that it does not hold up the stop.
-    if (phase === 'lingering') tunnel.retire();
+    if (phase === 'lingering') tunnel.retire(remainingMs);
     log.recordServed(name, row, this.open.size);
   }
 
--- a/packages/router/src/tunnels/tunnelStream.ts
+++ b/packages/router/src/tunnels/tunnelStream.ts
@@ -40,7 +40,8 @@
   private hasEnded = false;
   /** The other box has asked to use the tunnel for no further request. */
   private isRetired = false;
-  private onRetire: () => void = () => {};
+  private onRetire: (closesInMs: number) => void = () => {};
+  private toldClosesInMs = Infinity;
 
   /** @param early frames that arrived together with the reply to the request for the tunnel */
   constructor(
@@ -57,15 +58,18 @@
     socket.on('close', () => this.handleClose());
   }
 
-  /** Sets what is called when the other box asks to use the tunnel for no further request, also if it has done so already. */
-  setRetireHandler(onRetire: () => void): void {
+  /**
+   * Sets what is called when the other box asks to use the tunnel for no further request, also if it has done so already; it gets the
+   * time until the tunnel closes.
+   */
+  setRetireHandler(onRetire: (closesInMs: number) => void): void {
     this.onRetire = onRetire;
-    if (this.isRetired) onRetire();
+    if (this.isRetired) onRetire(this.toldClosesInMs);
   }
 
-  /** Asks the other box to use the tunnel for no further request. */
-  retire(): void {
-    if (!this.socket.writableEnded) this.socket.write(encodePeerFrame({ type: 'tunnelRetire' }));
+  /** Asks the other box to use the tunnel for no further request, and to expect its end after a time. */
+  retire(closesInMs: number): void {
+    if (!this.socket.writableEnded) this.socket.write(encodePeerFrame({ type: 'tunnelRetire', closesInMs }));
   }
 
   /** Reports that the endpoint reset its connection, and closes the tunnel. */
@@ -125,7 +129,8 @@
         return;
       case 'tunnelRetire':
         this.isRetired = true;
-        return this.onRetire();
+        this.toldClosesInMs = frame.closesInMs ?? Infinity;
+        return this.onRetire(this.toldClosesInMs);
       case 'tunnelRequest':
       case 'tunnelReply':
         this.destroy(new TunnelError('lost'));
