--- a/packages/router/src/__tests__/exchange.test.ts
+++ b/packages/router/src/__tests__/exchange.test.ts
@@ -1,6 +1,7 @@
 /** Guards against hiding endpoints that hang, breaking off streams that could go on, and counting callers that do not return. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { PassThrough, Readable } from 'node:stream';
+import { RESULT_CODES } from '@hazelwalk/core';
 import { createTable } from '../__fixtures__/createEndpoints.js';
 import { RequestDurations } from '../capacity/requestDurations.js';
 import { FeatureSwitches } from '../featureSwitches.js';
@@ -43,6 +44,9 @@
   /** Time left of the callers that were told when to return as their service is away. */
   readonly awayFor: number[];
   readonly advance: (ms: number) => void;
+  /** Requests the stop of the box, which leaves this time for responses. */
+  readonly stop: (remainingMs: number) => void;
+  readonly cutOff: () => void;
   readonly emit: (event: Parameters<AttemptOptions['onEvent']>[1]) => void;
 }
 
@@ -56,6 +60,7 @@
   kind: Route['kind'],
   grants: (retry: BudgetedRetry) => boolean,
   endpoints = 3,
+  overrides: { readonly context?: object; readonly request?: object } = {},
 ): Promise<Played> {
   mockOpened.length = 0;
   const { rows } = createTable(endpoints);
@@ -63,7 +68,9 @@
   const asked: BudgetedRetry[] = [];
   const signals: string[] = [];
   let nowMs = 10_000;
+  let remainingMs = Infinity;
   const route = {
+    name: 'r',
     kind,
     isResumable: true,
     timeoutMs: 60_000,
@@ -100,7 +107,7 @@
     isInitialized: () => true,
     isFull: () => true,
     durations: new RequestDurations(),
-    readRemainingMs: () => Infinity,
+    readRemainingMs: () => remainingMs,
     log: { write: () => {} },
     metrics: new RouterMetrics(),
     paceObserver: { recordHead: () => {}, recordEnd: () => {} },
@@ -119,26 +126,35 @@
     crashCheck: { check: async () => 'alive' },
     readIndex: () => index,
     streams: { tracker: { recordFirstEvent: () => {}, recordEnd: () => {} } },
+    recordLackOfRoom: () => {},
     recordHealthSignal: (_row: EndpointRow, signal: string) => void signals.push(signal),
+    ...overrides.context,
   } as unknown as RouterContext;
   const req = Object.assign(Readable.from([]), { headers: {}, rawHeaders: [], complete: true, socket: {} });
   const res = Object.assign(new PassThrough(), { setHeader: () => {}, writeHead: () => {} });
   const exchange = new Exchange(context, {
     req: req as unknown as IncomingMessage,
     res: res as unknown as ServerResponse,
-    request: { requestId: 'r', deadlineMs: undefined, apiKey: undefined, promptParts: [] },
+    request: {
+      requestId: 'r',
+      deadlineMs: undefined,
+      apiKey: undefined,
+      promptParts: [],
+      ...overrides.request,
+    },
     arrivedAtMs: nowMs,
     earlierOnConnection: 0,
   });
   exchange.start();
   await new Promise((resolve) => setTimeout(resolve, 10));
-  const [attempt] = mockOpened;
-  if (attempt === undefined) throw new Error('nothing was sent');
+  const attempt = mockOpened[0] as StubAttempt;
   const emit: Played['emit'] = (event) => attempt.options.onEvent(attempt as unknown as Attempt, event);
   const advance = (ms: number): void => {
     for (let at = 0; at < ms; at += 20) exchange.tick((nowMs += 20));
   };
-  return { attempt, res, asked, signals, awayFor, advance, emit };
+  const stop = (leftMs: number): void => void (remainingMs = leftMs);
+  const cutOff = (): void => exchange.cutOff();
+  return { attempt, res, asked, signals, awayFor, advance, stop, cutOff, emit };
 }
 
 /** Sends a request of this kind to the first of the endpoints. */
@@ -225,3 +241,94 @@
   expect(res.writableEnded).toBe(true);
   expect(awayFor).toEqual([29_000]);
 });
+
+/** A handle that does nothing. */
+const handle = { release: () => {} };
+/** Less than the target latency, which counts where no responses were seen. */
+const TOO_SHORT_MS = 50;
+
+test.each<[string, Route['kind'], object, object]>([
+  ['a configuration', 'once', { isInitialized: () => false }, {}],
+  ['its admission', 'once', { admission: { enter: () => handle } }, {}],
+  [
+    "a quarantine's decision",
+    'once',
+    {
+      quarantine: {
+        isEmpty: false,
+        readRequestRemainingMs: () => 0,
+        readRequestDecisionDelayMs: () => 20,
+      },
+    },
+    {},
+  ],
+  ['a connection', 'once', {}, {}],
+])(
+  'a request that waits for %s is refused at once as its box has no time left for it',
+  async (_what, kind, context) => {
+    const { res, stop, advance } = await open(kind, () => true, 3, { context });
+    advance(100);
+    expect(res.writableEnded).toBe(false);
+    // While the route is not known, any time may do.
+    stop('isInitialized' in context ? 0 : TOO_SHORT_MS);
+    advance(20);
+    expect(JSON.parse(String(res.read()))).toMatchObject({ code: RESULT_CODES.stopping.number, ran: 'no' });
+    await new Promise((resolve) => setTimeout(resolve, 40));
+    // What waited for a connection was cancelled, the others were not opened when their wait ended.
+    expect(mockOpened.every(({ cancel }) => cancel.mock.calls.length > 0)).toBe(true);
+  },
+);
+
+test.each([
+  ['did not run there', { type: 'notRun', head: { status: 503, metadata: {} } }, 'stopping', 'no'],
+  ['broke', { type: 'broken', reason: 'unsealed', detail: '' }, 'endpointBroke', 'unknown'],
+] as const)(
+  'a request that %s is not sent again as its box has no time left for it',
+  async (_what, event, code, ran) => {
+    const { res, stop, emit } = await play('repeatable', () => true);
+    stop(TOO_SHORT_MS);
+    emit(event as unknown as Parameters<typeof emit>[0]);
+    expect(JSON.parse(String(res.read()))).toMatchObject({ code: RESULT_CODES[code].number, ran });
+    expect(mockOpened.length).toBe(1);
+  },
+);
+
+test('no hedge is sent that cannot end before the exit, and the first endpoint may still answer', async () => {
+  const { res, stop, advance, emit } = await play('repeatable', () => true);
+  stop(TOO_SHORT_MS);
+  advance(1_000);
+  expect(mockOpened.length).toBe(1);
+  emit({ type: 'head', head: { ...HEAD, headers: {} } });
+  emit({ type: 'end' });
+  expect(res.writableEnded).toBe(true);
+});
+
+test('a stream is resumed only if what is left of it can end before the exit', async () => {
+  const whole = new RequestDurations();
+  whole.begin('r', 0).end(4_000, true);
+  for (const [remainingMs, opened] of [
+    [3_500, 2],
+    [2_500, 1],
+  ] as const) {
+    const played = await play('stream', () => true, 3, { context: { durations: whole } });
+    startStream(played);
+    played.advance(400);
+    played.emit({ type: 'data', chunk: Buffer.from('id: 2\ndata: b\n\n') });
+    played.advance(600);
+    played.stop(remainingMs);
+    played.emit({ type: 'broken', reason: 'unsealed', detail: '' });
+    expect([mockOpened.length, played.res.destroyed]).toEqual([opened, opened === 1]);
+  }
+});
+
+test('what is left as the box exits gets a final response: refused if it has not run, failed if it may have', async () => {
+  for (const [sent, code, ran] of [
+    [false, 'stopping', 'no'],
+    [true, 'boxStopped', 'unknown'],
+  ] as const) {
+    const { res, cutOff, attempt } = await (sent ? play : open)('once', () => true);
+    cutOff();
+    expect(JSON.parse(String(res.read()))).toMatchObject({ code: RESULT_CODES[code].number, ran });
+    expect(attempt.cancel).toHaveBeenCalledTimes(1);
+  }
+});
