Own interface: what is in flight at the time limit of a stop gets a final refusal

What callers saw: a request still in flight `drainTimeoutMs` after the stop of a box was requested ended with a reset, without a word on whether it ran.

Cause: the core declared itself stopped, and the process ended with the request still in its table.

Its call is cancelled.

Evidence and result: two new cases of membership.test.ts, for a request that was placed and for one that waits for its next attempt, failed before (no refusal among the effects) and pass; so do the other tests of core and daemon (88).

--- a/packages/core/src/__tests__/membership.test.ts
+++ b/packages/core/src/__tests__/membership.test.ts
@@ -1,5 +1,5 @@
 import { createEngines, createTestWorld } from '../__fixtures__/createTestWorld.js';
-import type { ControlFrame, Effect, HeartbeatFrame, World } from '../index.js';
+import type { ControlFrame, Effect, HeartbeatFrame, RequestHead, World } from '../index.js';
 import { directoryKey, findHomeBox, runTurn } from '../index.js';
 
 const heartbeat: HeartbeatFrame = {
@@ -62,6 +62,36 @@
   expect(world.directory.size).toBe(0);
 });
 
+test.each([
+  ['may have run', 'box-1', 'boxStopped', 'unknown'],
+  ['waits for its next attempt', undefined, 'stopping', 'no'],
+] as const)(
+  'a request that %s at the time limit of a stop gets a final refusal',
+  async (_what, target, code, ran) => {
+    const settings = { drainTimeoutMs: 1_000 };
+    const world = await createTestWorld('box-1', { endpoints: createEngines(1), settings });
+    const head = {
+      kind: 'plain',
+      service: 'booking',
+      team: 'quiet',
+      chat: 'c',
+      remainingMs: 0,
+    } as RequestHead;
+    runTurn(world, [{ type: 'callerRequest', requestId: 'r', head }], 5);
+    const row = world.requests.get('r');
+    if (row === undefined) throw new Error('the request was not accepted');
+    if (target === undefined) Object.assign(row, { phase: 'backingOff', retryAtMs: 9_000 });
+    runTurn(world, [{ type: 'stopRequested' }], 10);
+    const effects = runTurn(world, [{ type: 'tick' }], 1_100);
+    expect(effects).toContainEqual({
+      type: 'refuseCaller',
+      requestId: 'r',
+      refusal: { code, ran, retryAfterMs: expect.any(Number) as number },
+    });
+    expect(effects.at(-1)).toEqual({ type: 'stopped' });
+  },
+);
+
 test('a newer file that a peer advertises is requested from it, and an older file is ignored', async () => {
   const world = await createTestWorld('box-1', { boxIds: ['box-1', 'box-2'] });
   const newer = { ...heartbeat, stamps: [[2, 0] as const, [0, 0] as const, [0, 0] as const] };
--- a/packages/core/src/systems/drain.ts
+++ b/packages/core/src/systems/drain.ts
@@ -5,6 +5,7 @@
 import type { World } from '../world.js';
 import { emit } from '../world.js';
 import { handOverEntries } from './chatDirectory.js';
+import { cutOffRequests } from './entry.js';
 import { handOverKeys } from './keys.js';
 import { runMembership } from './membership.js';
 import { broadcastHeartbeat } from './heartbeats.js';
@@ -20,7 +21,10 @@
   handOverEntries(world, Infinity);
 }
 
-/** Completes the shutdown once nothing is in flight and peers had time to react, or when its time limit has passed. */
+/**
+ * Completes the shutdown once nothing is in flight and peers had time to react, or when its time limit has passed: what is left then
+ * gets a final refusal.
+ */
 export function runDrain(world: World): void {
   if (world.stop.type !== 'draining') return;
   const isIdle = world.requests.size === 0 && world.calls.size === 0 && world.heldKeys.length === 0;
@@ -28,6 +32,7 @@
   const graceMs = world.settings.heartbeatMs;
   const arePeersNotified = world.nowMs - world.stop.sinceMs >= graceMs;
   if (!isOverdue && !(isIdle && arePeersNotified)) return;
+  cutOffRequests(world);
   handOverKeys(world);
   world.stop = { type: 'stopped' };
   emit(world, { type: 'stopped' });
--- a/packages/core/src/systems/entry.ts
+++ b/packages/core/src/systems/entry.ts
@@ -269,11 +269,22 @@
   return row.targetBox !== undefined && (row.phase === 'accepted' || row.targetBox !== world.self.boxId);
 }
 
+/** Ends a request for which there is no time left, with the code for whether it ran. */
+function endRequest(world: World, row: RequestRow, codes: Readonly<Record<Ran, ResultCode>>): void {
+  const ran = row.phase !== 'backingOff' && mayHaveRun(world, row) ? 'unknown' : 'no';
+  cancelAttempt(world, row);
+  refuseRequest(world, row.id, codes[ran], ran, spreadRetryAfter(world, 0));
+}
+
+/** Ends the requests that are still in progress as the box exits. */
+export function cutOffRequests(world: World): void {
+  for (const row of [...world.requests.values()])
+    endRequest(world, row, { unknown: 'boxStopped', no: 'stopping' });
+}
+
 function sweepRequest(world: World, row: RequestRow): void {
   if (world.nowMs >= row.deadlineMs) {
-    const ran = row.phase !== 'backingOff' && mayHaveRun(world, row) ? 'unknown' : 'no';
-    cancelAttempt(world, row);
-    return refuseRequest(world, row.id, 'deadlineExceeded', ran, spreadRetryAfter(world, 0));
+    return endRequest(world, row, { unknown: 'deadlineExceeded', no: 'deadlineExceeded' });
   }
   if (row.phase === 'backingOff') {
     if (world.nowMs >= row.retryAtMs) placeRequest(world, row);
