Own interface: open connections of a stopping box are not left to be reset

What callers saw: the refusals of a stopping box left the connection open; a request sent on it as the box exited got no answer, and a reset up to 2 s later. An order sent behind a stream was run at once, its answer waiting for the stream.

Cause: the core ended first and the callers' server last, so that requests read in between were handed to a loop that had ended; requests of one connection were begun as they were read.

Change: the connections of callers of the platform's interface move to a package, `@hazelwalk/http`, that both interfaces use. From the stop on each response closes its connection; the callers' server ends first and refuses what still arrives; connections are closed once they are not used any more.

--- a/packages/daemon/src/adapters/callerServer.ts
+++ b/packages/daemon/src/adapters/callerServer.ts
@@ -3,9 +3,11 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import type { BoxId, RequestHead, ResultCode, StreamFrame } from '@hazelwalk/core';
 import { formatRawProblem } from '@hazelwalk/core';
+import { CallerConnections } from '@hazelwalk/http';
 import { z } from 'zod';
 import type { EmitEvent } from '../coreLoop.js';
 import { listenOn } from './addresses.js';
@@ -25,6 +27,8 @@
 /** The caller sets no deadline, so that of the service applies. */
 const NO_DEADLINE_MS = 0;
 const DEFAULT_PRIORITY = 0;
+/** Interval at which connections that are not used any more are closed. */
+const IDLE_CHECK_MS = 50;
 const MAX_PRIORITY = 9;
 
 const chatBodySchema = z.object({ model: z.string().min(1), messages: z.array(z.unknown()).min(1) });
@@ -47,11 +51,15 @@
 /** Serves the requests of callers. */
 export class CallerServer {
   private readonly server: Server;
+  private readonly connections: CallerConnections;
+  /** The core takes no more requests. */
+  private isClosing = false;
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = createServer({ maxHeaderSize: options.maxHeaderBytes }, (req, res) =>
-      this.handle(req, res),
+      this.connections.accept(req, res, () => this.handle(req, res)),
     );
+    this.connections = new CallerConnections(this.server, () => performance.now());
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.refuseRaw(error, socket),
     );
@@ -62,15 +70,30 @@
     return listenOn(this.server, address);
   }
 
-  /** Stops listening; connections are closed when they become idle. Resolves once all are closed. */
+  /** From now on, each response asks its caller to use the connection for no further request. */
+  closeAfterResponses(): void {
+    this.connections.closeAfterResponses();
+  }
+
+  /**
+   * Stops listening. Requests that still arrive are refused, and connections are closed when they are not used any more. Resolves
+   * once all are closed.
+   */
   close(): Promise<void> {
+    this.isClosing = true;
+    this.closeAfterResponses();
+    const checks = setInterval(() => this.connections.closeIdle(), IDLE_CHECK_MS);
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      // The method of the HTTP server would close idle connections at once.
+      NetServer.prototype.close.call(this.server, () => {
+        clearInterval(checks);
+        resolve();
+      });
     });
   }
 
   private handle(req: IncomingMessage, res: ServerResponse): void {
+    if (this.isClosing) return this.refuse(req, res, 'stopping');
     const url = req.url ?? '/';
     const service = SERVICE_PATTERN.exec(url);
     if (url === '/healthz') return void res.end('ok\n');
--- a/packages/daemon/src/box.ts
+++ b/packages/daemon/src/box.ts
@@ -122,17 +122,19 @@
 
   /** Starts a planned stop; `stopped` settles when it is complete. */
   requestStop(): void {
+    this.callers.closeAfterResponses();
     this.loop.emit({ type: 'stopRequested' });
   }
 
   /** Stops the loop and closes all adapters without draining. */
   async close(): Promise<void> {
+    const callersClosed = this.callers.close();
     this.loop.stop();
     this.platform.close();
     this.reports.close();
     this.admin.close();
     await this.peers.close();
-    await this.callers.close();
+    await callersClosed;
     await this.calls.close();
     await this.control.agent.destroy();
     await this.metrics.close();
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,2 @@
+/** What the servers for callers of both interfaces share. */
+export * from './callerConnections.js';
