Soak: callers that keep their connections, and boxes stopped again and again

Cause: the soak's callers opened a connection for nearly each request, its streams lasted 200 ms, and no check looked for requests that ran and were never answered.

Change: with `--stops` callers read a stream of one to nine seconds and then send orders of 20 to 1,200 ms on the same connection until the box refuses them or is gone. In place of faults boxes are stopped: alone, twice, in turn while the one before is still stopping, with reloads, changes of configuration and outages of the store between; the grace time is 2, 4, 8 or 12 s by seed. A box that is still there at its end is killed. Two checks: a request that a stopping box has read or sent on has a response (only a stream sent in the first 3 s that is still worked on at the end may break off), and the box exits in time.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -55,6 +55,28 @@
   expect(listViolatedChecks()).toEqual([]);
 });
 
+test.each<[string, SoakRoute, Partial<CallerRecord>, boolean, boolean]>([
+  ['an order that ran', 'claim', {}, true, true],
+  ['an order that crossed the end of its connection', 'claim', {}, false, false],
+  ['an order that waited', 'claim', { sentAtMs: NOW_MS - 300 }, false, true],
+  [
+    'a stream that outlasts the stop',
+    'streamLong',
+    { sentAtMs: NOW_MS - 7_500, deadlineMs: 20_000 },
+    true,
+    false,
+  ],
+  ['a stream that was sent late', 'streamLong', { sentAtMs: NOW_MS - 3_000 }, true, true],
+  ['an order of another box', 'claim', { box: 'box-2' }, true, false],
+])('reports what a stopping box loses: %s', (_what, route, changes, ran, isLost) => {
+  ledger.events.push({ type: 'boxStop', box: 'box-1', atMs: NOW_MS - 7_800 });
+  ledger.interruptions.push({ entity: 'box-1', fromMs: NOW_MS + 60, toMs: NOW_MS + 900 });
+  ledger.disturbances.push({ entity: 'box-1', fromMs: NOW_MS + 60, toMs: NOW_MS + 900, isPlanned: true });
+  recordRequest('a', route, { type: 'cut', status: undefined, body: '' }, changes);
+  if (ran) recordRun('a');
+  expect(listViolatedChecks()).toEqual(isLost ? ['a stopping box loses nothing'] : []);
+});
+
 test('reports a request that must run at most once and ran twice', () => {
   recordRequest('a', 'claim', createResponse(200, 'a|e-1', 'e-1|a'));
   recordRun('a');
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,10 +5,11 @@
 import type { CallerRecord, Ledger, PlannedEvent, ProbeRequest, RunRecord, SoakRoute } from './ledger.js';
 import { checkCutOffBoxes } from './cutChecks.js';
 import { checkHarmfulParts } from './harmfulChecks.js';
+import { checkStoppedBoxes } from './stopChecks.js';
 import { checkScarceService, isScarceRoute } from './scarceChecks.js';
 import { checkStreams, parseEvents } from './streamChecks.js';
 import type { Violation } from './violation.js';
-import { createViolation, isRejected, isServed, SETTLE_MS, TOLERANCE_MS } from './violation.js';
+import { createViolation, isRejected, isServed, isStream, SETTLE_MS, TOLERANCE_MS } from './violation.js';
 
 /** Time bounds and retry budget that the deployment guarantees. */
 const APPLY_BOUND_MS = 2_000;
@@ -59,15 +60,12 @@
     ...checkCutOffBoxes(ledger),
     ...checkStreams(ledger),
     ...checkHarmfulParts(ledger),
+    ...checkStoppedBoxes(ledger),
   ];
 }
 
 function runsAtMostOnce(route: SoakRoute): boolean {
-  return route === 'claim' || route === 'streamOnce' || route === 'scarceUrgentClaim';
-}
-
-function isStream(route: SoakRoute): boolean {
-  return route === 'streamOnce' || route === 'streamResumable';
+  return ['claim', 'streamOnce', 'streamLong', 'scarceUrgentClaim'].includes(route);
 }
 
 function countRuns(ledger: Ledger): Map<string, number> {
@@ -139,6 +137,8 @@
   return listEvents(ledger, 'boxStop').flatMap(({ box, atMs }) =>
     ledger.requests
       .filter((request) => request.box === box && request.outcome.type === 'cut')
+      // Long ones may outlast the stop; what applies to them is in `stopChecks`.
+      .filter(({ route }) => route !== 'streamLong')
       .filter((request) => request.sentAtMs <= atMs + ACCEPT_AFTER_STOP_MS && request.endedAtMs >= atMs)
       .filter((request) => ledger.wasSiteUndisturbed(request.sentAtMs, request.endedAtMs, SETTLE_MS))
       .map((request) => createViolation('a planned stop cuts nothing off', request, `stopped at ${atMs}`)),
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -30,13 +30,27 @@
 export const RESTORE_FAULT_KINDS = ['storeRestore'] as const;
 /** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
 export const CUT_FAULT_KINDS = ['boxCut'] as const;
+/** Planned operations around boxes that stop; they replace the others, so that what is lost is due to a stop. */
+export const STOP_FAULT_KINDS = [
+  'boxStop',
+  'boxStop',
+  'boxStopTwice',
+  'boxStopSeries',
+  'boxReload',
+  'endpointLeave',
+  'storeFault',
+  'configuration',
+  'configurationSeries',
+] as const;
 /** A kind of fault or of planned operation. */
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof ANNOUNCEMENT_FAULT_KINDS)[number]
   | (typeof RESTORE_FAULT_KINDS)[number]
-  | (typeof CUT_FAULT_KINDS)[number];
+  | (typeof CUT_FAULT_KINDS)[number]
+  | (typeof STOP_FAULT_KINDS)[number];
 
+const MS_PER_S = 1_000;
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
 const MAX_DELAY_MS = 300;
@@ -89,6 +103,10 @@
         return this.onRandomBox((box) => this.pauseBox(box));
       case 'boxStop':
         return this.onRandomBox((box) => this.stopBox(box));
+      case 'boxStopTwice':
+        return this.onRandomBox((box) => this.stopBoxTwice(box));
+      case 'boxStopSeries':
+        return this.stopInTurn();
       case 'boxReload':
         return this.onRandomBox(async (box) => void box.process?.child.kill('SIGHUP'));
       case 'boxCut':
@@ -147,8 +165,34 @@
   private async stopBox(box: SoakBox): Promise<void> {
     if (box.process === undefined) return;
     this.ledger.events.push({ type: 'boxStop', box: box.name, atMs: readMonotonicMs() });
-    await endProcess(box.process.child, 'SIGTERM');
-    await this.runAsInterruption(box.name, () => this.site.startBox(box));
+    const { child } = box.process;
+    const kill = setTimeout(() => {
+      this.ledger.events.push({ type: 'boxOutstayed', box: box.name, atMs: readMonotonicMs() });
+      child.kill('SIGKILL');
+    }, this.site.options.graceS * MS_PER_S);
+    await endProcess(child, 'SIGTERM');
+    clearTimeout(kill);
+    await this.runAsInterruption(box.name, () => this.site.startBox(box), true);
+  }
+
+  /** Stops a box, and asks it again, as well as to read its settings, while it stops. */
+  private async stopBoxTwice(box: SoakBox): Promise<void> {
+    const child = box.process?.child;
+    const stopped = this.stopBox(box);
+    for (const signal of ['SIGHUP', 'SIGTERM'] as const) {
+      await pause((this.random() * this.site.options.graceS * MS_PER_S) / 2);
+      child?.kill(signal);
+    }
+    await stopped;
+  }
+
+  /** Stops all boxes in turn, each a while after the one before, which may still be there. */
+  private async stopInTurn(): Promise<void> {
+    const stops = this.site.boxes.map(async (box, at) => {
+      await pause((at * this.site.options.graceS * MS_PER_S) / 2);
+      await this.runExclusively(box.name, () => this.stopBox(box));
+    });
+    await Promise.all(stops);
   }
 
   private async pauseBox(box: SoakBox): Promise<void> {
@@ -278,16 +322,24 @@
   }
 
   /** Records a disturbance of the entity while the action runs. */
-  private async runAsDisturbance(entity: string, action: () => Promise<void>): Promise<void> {
-    const disturbance = this.ledger.beginDisturbance(entity);
+  private async runAsDisturbance(
+    entity: string,
+    action: () => Promise<void>,
+    isPlanned = false,
+  ): Promise<void> {
+    const disturbance = this.ledger.beginDisturbance(entity, isPlanned);
     await action();
     disturbance.toMs = readMonotonicMs();
   }
 
   /** Records a disturbance of a box and an interruption of its process while the action runs. */
-  private async runAsInterruption(box: string, action: () => Promise<void>): Promise<void> {
+  private async runAsInterruption(
+    box: string,
+    action: () => Promise<void>,
+    isPlanned = false,
+  ): Promise<void> {
     const interruption = this.ledger.beginInterruption(box);
-    await this.runAsDisturbance(box, action);
+    await this.runAsDisturbance(box, action, isPlanned);
     interruption.toMs = readMonotonicMs();
   }
 }
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -5,7 +5,7 @@
 import { readMonotonicMs } from '@hazelwalk/platform/standins';
 
 /** Routes that the soak sends requests to. */
-export type SoakRoute = 'safe' | 'claim' | 'streamResumable' | 'streamOnce' | ScarceRoute;
+export type SoakRoute = 'safe' | 'claim' | 'streamResumable' | 'streamOnce' | 'streamLong' | ScarceRoute;
 
 /** Routes of a service with too few slots for its requests; all but the last are urgent. */
 export type ScarceRoute = 'scarceUrgent' | 'scarceUrgentClaim' | 'scarceLow';
@@ -99,11 +99,15 @@
   readonly entity: string;
   readonly fromMs: number;
   toMs: number;
+  /** The start of a box after a planned stop is no fault. */
+  readonly isPlanned?: boolean | undefined;
 }
 
 /** A planned operation or a milestone of the run. */
 export type PlannedEvent =
   | { readonly type: 'boxStop'; readonly box: string; readonly atMs: number }
+  /** A stopping box was still there at the end of its grace time, and was killed. */
+  | { readonly type: 'boxOutstayed'; readonly box: string; readonly atMs: number }
   | { readonly type: 'endpointLeaves'; readonly endpoint: string; readonly atMs: number }
   | { readonly type: 'configurationPublished'; readonly version: number; readonly atMs: number }
   /** The last fault has ended and no further one starts. */
@@ -129,8 +133,8 @@
   readonly events: PlannedEvent[] = [];
 
   /** Records the start of a fault. The caller sets `toMs` when the fault ends. */
-  beginDisturbance(entity: string): Disturbance {
-    const disturbance = { entity, fromMs: readMonotonicMs(), toMs: Infinity };
+  beginDisturbance(entity: string, isPlanned = false): Disturbance {
+    const disturbance = { entity, fromMs: readMonotonicMs(), toMs: Infinity, isPlanned };
     this.disturbances.push(disturbance);
     return disturbance;
   }
@@ -165,6 +169,17 @@
     );
   }
 
+  /** Whether no fault, other than of the store, was on in a span or within the settle time before it. */
+  wasFreeOfFaults(fromMs: number, toMs: number, settleMs: number): boolean {
+    return !this.disturbances.some(
+      (fault) =>
+        fault.isPlanned !== true &&
+        fault.entity !== 'store' &&
+        fault.fromMs <= toMs &&
+        fault.toMs + settleMs >= fromMs,
+    );
+  }
+
   /** Whether no entity of the site had a fault in a span or within the settle time before it. */
   wasSiteUndisturbed(fromMs: number, toMs: number, settleMs: number): boolean {
     return !this.disturbances.some(
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -58,6 +58,11 @@
     default: false,
     describe: 'also requests with a part of their prompts that crashes endpoints',
   })
+  .option('stops', {
+    type: 'boolean',
+    default: false,
+    describe: 'stop boxes again and again in place of faults, under callers that keep their connections',
+  })
   .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
   .strict()
   .parse();
@@ -110,6 +115,7 @@
     isScarce: argv.scarce,
     hasVersions: argv.versions,
     hasHarmfulParts: argv.harmful,
+    hasStops: argv.stops,
   });
   report(result);
   if (result.violations.length === 0) passed += 1;
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -11,7 +11,9 @@
   FAULT_KINDS,
   FaultInjector,
   RESTORE_FAULT_KINDS,
+  STOP_FAULT_KINDS,
 } from './faults.js';
+import { LastingCaller } from './lastingCaller.js';
 import type { CallerRecord, RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
 import { SCARCE_SLOTS, SoakSite, versionRouteName } from './site.js';
@@ -38,6 +40,8 @@
   readonly hasVersions: boolean;
   /** Whether callers send requests with a part that crashes endpoints. */
   readonly hasHarmfulParts: boolean;
+  /** Whether boxes are stopped again and again, without other faults, under callers that keep their connections. */
+  readonly hasStops: boolean;
 }
 
 /** Result of one seed. */
@@ -56,6 +60,9 @@
   readonly logs: ReadonlyMap<string, readonly string[]>;
 }
 
+const GRACE_S = 8;
+/** Grace times of the seeds in turn, where boxes are stopped again and again. */
+const STOP_GRACES_S = [8, 2, 4, 12] as const;
 const STARTUP_WAIT_MS = 3_500;
 const MIN_FAULT_GAP_MS = 150;
 const MAX_FAULT_GAP_MS = 1_500;
@@ -73,14 +80,15 @@
 export async function runSeed(options: SoakOptions): Promise<SoakResult> {
   const random = createRandom(options.seed);
   const ledger = new Ledger();
-  const site = new SoakSite(ledger, createNetwork(options.seed), options);
+  const graceS = options.hasStops ? (STOP_GRACES_S[options.seed % STOP_GRACES_S.length] ?? GRACE_S) : GRACE_S;
+  const site = new SoakSite(ledger, createNetwork(options.seed), { ...options, graceS });
   const faults: string[] = [];
   try {
     await site.start(options.boxes, options.endpointsPerService);
     await pause(STARTUP_WAIT_MS);
     const stopLoad = startLoad(site, ledger, options, random);
     const kinds = [
-      ...FAULT_KINDS,
+      ...(options.hasStops ? STOP_FAULT_KINDS : FAULT_KINDS),
       ...(options.hasAnnouncements ? ANNOUNCEMENT_FAULT_KINDS : []),
       ...(options.hasRestores ? RESTORE_FAULT_KINDS : []),
       ...(options.hasCuts ? CUT_FAULT_KINDS : []),
@@ -125,6 +133,11 @@
     callers.push(new Caller(`s${at}`, site.boxes, ledger, callerRandom, SCARCE_SHARES));
   }
   for (const caller of callers) void caller.run();
+  const lasting = Array.from({ length: options.hasStops ? options.callers : 0 }, (_, at) => {
+    const callerRandom = createRandom(Math.floor(random() * 2 ** 31));
+    return new LastingCaller(`l${at}`, site.boxes, ledger, callerRandom);
+  });
+  for (const caller of lasting) void caller.run();
   const stopHarmful = options.hasHarmfulParts
     ? startHarmfulCaller(site.boxes, ledger, createRandom(options.seed))
     : () => {};
@@ -132,7 +145,7 @@
   return () => {
     clearInterval(prober);
     stopHarmful();
-    for (const caller of callers) caller.close();
+    for (const caller of [...callers, ...lasting]) caller.close();
   };
 }
 
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -26,7 +26,6 @@
 const CALLER_PORT = 8_227;
 const READY_PORT = 8_220;
 const PEER_PORT = 8_229;
-const GRACE_S = 8;
 const SEEDS = 3;
 const BOX_PROGRAM = 'target/hazelwalk.cjs';
 const ENDPOINT_PROGRAM = fileURLToPath(
@@ -54,6 +53,16 @@
   },
 ];
 
+/** Route of streams that may last longer than the stop of a box. */
+const LONG_ROUTE: StandinRoute = {
+  name: 'streamLong',
+  kind: 'streaming',
+  service: 'llm',
+  maxAttempts: 1,
+  isResumable: false,
+  timeoutMs: 20_000,
+};
+
 /** Routes of a service with few slots: two of urgent requests and one of others. */
 const SCARCE_ROUTES: readonly StandinRoute[] = (
   [
@@ -121,6 +130,8 @@
   readonly hasVersions: boolean;
   /** Whether callers send requests with a part that crashes endpoints. */
   readonly hasHarmfulParts: boolean;
+  /** Time after which a box is killed that was asked to stop. */
+  readonly graceS: number;
 }
 
 /** After this time an endpoint that crashed is replaced by a new one. */
@@ -145,7 +156,7 @@
     private readonly ledger: Ledger,
     /** First three numbers of the addresses of this seed's boxes, so that concurrent seeds use different addresses. */
     private readonly network: string,
-    private readonly options: SiteOptions,
+    readonly options: SiteOptions,
   ) {}
 
   /** Starts the store, the endpoints and the boxes. */
@@ -311,7 +322,7 @@
 
   private writeConfiguration(): void {
     const versionRoute = { ...ROUTES[0], name: versionRouteName(this.version) } as StandinRoute;
-    const routes = [...ROUTES, versionRoute, ...(this.options.isScarce ? SCARCE_ROUTES : [])];
+    const routes = [...ROUTES, LONG_ROUTE, versionRoute, ...(this.options.isScarce ? SCARCE_ROUTES : [])];
     this.store.put('op/config', createStandinConfiguration(this.version, routes));
   }
 
@@ -333,7 +344,7 @@
     const hall = HALLS[index % HALLS.length] ?? HALLS[0];
     writeFileSync(
       settingsPath,
-      formatBoxSettings({ name, hall, ip, ...ports, seeds, storeAddress, graceS: GRACE_S }),
+      formatBoxSettings({ name, hall, ip, ...ports, seeds, storeAddress, graceS: this.options.graceS }),
     );
     this.boxes.push({
       name,
--- a/packages/soak/src/violation.ts
+++ b/packages/soak/src/violation.ts
@@ -1,5 +1,5 @@
 /** What the checks share: how a violation is described, and the margins that all of them leave. */
-import type { CallerRecord } from './ledger.js';
+import type { CallerRecord, SoakRoute } from './ledger.js';
 
 /** A guarantee that did not hold. */
 export interface Violation {
@@ -16,6 +16,11 @@
 /** Statuses with which the router reports that no endpoint executed the request. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Whether responses of a route are event streams. */
+export function isStream(route: SoakRoute): boolean {
+  return route === 'streamOnce' || route === 'streamLong' || route === 'streamResumable';
+}
+
 /**
  * Whether a request was served.
  *
