Shutdown: the longest response of a route decides, for streams as well

What callers saw: streams that were sent on late and broken off by the exit.

Cause: for what may be repeated half of the last responses, and for other streams nine of ten had to fit into the time left. So some of those sent on were known not to end.

Change: one rule for all, the longest of the last 64.

--- a/packages/router/src/__tests__/timeUntilExit.test.ts
+++ b/packages/router/src/__tests__/timeUntilExit.test.ts
@@ -70,14 +70,8 @@
   ['its connection closes sooner than it takes', once, Infinity, { closesInMs: TARGET_MS - 1 }, false],
   ['no time is left', once, 0, { expiresInMs: 0 }, false],
   ['nothing is known of a stream', stream, 1, {}, true],
-  [
-    'nine of ten streams are over by then',
-    stream,
-    4_000,
-    { tookMs: [...many(18, 4_000), 9_000, 9_000] },
-    true,
-  ],
-  ['fewer streams are over by then', stream, 3_999, { tookMs: many(20, 4_000) }, false],
+  ['the longest of a stream counts', stream, 8_999, { tookMs: [...many(18, 4_000), 9_000] }, false],
+  ['the longest of a stream counts', stream, 4_000, { tookMs: many(20, 4_000) }, true],
   [
     'a stream that is resumed has been answered for a while',
     stream,
@@ -85,13 +79,7 @@
     { tookMs: many(20, 4_000), answeredForMs: 3_000 },
     true,
   ],
-  [
-    'half of what may be repeated is over by then',
-    repeatable,
-    50,
-    { tookMs: [...many(20, 50), ...many(20, 900)] },
-    true,
-  ],
+  ['what may be repeated is of no use either if it is cut off', repeatable, 50, { tookMs: [50, 900] }, false],
 ])('%s (%#)', (_what, route, remainingMs, seen, expected) => {
   expect(decide(route, remainingMs, seen)).toBe(expected);
 });
--- a/packages/router/src/capacity/requestDurations.ts
+++ b/packages/router/src/capacity/requestDurations.ts
@@ -8,7 +8,7 @@
 const SAMPLES = 64;
 /** Routes that are kept; the one used longest ago gives way. */
 const MAX_ROUTES = 1_024;
-/** Below this number of whole responses, the duration that is assumed before the first counts as one of them. */
+/** Below this number of whole responses, what is assumed before the first counts as well. */
 const FEW_SAMPLES = 16;
 
 /** A request at an endpoint. */
@@ -17,15 +17,6 @@
   end(nowMs: number, isWhole: boolean): void;
 }
 
-/** Which duration of a route is asked for. */
-export interface DurationQuery {
-  /** Share of the requests that take no longer, above 0 and at most 1. */
-  readonly share: number;
-  /** Assumed before enough responses were seen; undefined if nothing is known about the route. */
-  readonly assumedMs: number | undefined;
-  readonly nowMs: number;
-}
-
 /** Durations of the requests of one box, by route. */
 export class RequestDurations {
   private readonly routes = new LRUCache<string, RouteDurations>({ max: MAX_ROUTES });
@@ -41,12 +32,13 @@
   }
 
   /**
-   * Returns how long a request of the route takes.
+   * Returns how long a request of the route takes at the most.
    *
-   * @example durations.read('book', { share: 1, assumedMs: 300, nowMs }) // the longest of the last responses
+   * @param assumedMs counts as well before enough responses were seen; undefined if nothing is known about the route
+   * @example durations.readLongest('book', 300, nowMs) // the longest of the last responses and of the requests in progress
    */
-  read(route: string, query: DurationQuery): number {
-    return (this.routes.get(route) ?? new RouteDurations()).read(query);
+  readLongest(route: string, assumedMs: number | undefined, nowMs: number): number {
+    return this.routes.get(route)?.readLongest(assumedMs, nowMs) ?? assumedMs ?? 0;
   }
 }
 
@@ -66,21 +58,10 @@
     return request;
   }
 
-  read({ share, assumedMs, nowMs }: DurationQuery): number {
-    const known = [...this.samplesMs];
-    if (assumedMs !== undefined && known.length < FEW_SAMPLES) known.push(assumedMs);
-    const usualMs = pickShare(known, share);
-    return pickShare([...known, ...this.listOverdue(usualMs, nowMs)], share);
-  }
-
-  /** Ages of the requests in progress that have taken longer than usual already. */
-  private listOverdue(usualMs: number, nowMs: number): number[] {
-    const agesMs: number[] = [];
-    for (const startedAtMs of this.running.values()) {
-      if (nowMs - startedAtMs <= usualMs) break;
-      agesMs.push(nowMs - startedAtMs);
-    }
-    return agesMs;
+  readLongest(assumedMs: number | undefined, nowMs: number): number {
+    const known = this.samplesMs.length < FEW_SAMPLES ? (assumedMs ?? 0) : 0;
+    const [oldestStartMs = nowMs] = this.running.values();
+    return Math.max(known, nowMs - oldestStartMs, ...this.samplesMs);
   }
 
   private record(tookMs: number): void {
@@ -88,9 +69,3 @@
     this.next = (this.next + 1) % SAMPLES;
   }
 }
-
-/** The smallest value that is not exceeded by the share of the values; 0 if there are none. */
-function pickShare(values: readonly number[], share: number): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.max(0, Math.ceil(share * sorted.length) - 1)] ?? 0;
-}
--- a/packages/router/src/proxy/timeUntilExit.ts
+++ b/packages/router/src/proxy/timeUntilExit.ts
@@ -1,7 +1,6 @@
 /** Decides whether a request that is sent on now can end before its box exits, or the one through which it passes. */
 import type { RequestDurations } from '../capacity/requestDurations.js';
 import type { Route } from '../records.js';
-import { isRepeatable } from './silence.js';
 
 /** What the decision depends on. */
 export interface ExitContext {
@@ -21,16 +20,6 @@
   readonly connectionClosesAtMs: number;
 }
 
-/**
- * Share of the requests of a route that take no longer than the time that a request is given. A request that ran and whose response
- * is lost cannot be repeated; a refused one is sent to another box.
- */
-const ONCE_SHARE = 1;
-/** A stream that is broken off has been of some use; so many would be refused in vain if the longest counted. */
-const STREAM_SHARE = 0.9;
-/** One that may be repeated is only served later. */
-const REPEATABLE_SHARE = 0.5;
-
 /**
  * Whether the response to a request is expected to end before a box exits that it needs.
  *
@@ -44,13 +33,8 @@
   const remainingMs = Math.min(readRemainingMs(), connectionClosesAtMs - nowMs);
   if (remainingMs === Infinity) return true;
   if (remainingMs <= 0 || expiresAtMs - nowMs <= remainingMs) return remainingMs > 0;
-  const query = { share: readShare(route), assumedMs: readAssumedMs(route), nowMs };
-  return durations.read(route.name, query) - answeredForMs <= remainingMs;
-}
-
-function readShare(route: Route): number {
-  if (isRepeatable(route)) return REPEATABLE_SHARE;
-  return route.kind === 'stream' ? STREAM_SHARE : ONCE_SHARE;
+  const longestMs = durations.readLongest(route.name, readAssumedMs(route), nowMs);
+  return longestMs - answeredForMs <= remainingMs;
 }
 
 /** The target is the time until the first event of a stream, and says nothing about its length. */
