Responses: head and data come from the one attempt that owns the response

Cause: while endpoints crash, a retry or hedge waits a moment for the quarantine's decision. When the first attempt answered meanwhile, the wait for admission was withdrawn, but not this one: a second attempt was opened, its head ended the first attempt and was taken as that of a resumed stream, and its body was appended to what was buffered.

Ruled out: a connection that carries the rest of an earlier answer, as the parts name different endpoints.

Change, in two places that do not depend on each other: (a) all that waits before an attempt is opened is withdrawn by one call when an answer has begun or the request has ended; (b) a response has one owner: another attempt's head is not taken, and that attempt is ended, logged (`surplusResponse`) and counted (`surplus`); what an owner that fails has left is dropped with its ownership; a stream goes on only with an attempt that was sent to resume it after the last event that the caller has.

Why this works: with (a) no second attempt is opened once there is an answer; with (b) it could not join the answer if one were.

--- a/packages/router/src/proxy/activeResponse.ts
+++ b/packages/router/src/proxy/activeResponse.ts
@@ -14,10 +14,18 @@
   readonly continuity: StreamContinuity;
 }
 
-/** The response to one request. */
+/** What becomes of the head of a response. */
+export type Acceptance =
+  /** The caller gets this response. */
+  | 'accepted'
+  /** Another attempt owns the response: the caller gets that one, and nothing of this. */
+  | 'owned'
+  /** It cannot follow what the caller has received. */
+  | 'unfit';
+
+/** The response to one request: head and data come from the one attempt that owns it. */
 export class ActiveResponse {
-  /** Attempt whose response is delivered. */
-  winner: Attempt | undefined;
+  private owner: Attempt | undefined;
   /** When the request was last sent, or data of the winner last received. */
   lastActivityAtMs = 0;
   private delivery: ResponseDelivery | undefined;
@@ -27,6 +35,11 @@
     private readonly options: ActiveResponseOptions,
   ) {}
 
+  /** Attempt whose response is delivered. */
+  get winner(): Attempt | undefined {
+    return this.owner;
+  }
+
   /** Whether the head of a response was received that is, or will be, delivered. */
   get hasHead(): boolean {
     return this.delivery !== undefined;
@@ -48,18 +61,26 @@
     return this.delivery?.hasStarted === true ? this.delivery.lastEventId : undefined;
   }
 
-  /** Continues with the response of an attempt; returns false if that cannot follow what the caller has received. */
-  accept(assignment: Assignment, attempt: Attempt, head: ResponseHead): boolean {
-    this.winner = attempt;
+  /** Takes the head of a response; from then on its attempt owns the response until it is released. */
+  accept(assignment: Assignment, attempt: Attempt, head: ResponseHead): Acceptance {
+    if (this.owner !== undefined && this.owner !== attempt) return 'owned';
+    if (!this.follows(attempt, head)) return 'unfit';
+    this.owner = attempt;
     this.lastActivityAtMs = this.context.now();
-    if (this.delivery !== undefined) return head.status === this.delivery.status;
-    this.start(assignment, head);
-    return true;
+    if (this.delivery === undefined) this.start(assignment, head);
+    return 'accepted';
+  }
+
+  /** Ends the ownership of an attempt whose response is not whole, and drops what cannot be used of it. */
+  release(attempt: Attempt): void {
+    if (this.owner !== attempt) return;
+    this.owner = undefined;
+    this.dropRest();
   }
 
   /** Delivers data of the winner. */
   push(assignment: Assignment, attempt: Attempt, chunk: Buffer): void {
-    if (attempt !== this.winner || this.delivery === undefined) return;
+    if (attempt !== this.owner || this.delivery === undefined) return;
     this.lastActivityAtMs = this.context.now();
     attempt.row.lastResponseAtMs = this.lastActivityAtMs;
     const hadStarted = this.delivery.hasStarted;
@@ -77,8 +98,14 @@
     this.delivery?.finish();
   }
 
-  /** Drops what cannot be used of a response that broke off: an incomplete event, or all if the caller has received nothing. */
-  prepareRetry(): void {
+  /** Whether a response may begin, or go on after the last event that the caller has received. */
+  private follows({ resumeAfter }: Attempt, { status }: ResponseHead): boolean {
+    if (this.delivery === undefined) return resumeAfter === undefined;
+    return status === this.delivery.status && resumeAfter === this.resumeAfter;
+  }
+
+  /** Drops an incomplete event, or all if the caller has received nothing. */
+  private dropRest(): void {
     if (this.delivery?.hasStarted === true) this.delivery.prepareResume();
     else this.delivery = undefined;
   }
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -104,6 +104,8 @@
 /** Dependencies and limits of an attempt. */
 export interface AttemptOptions {
   readonly row: EndpointRow;
+  /** Id of the last event that the caller has received, if the attempt resumes a stream. */
+  readonly resumeAfter: string | undefined;
   readonly connections: EndpointConnections;
   readonly dialect: HttpDialect;
   /**
@@ -153,6 +155,8 @@
 /** One attempt at one endpoint. */
 export class Attempt {
   readonly row: EndpointRow;
+  /** Id of the last event that the caller has received, if it resumes a stream. */
+  readonly resumeAfter: string | undefined;
   /**
    * When the request was written to the connection; 0 before. The silence of the endpoint is measured from here, so
    * this is moved forward by each pause of this process.
@@ -180,6 +184,7 @@
 
   constructor(private readonly options: AttemptOptions) {
     this.row = options.row;
+    this.resumeAfter = options.resumeAfter;
     this.row.inFlight += 1;
   }
 
--- a/packages/router/src/proxy/attemptEnd.ts
+++ b/packages/router/src/proxy/attemptEnd.ts
@@ -17,6 +17,8 @@
   | 'silent'
   /** Another attempt responded first. */
   | 'lost the race'
+  /** It responded although another attempt owned the response. */
+  | 'surplus'
   /** The endpoint did not continue the stream. */
   | 'resume refused'
   | 'expired'
--- a/packages/router/src/proxy/attemptEvents.ts
+++ b/packages/router/src/proxy/attemptEvents.ts
@@ -13,7 +13,7 @@
 import type { AttemptOpener } from './attemptOpener.js';
 import type { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields, RetryReason } from './exchangeLog.js';
-import { logBreak, logContinuation, logRetry } from './exchangeLog.js';
+import { logBreak, logContinuation, logRetry, logSurplus } from './exchangeLog.js';
 import { pickElsewhereMs, pickRetryAfterMs } from './refusal.js';
 import type { RequestEnding } from './requestEnding.js';
 import type { RequestQuarantine } from './requestQuarantine.js';
@@ -123,13 +123,24 @@
     } else {
       this.context.recordHealthSignal(attempt.row, 'answered');
     }
+    if (this.assignment === undefined) return;
+    switch (this.options.response.accept(this.assignment, attempt, head)) {
+      case 'accepted':
+        return this.withdrawOthers(attempt);
+      case 'owned':
+        logSurplus(this.context, this.options.createLogFields(), attempt.row);
+        return this.abandon(attempt, 'surplus');
+      case 'unfit':
+        this.abandon(attempt, 'resume refused');
+        return this.handleBroken(attempt, 'resumeRefused', `status ${head.status}`);
+    }
+  }
+
+  /** Ends all that could lead to a second response: other attempts, and those that wait to be opened. */
+  private withdrawOthers(owner: Attempt): void {
     for (const other of [...this.options.attempts.live])
-      if (other !== attempt) this.abandon(other, 'lost the race');
+      if (other !== owner) this.abandon(other, 'lost the race');
     this.options.opener.withdraw();
-    if (this.assignment === undefined || this.options.response.accept(this.assignment, attempt, head)) return;
-    // The caller already has the head of another response, which this one cannot continue.
-    this.abandon(attempt, 'resume refused');
-    this.handleBroken(attempt, 'resumeRefused', `status ${head.status}`);
   }
 
   /**
@@ -206,7 +217,6 @@
       this.abandon(attempt, 'silent');
     }
     if (!isPermitted) return this.options.ending.fail(detail);
-    response.prepareRetry();
     this.retry(attempt, retryReason, detail);
   }
 
@@ -283,7 +293,7 @@
 
   private drop(attempt: Attempt, end: AttemptEnd, lacksRoom = false): void {
     this.options.attempts.drop(attempt, end, lacksRoom);
-    if (this.options.response.winner === attempt && end !== 'whole') this.options.response.winner = undefined;
+    if (end !== 'whole') this.options.response.release(attempt);
   }
 
   private get assignment(): Assignment | undefined {
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -34,6 +34,8 @@
 /** Opens attempts, one at a time. */
 export class AttemptOpener {
   private readonly admission: AdmissionPhase;
+  /** Stops waiting for a decision of the quarantine. */
+  private cancelDecision: (() => void) | undefined;
   private unusableGrants = 0;
 
   constructor(
@@ -43,13 +45,15 @@
     this.admission = new AdmissionPhase(context.admission);
   }
 
-  /** Whether an attempt waits for its admission. */
+  /** Whether an attempt waits for a decision of the quarantine, or for its admission. */
   get isWaiting(): boolean {
-    return this.admission.isWaiting;
+    return this.cancelDecision !== undefined || this.admission.isWaiting;
   }
 
-  /** Stops waiting, because the request has ended or another attempt is answering. */
+  /** Stops waiting for anything, because the request has ended or another attempt is answering. */
   withdraw(): void {
+    this.cancelDecision?.();
+    this.cancelDecision = undefined;
     this.admission.withdraw();
   }
 
@@ -63,7 +67,11 @@
     if (!attempts.endsInTime(assignment)) return giveUp('stopping', pickElsewhereMs);
     const quarantinedMs = requestQuarantine.readRemainingMs();
     if (quarantinedMs > 0) return giveUp('requestQuarantined', () => quarantinedMs);
-    if (requestQuarantine.waitForDecision(() => this.open(assignment))) return;
+    this.cancelDecision = requestQuarantine.waitForDecision(() => {
+      this.cancelDecision = undefined;
+      this.open(assignment);
+    });
+    if (this.isWaiting) return;
     this.admission.enter(this.createRequest(assignment), (admission) =>
       this.handleAdmission(assignment, admission),
     );
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -167,6 +167,7 @@
     this.triedIds.add(row.listing.id);
     const attempt = new Attempt({
       row,
+      resumeAfter,
       connections: context.connections,
       dialect: context.dialect,
       findAbortReason: () => this.findAbortReason(),
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -98,6 +98,15 @@
   });
 }
 
+/** Logs that an attempt responded although another one owns the response; the attempts are counted by their ends. */
+export function logSurplus(
+  context: RouterContext,
+  fields: ExchangeLogFields,
+  { listing }: EndpointRow,
+): void {
+  context.log.write('notable', 'surplusResponse', { ...fields, surplusEndpoint: listing.id });
+}
+
 /** A stream that goes on at an endpoint. */
 export interface ContinuedStream {
   /** Whether this box resumes it or its caller has taken it up. */
--- a/packages/router/src/proxy/requestQuarantine.ts
+++ b/packages/router/src/proxy/requestQuarantine.ts
@@ -24,7 +24,6 @@
 export class RequestQuarantine {
   private cachedFingerprint: string | undefined;
   private cachedRequest: BlamedRequest | undefined;
-  private isWaitingForDecision = false;
 
   constructor(
     private readonly context: RouterContext,
@@ -56,21 +55,16 @@
   }
 
   /**
-   * Calls back once it has been decided whether the request is quarantined; returns false if no decision is pending.
-   * Until then further calls return true without a callback of their own, so that only the first caller sends the
-   * request.
+   * Calls back once it has been decided whether the request is quarantined.
+   *
+   * @returns how to stop waiting; undefined if no decision is pending
    */
-  waitForDecision(onDecided: () => void): boolean {
-    if (this.isWaitingForDecision) return true;
+  waitForDecision(onDecided: () => void): (() => void) | undefined {
     const { quarantine } = this.context;
     const delayMs = quarantine.isEmpty ? 0 : quarantine.readRequestDecisionDelayMs(this.blamedRequest);
-    if (delayMs === 0) return false;
-    this.isWaitingForDecision = true;
-    setTimeout(() => {
-      this.isWaitingForDecision = false;
-      onDecided();
-    }, delayMs);
-    return true;
+    if (delayMs === 0) return undefined;
+    const timer = setTimeout(onDecided, delayMs);
+    return () => clearTimeout(timer);
   }
 
   /** Whether the endpoint of the request has to be drawn at random. */
