--- a/packages/router/src/__fixtures__/createPlacement.ts
+++ b/packages/router/src/__fixtures__/createPlacement.ts
@@ -1,7 +1,8 @@
 /** Creates placements and placement requests for tests. */
 import type { Hasher } from '@hazelwalk/core';
 import { Evacuations } from '../systems/evacuations.js';
-import type { PlacementOptions, PlacementRequest } from '../systems/placement.js';
+import type { PlacementOptions } from '../systems/placement.js';
+import type { PlacementRequest } from '../systems/placementRequest.js';
 import { Placement } from '../systems/placement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHolders } from '../systems/promptHolders.js';
--- a/packages/router/src/__tests__/grantedSlots.test.ts
+++ b/packages/router/src/__tests__/grantedSlots.test.ts
@@ -2,7 +2,7 @@
 import type { Hasher } from '@hazelwalk/core';
 import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
 import { createPlacement } from '../__fixtures__/createPlacement.js';
-import type { PlacementRequest } from '../systems/placement.js';
+import type { PlacementRequest } from '../systems/placementRequest.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
 const NOW_MS = 60_000;
--- a/packages/router/src/systems/cacheSources.ts
+++ b/packages/router/src/systems/cacheSources.ts
@@ -1,7 +1,7 @@
 /** Finds the endpoint from which another one fetches a cached prompt: a known holder, or one that probably holds it. */
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import type { Evacuations } from './evacuations.js';
-import type { PlacementRequest } from './placement.js';
+import type { PlacementRequest } from './placementRequest.js';
 import type { PromptRanking } from './promptRanking.js';
 
 /** An endpoint listed this much later than another one may lack prompts that the other one holds. */
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -17,6 +17,7 @@
 import { CacheSources } from './cacheSources.js';
 import type { LoadPath, ServiceMeans } from './loadCap.js';
 import { listWithCapacity, mayTakeAnother, readMeans, readSlowness } from './loadCap.js';
+import type { PlacementRequest } from './placementRequest.js';
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
 import { isLeaving, readBackOffMs } from './endpointNotices.js';
@@ -27,24 +28,6 @@
 import type { PromptHolders } from './promptHolders.js';
 import { MAX_HOLDERS } from './promptHolders.js';
 
-/** Properties of a request that placement depends on. */
-export interface PlacementRequest {
-  readonly service: string;
-  readonly promptParts: readonly PromptPart[];
-  /**
-   * What endpoints of the service sustain until they have warmed up; absent if they sustain full load from the start.
-   */
-  readonly coldStart?: ColdStart | undefined;
-  /** Lists of regions, each of which has to include that of the endpoint; several lists may apply to one request. */
-  readonly allowedRegions?: readonly (readonly string[])[];
-  /** Ids of endpoints that were tried already. */
-  readonly excluded: ReadonlySet<string>;
-  /** Software version that the endpoint must have, as it began the stream; absent if any may be chosen. */
-  readonly softwareVersion?: string | undefined;
-  /** Tag of the endpoint that has a slot for the request; absent if any endpoint may be chosen. */
-  readonly grantedTag?: number | undefined;
-}
-
 /**
  * Identifies the prompt that a request shares with others: all parts but the last, which is the request's own.
  *
--- a/packages/router/src/systems/versionChoice.ts
+++ b/packages/router/src/systems/versionChoice.ts
@@ -2,7 +2,7 @@
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { LoadPath, ServiceMeans } from './loadCap.js';
 import { listWithCapacity } from './loadCap.js';
-import type { PlacementRequest } from './placement.js';
+import type { PlacementRequest } from './placementRequest.js';
 
 /**
  * Endpoints that have the version that a request needs; all if it needs none.
