Shutdown: a late stream of which little is known may last until its deadline

The box had started 6 s before the stop and had seen two streams end, of 1.1 and 1.5 s; 5.6 and 5.8 s after the stop it sent on two of over 6 s.

Change: once callers are no longer sent here, a stream is sent on only if its deadline fits, or if eight of its route have ended and the longest fits twice. Orders and earlier streams are judged as before, with eight responses instead of sixteen as enough.

--- a/packages/router/src/__tests__/timeUntilExit.test.ts
+++ b/packages/router/src/__tests__/timeUntilExit.test.ts
@@ -79,6 +79,7 @@
   ['a stream in progress may be halfway, where few have ended', stream, 4_000, { agesMs: [2_000] }, true],
   ['a late stream has to fit twice', stream, 7_999, { tookMs: many(20, 4_000), isFinishing: true }, false],
   ['a late stream has to fit twice', stream, 8_000, { tookMs: many(20, 4_000), isFinishing: true }, true],
+  ['nothing is known of a late stream', stream, 5_000, { isFinishing: true }, false],
   ['a late order has to fit once', once, 50, { tookMs: many(20, 50), isFinishing: true }, true],
   ['no time is left', once, 0, { expiresInMs: 0 }, false],
   ['nothing is known of a stream', stream, 1, {}, true],
--- a/packages/router/src/capacity/requestDurations.ts
+++ b/packages/router/src/capacity/requestDurations.ts
@@ -9,7 +9,7 @@
 /** Routes that are kept; the one used longest ago gives way. */
 const MAX_ROUTES = 1_024;
 /** Below this number of whole responses, what is assumed before the first counts as well. */
-const FEW_SAMPLES = 16;
+const FEW_SAMPLES = 8;
 
 /** A request at an endpoint. */
 export interface RunningRequestDuration {
--- a/packages/router/src/proxy/timeUntilExit.ts
+++ b/packages/router/src/proxy/timeUntilExit.ts
@@ -14,7 +14,8 @@
 
 /**
  * A stream is as long as its caller wants. Those that come when callers are not sent here any more have to fit into the time left this
- * many times: they would be served better elsewhere, or after this box has started again, than broken off.
+ * many times: they would be served better elsewhere, or after this box has started again, than broken off. Where few were seen, they may last
+ * until their deadline.
  */
 const LATE_STREAM_FACTOR = 2;
 
@@ -41,9 +42,10 @@
   const remainingMs = Math.min(readRemainingMs(), connectionClosesAtMs - nowMs);
   if (remainingMs === Infinity) return true;
   if (remainingMs <= 0 || expiresAtMs - nowMs <= remainingMs) return remainingMs > 0;
-  const longestMs = durations.readLongest(route.name, readAssumedMs(route), nowMs);
-  const factor = route.kind === 'stream' && isFinishing() ? LATE_STREAM_FACTOR : 1;
-  return factor * (longestMs - answeredForMs) <= remainingMs;
+  const isLateStream = route.kind === 'stream' && isFinishing();
+  const assumedMs = isLateStream ? expiresAtMs - nowMs : readAssumedMs(route);
+  const longestMs = durations.readLongest(route.name, assumedMs, nowMs);
+  return (isLateStream ? LATE_STREAM_FACTOR : 1) * (longestMs - answeredForMs) <= remainingMs;
 }
 
 /** The target is the time until the first event of a stream, and says nothing about its length. */
