Connections: nothing is begun on a connection that is ending

Cause, by reading: after a response that closes its connection the socket is ending, but not destroyed yet, and a request that waited behind it was begun. It was not sent on, as an attempt looks at the connection again first; it should not come to that.

Change: the next request of a connection begins only while the socket can be written to.

--- a/packages/http/src/callerConnections.ts
+++ b/packages/http/src/callerConnections.ts
@@ -115,6 +115,7 @@
     this.calls.shift();
     this.idleSinceMs = this.now();
     this.bytesBeforeIdle = this.socket.bytesRead;
-    if (!this.socket.destroyed) this.calls[0]?.begin();
+    // After a response that closes its connection, the socket is ending, though not destroyed yet.
+    if (this.socket.writable) this.calls[0]?.begin();
   }
 }
