Stops: one way to refuse connections, one reading of where a stream goes on

Cause, by reading the change again: both servers for callers closed their listener by the same call of a base class's method, with the same remark; the last event that a caller has was read by the opener and by the set of attempts; whether a response ends in time was worked out twice for each attempt that is sent; a check that something was sent had left the fixture of the exchange.

Change: `CallerConnections.stopAccepting` serves both servers; the set of attempts reads the last event itself, so the plan of an attempt lacks it; the reason why nothing is sent is looked for only if something is in the way; the fixture says again when nothing was sent. Comments that were hard to read say what is meant. No behaviour changes.

--- a/packages/daemon/src/adapters/callerServer.ts
+++ b/packages/daemon/src/adapters/callerServer.ts
@@ -3,7 +3,6 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import type { BoxId, RequestHead, ResultCode, StreamFrame } from '@hazelwalk/core';
 import { formatRawProblem } from '@hazelwalk/core';
@@ -27,9 +26,9 @@
 /** The caller sets no deadline, so that of the service applies. */
 const NO_DEADLINE_MS = 0;
 const DEFAULT_PRIORITY = 0;
+const MAX_PRIORITY = 9;
 /** Interval at which connections that are not used any more are closed. */
 const IDLE_CHECK_MS = 50;
-const MAX_PRIORITY = 9;
 
 const chatBodySchema = z.object({ model: z.string().min(1), messages: z.array(z.unknown()).min(1) });
 
@@ -84,8 +83,7 @@
     this.closeAfterResponses();
     const checks = setInterval(() => this.connections.closeIdle(), IDLE_CHECK_MS);
     return new Promise((resolve) => {
-      // The method of the HTTP server would close idle connections at once.
-      NetServer.prototype.close.call(this.server, () => {
+      this.connections.stopAccepting(() => {
         clearInterval(checks);
         resolve();
       });
--- a/packages/http/src/callerConnections.ts
+++ b/packages/http/src/callerConnections.ts
@@ -3,11 +3,12 @@
  * those before it, and how long they take is not known when a request is read.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 
 /**
- * A caller that goes on at once sends its next request within a round trip after a response. During a shutdown its connection is
- * kept open for this long, as a caller cannot tell from a response that began before that the box is to stop.
+ * During a shutdown a connection is kept open for this long after a response: a response that began before the shutdown did not
+ * announce that the connection closes, and a caller that goes on at once sends its next request within a round trip.
  */
 const FOLLOW_UP_MS = 250;
 
@@ -25,7 +26,7 @@
   private areClosing = false;
 
   constructor(
-    server: Server,
+    private readonly server: Server,
     private readonly now: () => number,
   ) {
     server.on('connection', (socket: Socket) => {
@@ -51,6 +52,11 @@
     if (this.areClosing) connection.closeAfterResponses();
   }
 
+  /** Refuses new connections; those that are open stay so, unlike with the method of the HTTP server. */
+  stopAccepting(onAllClosed?: () => void): void {
+    NetServer.prototype.close.call(this.server, onAllClosed);
+  }
+
   /** From now on, the last response on each connection asks the caller to use it for no further request. */
   closeAfterResponses(): void {
     this.areClosing = true;
--- a/packages/router/src/__fixtures__/playedExchange.ts
+++ b/packages/router/src/__fixtures__/playedExchange.ts
@@ -48,7 +48,7 @@
   /** The retries asked for, in order. */
   readonly asked: BudgetedRetry[];
   readonly signals: string[];
-  /** Time left of the callers that were told when to return as their service is away. */
+  /** Remaining times for which the time to return was picked, as the service is away. */
   readonly awayFor: number[];
   readonly advance: (ms: number) => void;
   /** Requests the stop of the box, which leaves this time for responses. */
@@ -160,7 +160,10 @@
   // The request has been read to its end.
   for (let turn = 0; turn < 3; turn += 1) await new Promise(setImmediate);
   const attempt = mockOpened[0] as StubAttempt;
-  const emit: Played['emit'] = (event) => attempt.options.onEvent(attempt as unknown as Attempt, event);
+  const emit: Played['emit'] = (event) => {
+    if (mockOpened.length === 0) throw new Error('nothing was sent');
+    attempt.options.onEvent(attempt as unknown as Attempt, event);
+  };
   const advance = (ms: number): void => {
     for (let at = 0; at < ms; at += 20) exchange.tick((nowMs += 20));
   };
--- a/packages/router/src/capacity/requestDurations.ts
+++ b/packages/router/src/capacity/requestDurations.ts
@@ -4,7 +4,7 @@
  */
 import { LRUCache } from 'lru-cache';
 
-/** Whole responses that count for a route: with fewer, the longest says little about the next. */
+/** Number of whole responses of a route that are kept; the oldest is replaced. */
 const SAMPLES = 64;
 /** Routes that are kept; the one used longest ago gives way. */
 const MAX_ROUTES = 1_024;
--- a/packages/router/src/observability/stopLog.ts
+++ b/packages/router/src/observability/stopLog.ts
@@ -1,4 +1,4 @@
-/** Logs and counts what a graceful shutdown does to callers, so that one can tell why a request of theirs ended without a response. */
+/** Logs and counts the requests and connections of callers that a graceful shutdown ends. */
 import type { DecisionLog, LogFields } from './decisionLog.js';
 import type { RouterMetrics } from './metrics.js';
 
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -23,8 +23,6 @@
   readonly requestQuarantine: RequestQuarantine;
   readonly arrivedAtMs: number;
   readonly readExpiry: () => number;
-  /** Id of the last event that the caller has received of this box; undefined if it has received none. */
-  readonly readResumeAfter: () => string | undefined;
   readonly hasEnded: () => boolean;
   readonly createLogFields: () => ExchangeLogFields;
   /** Ends the request, unless another attempt is in progress. */
@@ -84,8 +82,7 @@
     if (decision.type === 'reject') return this.reject(assignment, decision);
     const isPlacedRandomly = requestQuarantine.mustPlaceRandomly();
     const { endpointTag: grantedTag } = decision;
-    const resumeAfter = this.options.readResumeAfter();
-    const opened = attempts.open(assignment, { resumeAfter, isPlacedRandomly, grantedTag, handle });
+    const opened = attempts.open(assignment, { isPlacedRandomly, grantedTag, handle });
     if (opened.ok) return;
     handle.release('unused');
     if (grantedTag === undefined || this.unusableGrants >= MAX_UNUSABLE_GRANTS)
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -52,8 +52,6 @@
 
 /** How an attempt is to be made. */
 export interface AttemptPlan {
-  /** Id of the last event that the caller has received, if a stream is resumed. */
-  readonly resumeAfter: string | undefined;
   /** Draws the endpoint at random instead of by the prompt. */
   readonly isPlacedRandomly: boolean;
   /** Tag of the endpoint whose slot was granted; undefined if any endpoint may be chosen. */
@@ -153,7 +151,8 @@
   /** Starts an attempt at an endpoint that was not tried yet, or returns why none can be chosen. */
   open(assignment: Assignment, plan: AttemptPlan): Result<void, PlacementFailure> {
     const { context, options } = this;
-    const { resumeAfter, isPlacedRandomly, grantedTag } = plan;
+    const { isPlacedRandomly, grantedTag } = plan;
+    const resumeAfter = this.options.readResumeAfter();
     const placementRequest = {
       ...this.createPlacementRequest(assignment, isPlacedRandomly),
       grantedTag,
@@ -225,8 +224,8 @@
     connectionClosesAtMs: number,
   ): SendObstacle | undefined {
     if (!acceptsRequests(row, this.context.now())) return 'endpointDeclined';
-    if (!this.endsInTime(assignment)) return 'boxStopping';
-    return this.endsInTime(assignment, connectionClosesAtMs) ? undefined : 'tunnelClosing';
+    if (this.endsInTime(assignment, connectionClosesAtMs)) return undefined;
+    return this.endsInTime(assignment) ? 'tunnelClosing' : 'boxStopping';
   }
 
   private findAbortReason(): AbortReason | undefined {
--- a/packages/router/src/proxy/callerServer.ts
+++ b/packages/router/src/proxy/callerServer.ts
@@ -6,7 +6,6 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { formatRawProblem } from '@hazelwalk/core';
 import type { ResultCode } from '@hazelwalk/core';
@@ -98,8 +97,7 @@
   /** Refuses new connections, after those that have come up were accepted; those that are open stay so. */
   stopAccepting(): void {
     afterSocketReads(() => {
-      // The method of the HTTP server would close idle connections as well.
-      if (this.isAccepting) NetServer.prototype.close.call(this.server);
+      if (this.isAccepting) this.connections.stopAccepting();
     });
   }
 
--- a/packages/router/src/proxy/exchange.ts
+++ b/packages/router/src/proxy/exchange.ts
@@ -92,7 +92,6 @@
       requestQuarantine: this.requestQuarantine,
       arrivedAtMs: this.arrivedAtMs,
       readExpiry: () => this.expiresAtMs,
-      readResumeAfter: () => this.response.resumeAfter,
       hasEnded: () => this.ending.hasEnded,
       createLogFields: () => this.createLogFields(),
       giveUp: (code, pickRetryMs) => this.events.giveUp(code, pickRetryMs),
--- a/packages/router/src/proxy/timeUntilExit.ts
+++ b/packages/router/src/proxy/timeUntilExit.ts
@@ -13,9 +13,9 @@
 }
 
 /**
- * A stream is as long as its caller wants. Those that come when callers are not sent here any more have to fit into the time left this
- * many times: they would be served better elsewhere, or after this box has started again, than broken off. Where few were seen, they may last
- * until their deadline.
+ * A stream is as long as its caller wants. One that comes when callers are not sent here any more has to fit into the time left
+ * this many times: it would be served better elsewhere, or after this box has started again, than broken off. Where few
+ * responses were seen, it is assumed to last until its deadline.
  */
 const LATE_STREAM_FACTOR = 2;
 
@@ -48,7 +48,7 @@
   return (isLateStream ? LATE_STREAM_FACTOR : 1) * (longestMs - answeredForMs) <= remainingMs;
 }
 
-/** The target is the time until the first event of a stream, and says nothing about its length. */
+/** Duration to assume before any response was seen; unknown for streams, whose target is the time until their first event. */
 function readAssumedMs({ kind, targetLatencyMs }: Route): number | undefined {
   return kind === 'stream' ? undefined : targetLatencyMs;
 }
