Logs and metrics: why a request was sent that its endpoint refused for lack of room

Brittle endpoints fall over after few refusals, and neither logs nor metrics told by which path the refused requests had been sent: with a slot, because no box answered the request for one, or without any limit.

The decision of the admission now names its basis, which stays with the attempt. Each refusal for lack of room is a line `roomRefused` and counts in hazelwalk_room_refusals_total: the basis, how long before it the slot was asked for and granted, the requests of this box and of others at the endpoint as known when it was sent, and the age of those loads.

--- a/packages/router/src/__fixtures__/playedExchange.ts
+++ b/packages/router/src/__fixtures__/playedExchange.ts
@@ -30,11 +30,14 @@
     readonly cancel = jest.fn();
     readonly discard = jest.fn();
     readonly pause = jest.fn();
+    readonly basis: AttemptOptions['basis'];
+    believed = { inFlight: 0, peersInFlight: 0 };
     sentAtMs = 0;
     retryWantedAtMs = -Infinity;
     constructor(readonly options: AttemptOptions) {
       this.row = options.row;
       this.resumeAfter = options.resumeAfter;
+      this.basis = options.basis;
       mockOpened.push(this);
     }
     start(): void {}
@@ -100,7 +103,7 @@
   const context = {
     admission: {
       enter: (_request: object, onDecision: (decision: object) => void) => {
-        onDecision({ type: 'proceed', endpointTag: undefined });
+        onDecision({ type: 'proceed', endpointTag: undefined, basis: { type: 'unlimited' } });
         return { release: () => {} };
       },
     },
@@ -138,6 +141,7 @@
     readIndex: () => index,
     streams: { tracker: { recordFirstEvent: () => {}, recordEnd: () => {} } },
     recordLackOfRoom: () => {},
+    readLoadAgeMs: () => 0,
     recordHealthSignal: (_row: EndpointRow, signal: string) => void signals.push(signal),
     ...overrides.context,
   } as unknown as RouterContext;
--- a/packages/router/src/__tests__/responseOwner.test.ts
+++ b/packages/router/src/__tests__/responseOwner.test.ts
@@ -30,7 +30,8 @@
   const context = {
     admission: {
       enter: (_request: object, onDecision: (decision: object) => void) => {
-        const grant = (): void => onDecision({ type: 'proceed', endpointTag: undefined });
+        const grant = (): void =>
+          onDecision({ type: 'proceed', endpointTag: undefined, basis: { type: 'unlimited' } });
         granted.push(grant);
         return {
           release: () => granted.splice(0, granted.length, ...granted.filter((one) => one !== grant)),
--- a/packages/router/src/admission/__tests__/serviceAdmission.test.ts
+++ b/packages/router/src/admission/__tests__/serviceAdmission.test.ts
@@ -73,7 +73,12 @@
   }
 }
 
-const PROCEED = { type: 'proceed', endpointTag: undefined };
+const PROCEED = { type: 'proceed', endpointTag: undefined, basis: { type: 'unlimited' } };
+const GRANTED = {
+  type: 'proceed',
+  endpointTag: 7,
+  basis: { type: 'granted', grant: { askedAtMs: 0, grantedAtMs: 0 } },
+} as const;
 
 test('ample room: a request proceeds at once, without a slot and without a fingerprint', () => {
   const gate = new Gate();
@@ -89,8 +94,8 @@
   expect(gate.decisions).toEqual([]);
   expect(gate.waiting).toBe(1);
   expect(gate.applications[0]?.latestStartAtMs).toBe(900);
-  gate.applications[0]?.onDecision({ type: 'proceed', endpointTag: 7 });
-  expect(gate.decisions).toEqual([{ type: 'proceed', endpointTag: 7 }]);
+  gate.applications[0]?.onDecision(GRANTED);
+  expect(gate.decisions).toEqual([GRANTED]);
   expect(gate.waiting).toBe(0);
   gate.timeline.run(30);
   admission.release('served');
--- a/packages/router/src/admission/admission.ts
+++ b/packages/router/src/admission/admission.ts
@@ -25,10 +25,31 @@
   readonly listExcluded: () => readonly number[];
 }
 
+/** Why a request may be sent. */
+export type AdmissionBasis =
+  /** Its service is not short of room, or no endpoint can be used, which placement explains. */
+  | { readonly type: 'unlimited' }
+  /** This box sheds load of its service, and admitted it. */
+  | { readonly type: 'admitted' }
+  | { readonly type: 'granted'; readonly grant: GrantTimes }
+  /** No box answered its request for a slot. */
+  | { readonly type: 'unanswered' };
+
+/** When a slot was requested and granted, on the clock of this box. */
+export interface GrantTimes {
+  /** When the box last asked for it. */
+  readonly askedAtMs: number;
+  readonly grantedAtMs: number;
+}
+
 /** Final decision about a request. */
 export type AdmissionDecision =
   /** Send it: to the endpoint with this tag, or to any if there is none. */
-  | { readonly type: 'proceed'; readonly endpointTag: number | undefined }
+  | {
+      readonly type: 'proceed';
+      readonly endpointTag: number | undefined;
+      readonly basis: AdmissionBasis;
+    }
   /** Reject it: it has not run, and could not run in time. */
   | {
       readonly type: 'reject';
--- a/packages/router/src/admission/serviceAdmission.ts
+++ b/packages/router/src/admission/serviceAdmission.ts
@@ -47,7 +47,7 @@
 const NO_HANDLE: AdmissionHandle = { release: () => {} };
 
 function proceed(onDecision: OnDecision): AdmissionHandle {
-  onDecision({ type: 'proceed', endpointTag: undefined });
+  onDecision({ type: 'proceed', endpointTag: undefined, basis: { type: 'unlimited' } });
   return NO_HANDLE;
 }
 
@@ -124,7 +124,7 @@
       switch (decision.type) {
         case 'admit':
           isAdmitted = true;
-          return wait.decide({ type: 'proceed', endpointTag: undefined });
+          return wait.decide({ type: 'proceed', endpointTag: undefined, basis: { type: 'admitted' } });
         case 'reject': {
           const { retryAfterMs } = decision;
           const reason = wait.hasWaited ? 'afterWait' : 'atOnce';
--- a/packages/router/src/admission/slotClient.ts
+++ b/packages/router/src/admission/slotClient.ts
@@ -52,6 +52,7 @@
   number: number;
   readonly content: string;
   phase: PendingPhase;
+  askedAtMs: number;
   /** Expected when it was last answered; undefined if it was never queued. */
   expectedWaitMs: number | undefined;
   cancelTimer: () => void;
@@ -74,6 +75,7 @@
       number: this.takeNumber(),
       content: application.request.readContent(),
       phase: { type: 'asking' },
+      askedAtMs: this.options.now(),
       expectedWaitMs: undefined,
       cancelTimer: () => {},
     };
@@ -93,8 +95,7 @@
     switch (answer.type) {
       case 'granted':
         pending.cancelTimer();
-        pending.phase = { type: 'granted', atMs: this.options.now() };
-        return pending.onDecision({ type: 'proceed', endpointTag: answer.endpointTag });
+        return this.grant(pending, answer.endpointTag);
       case 'queued':
         pending.expectedWaitMs = answer.expectedWaitMs;
         pending.phase = { type: 'queued' };
@@ -104,6 +105,12 @@
     }
   }
 
+  private grant(pending: PendingSlot, endpointTag: number): void {
+    const grant = { askedAtMs: pending.askedAtMs, grantedAtMs: this.options.now() };
+    pending.phase = { type: 'granted', atMs: grant.grantedAtMs };
+    pending.onDecision({ type: 'proceed', endpointTag, basis: { type: 'granted', grant } });
+  }
+
   /** Repeats the waiting requests of a service at once, since another box schedules it now. */
   repeatWaiting(service: string): void {
     this.silentUntilMs.delete(service);
@@ -131,6 +138,7 @@
     const { service } = pending.request;
     if (now() < (this.silentUntilMs.get(service) ?? 0)) return this.proceedWithoutSlot(pending);
     pending.phase = { type: 'asking' };
+    pending.askedAtMs = now();
     this.setTimer(pending, ANSWER_TIMEOUT_MS, () => this.handleTimeout(pending));
     relay.request(this.createMessage(pending));
   }
@@ -166,7 +174,7 @@
   private proceedWithoutSlot(pending: PendingSlot): void {
     this.withdraw(pending);
     pending.phase = { type: 'over' };
-    pending.onDecision({ type: 'proceed', endpointTag: undefined });
+    pending.onDecision({ type: 'proceed', endpointTag: undefined, basis: { type: 'unanswered' } });
   }
 
   private reject(pending: PendingSlot, retryAfterMs: number): void {
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -131,6 +131,11 @@
   readonly loadAgeMs = this.gauge('load_age_ms', 'Age of the oldest loads that are known here');
   /** Requests for slots of services that are short of room, by what came of them. */
   readonly slotRequests = this.counter('slot_requests', 'Requests for slots by outcome', ['outcome']);
+  /** Requests that endpoints refused for lack of room, by why they were sent. */
+  readonly roomRefusals = this.counter('room_refusals', 'Requests refused by endpoints for lack of room', [
+    'service',
+    'basis',
+  ]);
   /** Requests that wait for their admission at this box. */
   readonly waitingRequests = this.gauge('waiting_requests', 'Requests that wait for their admission');
   /** Services that are short of room, in the view of this box. */
--- a/packages/router/src/peers/__tests__/slotRelay.test.ts
+++ b/packages/router/src/peers/__tests__/slotRelay.test.ts
@@ -46,9 +46,9 @@
   scheduler.state = 'silent';
   const first = fleet.enter(other);
   fleet.run(70);
-  expect(first.decision).toEqual({ type: 'proceed', endpointTag: undefined });
+  expect(first.decision).toEqual({ type: 'proceed', endpointTag: undefined, basis: { type: 'unanswered' } });
   const second = fleet.enter(other);
-  expect(second.decision).toEqual({ type: 'proceed', endpointTag: undefined });
+  expect(second.decision).toEqual({ type: 'proceed', endpointTag: undefined, basis: { type: 'unanswered' } });
   fleet.run(600);
   const third = fleet.enter(other);
   fleet.run(10);
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -3,6 +3,7 @@
  * be sent again: nothing was sent, the endpoint confirms that it did not run, or it may have run.
  */
 import type { Dispatcher } from 'undici';
+import type { AdmissionBasis } from '../admission/admission.js';
 import { afterSocketReads } from '../afterSocketReads.js';
 import type { HttpDialect, ResponseHeaders } from '../httpDialect.js';
 import type { ResponseMetadata } from '../records.js';
@@ -104,6 +105,8 @@
 /** Dependencies and limits of an attempt. */
 export interface AttemptOptions {
   readonly row: EndpointRow;
+  /** Why the request may be sent. */
+  readonly basis: AdmissionBasis;
   /** Id of the last event that the caller has received, if the attempt resumes a stream. */
   readonly resumeAfter: string | undefined;
   readonly connections: EndpointConnections;
@@ -155,6 +158,10 @@
 /** One attempt at one endpoint. */
 export class Attempt {
   readonly row: EndpointRow;
+  /** Why the request may be sent. */
+  readonly basis: AdmissionBasis;
+  /** Requests of this box and of others at the endpoint, as known when the request was sent. */
+  believed = { inFlight: 0, peersInFlight: 0 };
   /** Id of the last event that the caller has received, if it resumes a stream. */
   readonly resumeAfter: string | undefined;
   /**
@@ -185,6 +192,7 @@
   constructor(private readonly options: AttemptOptions) {
     this.row = options.row;
     this.resumeAfter = options.resumeAfter;
+    this.basis = options.basis;
     this.row.inFlight += 1;
   }
 
--- a/packages/router/src/proxy/attemptEvents.ts
+++ b/packages/router/src/proxy/attemptEvents.ts
@@ -13,7 +13,7 @@
 import type { AttemptOpener } from './attemptOpener.js';
 import type { AttemptSet } from './attemptSet.js';
 import type { ExchangeLogFields, RetryReason } from './exchangeLog.js';
-import { logBreak, logContinuation, logRetry, logSurplus } from './exchangeLog.js';
+import { logBreak, logContinuation, logRetry, logRoomRefusal, logSurplus } from './exchangeLog.js';
 import { pickElsewhereMs, pickRetryAfterMs } from './refusal.js';
 import type { RequestEnding } from './requestEnding.js';
 import type { RequestQuarantine } from './requestQuarantine.js';
@@ -74,6 +74,7 @@
     attempt.sentAtMs = nowMs;
     attempt.handedOverAtMs = nowMs;
     attempt.softwareVersion = attempt.row.listing.softwareVersion;
+    attempt.believed = { inFlight: attempt.row.inFlight, peersInFlight: attempt.row.peersInFlight };
     this.recordContinuation(attempt);
     if (attempt.row.inFlight === 1) attempt.row.busySinceMs = nowMs;
   }
@@ -103,7 +104,10 @@
   private handleNotRun(attempt: Attempt, head: ResponseHead): void {
     const lacksRoom = isLackOfRoom(head);
     this.drop(attempt, 'notRun', lacksRoom);
-    if (lacksRoom) this.context.recordLackOfRoom(attempt.row.listing.service);
+    if (lacksRoom) {
+      this.context.recordLackOfRoom(attempt.row.listing.service);
+      logRoomRefusal(this.context, this.options.createLogFields(), attempt);
+    }
     this.options.attempts.notRunCount += 1;
     this.context.recordHealthSignal(attempt.row, 'refused');
     // The endpoint confirms this for itself only; another attempt may still be running.
--- a/packages/router/src/proxy/attemptOpener.ts
+++ b/packages/router/src/proxy/attemptOpener.ts
@@ -81,8 +81,8 @@
     if (hasEnded()) return handle.release('unused');
     if (decision.type === 'reject') return this.reject(assignment, decision);
     const isPlacedRandomly = requestQuarantine.mustPlaceRandomly();
-    const { endpointTag: grantedTag } = decision;
-    const opened = attempts.open(assignment, { isPlacedRandomly, grantedTag, handle });
+    const { endpointTag: grantedTag, basis } = decision;
+    const opened = attempts.open(assignment, { isPlacedRandomly, grantedTag, basis, handle });
     if (opened.ok) return;
     handle.release('unused');
     if (grantedTag === undefined || this.unusableGrants >= MAX_UNUSABLE_GRANTS)
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { Err, Ok } from '@hazelwalk/core';
 import type { Result } from '@hazelwalk/core';
-import type { AdmissionHandle } from '../admission/admission.js';
+import type { AdmissionBasis, AdmissionHandle } from '../admission/admission.js';
 import type { RunningRequestDuration } from '../capacity/requestDurations.js';
 import type { CallerRequest, PromptPart, Route } from '../records.js';
 import type { RouterContext } from '../routerContext.js';
@@ -56,6 +56,8 @@
   readonly isPlacedRandomly: boolean;
   /** Tag of the endpoint whose slot was granted; undefined if any endpoint may be chosen. */
   readonly grantedTag: number | undefined;
+  /** Why it may be sent. */
+  readonly basis: AdmissionBasis;
   /** Learns how the attempt ended. */
   readonly handle: AdmissionHandle;
 }
@@ -168,6 +170,7 @@
     const attempt = new Attempt({
       row,
       resumeAfter,
+      basis: plan.basis,
       connections: context.connections,
       dialect: context.dialect,
       findAbortReason: () => this.findAbortReason(),
--- a/packages/router/src/proxy/exchangeLog.ts
+++ b/packages/router/src/proxy/exchangeLog.ts
@@ -98,6 +98,33 @@
   });
 }
 
+/**
+ * Logs and counts that an endpoint refused a request for lack of room: why it was sent, and what this box knew then of the use of
+ * the endpoint, from itself and from the reports of others.
+ */
+export function logRoomRefusal(
+  context: RouterContext,
+  fields: ExchangeLogFields,
+  { row, basis, believed, handedOverAtMs }: Attempt,
+): void {
+  const { service, id, slots } = row.listing;
+  const grant = basis.type === 'granted' ? basis.grant : undefined;
+  context.metrics.roomRefusals.inc({ service, basis: basis.type });
+  context.log.write('notable', 'roomRefused', {
+    ...fields,
+    endpoint: id,
+    slots,
+    basis: basis.type,
+    askedAgoMs: grant && Math.round(handedOverAtMs - grant.askedAtMs),
+    grantedAgoMs: grant && Math.round(handedOverAtMs - grant.grantedAtMs),
+    inFlight: believed.inFlight,
+    inFlightAtPeers: believed.peersInFlight,
+    loadsAgeMs: Math.round(context.readLoadAgeMs()),
+    rejectionsPerS: row.notice.rejectionsPerS,
+    sentAgoMs: Math.round(context.now() - handedOverAtMs),
+  });
+}
+
 /** Logs that an attempt responded although another one owns the response; the attempts are counted by their ends. */
 export function logSurplus(
   context: RouterContext,
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -64,6 +64,8 @@
   readonly admission: AdmissionGate;
   /** Records that an endpoint of a service refused a request for lack of room. */
   readonly recordLackOfRoom: (service: string) => void;
+  /** Age of the oldest loads of other boxes that this box knows. */
+  readonly readLoadAgeMs: () => number;
   /** Requests in progress. */
   readonly exchanges: Set<RunningRequest>;
   /** Monotonic milliseconds. */
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -324,6 +324,7 @@
       features: this.features,
       admission: this.admission.gate,
       recordLackOfRoom: (service) => this.admission.recordRefusal(service),
+      readLoadAgeMs: () => this.loadRelay.readLoadAgeMs(),
       exchanges: this.exchanges,
       now,
       hash,
