Tests, red: brittle endpoints while a third of the boxes stands still or dies, and under load that jumps

The soak gets a service whose endpoints state how few requests they can reject (--brittle): they report no load, close each connection, let nothing wait from 3 s after their first statement on and are away for 2 s after the fourth rejection in a second. Load comes at a rate of its own, callers return as they are told, a third of the boxes is paused for 1.5 s or killed at once.

Of the refused requests some had a slot, more had been sent because no box answered their request for one.

--- a/packages/router/src/peers/__fixtures__/slotFleet.ts
+++ b/packages/router/src/peers/__fixtures__/slotFleet.ts
@@ -4,7 +4,7 @@
 import type { AdmissionDecision, AdmissionHandle } from '../../admission/admission.js';
 import { SlotClient } from '../../admission/slotClient.js';
 import type { SlotRequestEvent } from '../../admission/slotClient.js';
-import type { SchedulableEndpoint } from '../../admission/slotMessages.js';
+import type { SchedulableEndpoint, SlotScheduling } from '../../admission/slotMessages.js';
 import type { Heartbeat, PeerFrame } from '../peerFrames.js';
 import { SlotRelay } from '../slotRelay.js';
 import { FirstComeScheduler } from './firstComeScheduler.js';
@@ -55,12 +55,17 @@
   private constructor(
     readonly hash: (text: string) => number,
     readonly isFullMesh: boolean,
+    private readonly createScheduling: (() => SlotScheduling) | undefined,
   ) {}
 
   /** Creates a fleet with the given number of boxes in each hall. */
-  static async create(halls: readonly number[], isFullMesh = true): Promise<SlotFleet> {
+  static async create(
+    halls: readonly number[],
+    isFullMesh = true,
+    createScheduling?: () => SlotScheduling,
+  ): Promise<SlotFleet> {
     const hasher = await createHasher();
-    const fleet = new SlotFleet((text) => hasher.h32(text), isFullMesh);
+    const fleet = new SlotFleet((text) => hasher.h32(text), isFullMesh, createScheduling);
     halls.forEach((boxes, hall) => {
       for (let at = 0; at < boxes; at += 1) fleet.add(`10.${hall}.0.${at}:1`, `hall-${hall}`);
     });
@@ -79,7 +84,7 @@
   }
 
   /** Enters a request of a caller at a box. */
-  enter(box: FleetBox): FleetRequest {
+  enter(box: FleetBox, needsSlot = false): FleetRequest {
     const nowMs = this.timeline.nowMs;
     const request: FleetRequest = {
       box,
@@ -90,6 +95,7 @@
     };
     this.requests.push(request);
     request.handle = box.client.apply({
+      needsSlot,
       latestStartAtMs: nowMs + 5_000,
       request: {
         service: SERVICE,
@@ -155,7 +161,7 @@
         send: (to, frame) => this.send(box, to, frame),
       },
       hall,
-      scheduling: scheduler,
+      scheduling: this.createScheduling?.() ?? scheduler,
       hash: this.hash,
       now: () => timeline.nowMs,
       defer: (callback) => timeline.after(0, callback),
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,6 +3,7 @@
  * bounds apply only while the parts concerned have been free of injected faults for a while.
  */
 import type { CallerRecord, Ledger, PlannedEvent, ProbeRequest, RunRecord, SoakRoute } from './ledger.js';
+import { checkBrittleService } from './brittleChecks.js';
 import { checkCutOffBoxes } from './cutChecks.js';
 import { checkHarmfulParts } from './harmfulChecks.js';
 import { checkStoppedBoxes } from './stopChecks.js';
@@ -57,6 +58,7 @@
     ...checkLoadBound(ledger),
     ...checkRecovery(ledger),
     ...checkScarceService(ledger),
+    ...checkBrittleService(ledger),
     ...checkCutOffBoxes(ledger),
     ...checkStreams(ledger),
     ...checkHarmfulParts(ledger),
@@ -350,7 +352,7 @@
   if (over === undefined) return [];
   const late = ledger.requests
     .filter((request) => request.sentAtMs > over.atMs + RECOVERY_BOUND_MS)
-    .filter((request) => !isScarceRoute(request.route));
+    .filter(({ route }) => !isScarceRoute(route) && route !== 'brittle');
   const served = late.filter(isServed);
   if (late.length > 0 && served.length >= MIN_RECOVERED_SHARE * late.length) return [];
   return [{ check: 'recovery', detail: `${served.length} of ${late.length} served` }];
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -30,6 +30,8 @@
 export const RESTORE_FAULT_KINDS = ['storeRestore'] as const;
 /** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
 export const CUT_FAULT_KINDS = ['boxCut'] as const;
+/** Faults of a third of the boxes at once, under a service that does not survive many rejections; they replace the others. */
+export const BRITTLE_FAULT_KINDS = ['boxesPause', 'boxesKill'] as const;
 /** Planned operations around boxes that stop; they replace the others, so that what is lost is due to a stop. */
 export const STOP_FAULT_KINDS = [
   'boxStop',
@@ -48,6 +50,7 @@
   | (typeof ANNOUNCEMENT_FAULT_KINDS)[number]
   | (typeof RESTORE_FAULT_KINDS)[number]
   | (typeof CUT_FAULT_KINDS)[number]
+  | (typeof BRITTLE_FAULT_KINDS)[number]
   | (typeof STOP_FAULT_KINDS)[number];
 
 const MS_PER_S = 1_000;
@@ -77,6 +80,8 @@
 const ENTRY_LIFETIME_MS = 3_600;
 /** Long enough for requests after the time in which a box detects the cut. */
 const CUT_MS = 6_000;
+/** How long a third of the boxes stands still at once. */
+const STARVED_MS = 1_500;
 const SERIES_LENGTH = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -101,6 +106,10 @@
         return this.onRandomBox((box) => this.killBox(box));
       case 'boxPause':
         return this.onRandomBox((box) => this.pauseBox(box));
+      case 'boxesPause':
+        return this.onThirdOfBoxes((box) => this.pauseBox(box, STARVED_MS));
+      case 'boxesKill':
+        return this.onThirdOfBoxes((box) => this.killBox(box));
       case 'boxStop':
         return this.onRandomBox((box) => this.stopBox(box));
       case 'boxStopTwice':
@@ -199,16 +208,20 @@
     await Promise.all(stops);
   }
 
-  private async pauseBox(box: SoakBox): Promise<void> {
+  private async pauseBox(box: SoakBox, forMs = this.drawDurationMs()): Promise<void> {
     const interruption = this.ledger.beginInterruption(box.name);
-    await this.pauseProcess(box.name, box.process?.child);
+    await this.pauseProcess(box.name, box.process?.child, forMs);
     interruption.toMs = readMonotonicMs();
   }
 
-  private async pauseProcess(entity: string, child: ChildProcess | undefined): Promise<void> {
+  private async pauseProcess(
+    entity: string,
+    child: ChildProcess | undefined,
+    forMs = this.drawDurationMs(),
+  ): Promise<void> {
     await this.runAsDisturbance(entity, async () => {
       child?.kill('SIGSTOP');
-      await pause(this.drawDurationMs());
+      await pause(forMs);
       child?.kill('SIGCONT');
     });
   }
@@ -312,6 +325,13 @@
     await this.runExclusively(box.name, () => action(box));
   }
 
+  private async onThirdOfBoxes(action: (box: SoakBox) => Promise<void>): Promise<void> {
+    const order = new Map(this.site.boxes.map((box) => [box, this.random()]));
+    const boxes = [...this.site.boxes].sort((one, other) => (order.get(one) ?? 0) - (order.get(other) ?? 0));
+    const third = boxes.slice(0, Math.ceil(boxes.length / 3));
+    await Promise.all(third.map((box) => this.runExclusively(box.name, () => action(box))));
+  }
+
   private async onRandomEndpoint(action: (endpoint: SoakEndpoint) => Promise<void>): Promise<void> {
     const endpoint = this.pick([...this.site.endpoints.values()].filter((candidate) => !candidate.isLeaving));
     await this.runExclusively(endpoint.id, () => action(endpoint));
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -5,7 +5,8 @@
 import { readMonotonicMs } from '@hazelwalk/platform/standins';
 
 /** Routes that the soak sends requests to. */
-export type SoakRoute = 'safe' | 'claim' | 'streamResumable' | 'streamOnce' | 'streamLong' | ScarceRoute;
+export type SoakRoute =
+  'safe' | 'claim' | 'streamResumable' | 'streamOnce' | 'streamLong' | 'brittle' | ScarceRoute;
 
 /** Routes of a service with too few slots for its requests; all but the last are urgent. */
 export type ScarceRoute = 'scarceUrgent' | 'scarceUrgentClaim' | 'scarceLow';
@@ -70,6 +71,13 @@
   readonly backOffMs: number;
 }
 
+/** A request that an endpoint rejected for lack of room, or the end of one that had to reject too many. */
+export interface LackOfRoomRecord {
+  readonly requestId: string;
+  readonly endpoint: string;
+  readonly atMs: number;
+}
+
 /** A span in which an endpoint's process did not run, because it got no processor time or was stopped by a signal. */
 export interface StallRecord {
   readonly endpoint: string;
@@ -118,6 +126,11 @@
   readonly requests: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly rejections: RejectionRecord[] = [];
+  /** Requests that brittle endpoints rejected, and the times at which such an endpoint fell over. */
+  readonly lackOfRoom: LackOfRoomRecord[] = [];
+  readonly falls: Omit<LackOfRoomRecord, 'requestId'>[] = [];
+  /** How many times the room of the brittle service was asked for, from each time on. */
+  readonly brittleLoads: { readonly atMs: number; readonly load: number }[] = [];
   readonly stalls: StallRecord[] = [];
   readonly probeRequests: ProbeRequest[] = [];
   readonly probes: ProbeRecord[] = [];
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -63,6 +63,16 @@
     default: false,
     describe: 'stop boxes again and again in place of faults, under callers that keep their connections',
   })
+  .option('brittle', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'a service whose endpoints do not survive many rejections, under load that changes; a third of the boxes is paused or killed at once',
+  })
+  .option('load', {
+    type: 'number',
+    describe: 'how many times the room of that service is asked for, all the time',
+  })
   .option('keep', { type: 'string', default: 'target/soak', describe: 'folder for the logs of failed seeds' })
   .strict()
   .parse();
@@ -116,6 +126,8 @@
     hasVersions: argv.versions,
     hasHarmfulParts: argv.harmful,
     hasStops: argv.stops,
+    isBrittle: argv.brittle,
+    brittleLoad: argv.load,
   });
   report(result);
   if (result.violations.length === 0) passed += 1;
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -2,11 +2,13 @@
 import { readMonotonicMs } from '@hazelwalk/platform/standins';
 import { createRandom, pause } from '@hazelwalk/standins';
 import type { Random } from '@hazelwalk/standins';
+import { BrittleLoad } from './brittleLoad.js';
 import { Caller, SCARCE_SHARES, sendRequest, startHarmfulCaller } from './callers.js';
 import { checkGuarantees } from './checks.js';
 import type { FaultKind } from './faults.js';
 import {
   ANNOUNCEMENT_FAULT_KINDS,
+  BRITTLE_FAULT_KINDS,
   CUT_FAULT_KINDS,
   FAULT_KINDS,
   FaultInjector,
@@ -16,7 +18,8 @@
 import { LastingCaller } from './lastingCaller.js';
 import type { CallerRecord, RunRecord, StallRecord } from './ledger.js';
 import { Ledger } from './ledger.js';
-import { SCARCE_SLOTS, SoakSite, versionRouteName } from './site.js';
+import { SoakSite, versionRouteName } from './site.js';
+import { SCARCE_SLOTS } from './siteRoutes.js';
 import type { Violation } from './violation.js';
 import { isServed } from './violation.js';
 
@@ -42,6 +45,10 @@
   readonly hasHarmfulParts: boolean;
   /** Whether boxes are stopped again and again, without other faults, under callers that keep their connections. */
   readonly hasStops: boolean;
+  /** Whether there is also a service whose endpoints do not survive many rejections; a third of the boxes is starved at once. */
+  readonly isBrittle: boolean;
+  /** Multiple of that service's room that is asked for; undefined if it changes. */
+  readonly brittleLoad: number | undefined;
 }
 
 /** Result of one seed. */
@@ -71,6 +78,8 @@
 const RECOVERY_WAIT_MS = 14_000;
 /** Callers for each slot of the service with few slots: more than it serves, also with a slow endpoint. */
 const CALLERS_PER_SCARCE_SLOT = 3;
+/** Time after which boxes have to respect what brittle endpoints announce. */
+const ANNOUNCED_MS = 4_000;
 const PROBE_INTERVAL_MS = 300;
 const PROBE_DEADLINE_MS = 1_000;
 const STATUS_NOT_FOUND = 404;
@@ -88,12 +97,16 @@
     await pause(STARTUP_WAIT_MS);
     const stopLoad = startLoad(site, ledger, options, random);
     const kinds = [
-      ...(options.hasStops ? STOP_FAULT_KINDS : FAULT_KINDS),
+      ...selectFaultKinds(options),
       ...(options.hasAnnouncements ? ANNOUNCEMENT_FAULT_KINDS : []),
       ...(options.hasRestores ? RESTORE_FAULT_KINDS : []),
       ...(options.hasCuts ? CUT_FAULT_KINDS : []),
     ];
-    await injectFaults(options.faultsMs, kinds, new FaultInjector(site, ledger, random), random, faults);
+    const injector = new FaultInjector(site, ledger, random);
+    if (options.isBrittle) await pause(ANNOUNCED_MS);
+    // What overlaps could not be told apart, and the boxes that are left have to serve.
+    const mostFaults = options.isBrittle ? 1 : MAX_CONCURRENT_FAULTS;
+    await injectFaults(options.faultsMs, mostFaults, kinds, injector, random, faults);
     ledger.events.push({ type: 'faultsOver', atMs: readMonotonicMs() });
     await pause(RECOVERY_WAIT_MS);
     stopLoad();
@@ -119,6 +132,11 @@
   return `127.${1 + (process.pid % 250)}.${1 + (seed % 250)}`;
 }
 
+function selectFaultKinds({ hasStops, isBrittle }: SoakOptions): readonly FaultKind[] {
+  if (isBrittle) return BRITTLE_FAULT_KINDS;
+  return hasStops ? STOP_FAULT_KINDS : FAULT_KINDS;
+}
+
 function startLoad(site: SoakSite, ledger: Ledger, options: SoakOptions, random: Random): () => void {
   const callers = Array.from({ length: options.callers }, (_, at) => {
     const callerRandom = createRandom(Math.floor(random() * 2 ** 31));
@@ -141,11 +159,15 @@
   const stopHarmful = options.hasHarmfulParts
     ? startHarmfulCaller(site.boxes, ledger, createRandom(options.seed))
     : () => {};
+  const brittleRandom = createRandom(options.seed + 1);
+  const { endpointsPerService, brittleLoad: fixedLoad } = options;
+  const brittleLoad = new BrittleLoad(site.boxes, ledger, brittleRandom, endpointsPerService, fixedLoad);
+  if (options.isBrittle) brittleLoad.run();
   const prober = setInterval(() => void probeAll(site, ledger), PROBE_INTERVAL_MS);
   return () => {
     clearInterval(prober);
     stopHarmful();
-    for (const caller of [...callers, ...lasting]) caller.close();
+    for (const caller of [...callers, ...lasting, brittleLoad]) caller.close();
   };
 }
 
@@ -171,6 +193,7 @@
 /** Starts faults at random intervals for a while, several at once, and waits until all have ended. */
 async function injectFaults(
   durationMs: number,
+  mostFaults: number,
   kinds: readonly FaultKind[],
   injector: FaultInjector,
   random: Random,
@@ -179,7 +202,7 @@
   const startedAtMs = readMonotonicMs();
   const activeFaults = new Set<Promise<void>>();
   while (readMonotonicMs() - startedAtMs < durationMs) {
-    if (activeFaults.size < MAX_CONCURRENT_FAULTS) {
+    if (activeFaults.size < mostFaults) {
       const kind = kinds[Math.floor(random() * kinds.length)] as FaultKind;
       faultLog.push(`${readMonotonicMs() - startedAtMs} ms ${kind}`);
       const fault: Promise<void> = injector.inject(kind).finally(() => activeFaults.delete(fault));
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -19,6 +19,15 @@
 import type { StartedProcess } from '@hazelwalk/standins';
 import type { BoxAddress } from './callers.js';
 import { HARMFUL_PART } from './callers.js';
+import {
+  BRITTLE_ROUTE,
+  BRITTLE_SLOTS,
+  LONG_ROUTE,
+  REJECTION_LIMIT,
+  ROUTES,
+  SCARCE_ROUTES,
+  SCARCE_SLOTS,
+} from './siteRoutes.js';
 import { LINK_CUT_PRELOAD, LINK_CUT_VARIABLES, writeLinkCut } from './linkCut.js';
 import type { Ledger, RunRecord } from './ledger.js';
 
@@ -32,56 +41,6 @@
   import.meta.resolve('@hazelwalk/platform/standins').replace('index.js', 'workerProcess.js'),
 );
 
-const ROUTES: readonly StandinRoute[] = [
-  { name: 'safe', kind: 'safe', service: 'app', maxAttempts: 2, isResumable: false, timeoutMs: 3_000 },
-  { name: 'claim', kind: 'unsafe', service: 'app', maxAttempts: 1, isResumable: false, timeoutMs: 3_000 },
-  {
-    name: 'streamResumable',
-    kind: 'streaming',
-    service: 'llm',
-    maxAttempts: 2,
-    isResumable: true,
-    timeoutMs: 3_000,
-  },
-  {
-    name: 'streamOnce',
-    kind: 'streaming',
-    service: 'llm',
-    maxAttempts: 1,
-    isResumable: false,
-    timeoutMs: 3_000,
-  },
-];
-
-/** Route of streams that may last longer than the stop of a box. */
-const LONG_ROUTE: StandinRoute = {
-  name: 'streamLong',
-  kind: 'streaming',
-  service: 'llm',
-  maxAttempts: 1,
-  isResumable: false,
-  timeoutMs: 20_000,
-};
-
-/** Routes of a service with few slots: two of urgent requests and one of others. */
-const SCARCE_ROUTES: readonly StandinRoute[] = (
-  [
-    ['scarceUrgent', 'safe', 0],
-    ['scarceUrgentClaim', 'unsafe', 0],
-    ['scarceLow', 'safe', 2],
-  ] as const
-).map(([name, kind, priority]) => ({
-  name,
-  kind,
-  priority,
-  service: 'scarce',
-  maxAttempts: kind === 'safe' ? 2 : 1,
-  isResumable: false,
-  timeoutMs: 3_000,
-}));
-/** Slots of each endpoint of that service. */
-export const SCARCE_SLOTS = 2;
-
 /** A box: its address, its link to the store and its current process. */
 export interface SoakBox extends BoxAddress {
   readonly storeLink: LinkProxy;
@@ -119,6 +78,8 @@
   readonly atMs?: number;
   readonly isLeaving?: boolean;
   readonly turnedAway?: string;
+  readonly lacksRoom?: string;
+  readonly fell?: boolean;
   readonly backOffMs?: number;
 }
 
@@ -126,6 +87,8 @@
 export interface SiteOptions {
   /** Whether there is also a service with few slots. */
   readonly isScarce: boolean;
+  /** Whether there is also a service whose endpoints do not survive many rejections. */
+  readonly isBrittle: boolean;
   /** Whether endpoints of two software versions serve side by side. */
   readonly hasVersions: boolean;
   /** Whether callers send requests with a part that crashes endpoints. */
@@ -164,9 +127,13 @@
     this.storePort = await this.store.listen();
     this.publishConfiguration();
     for (let count = 0; count < endpointsPerService; count += 1) {
-      await this.addEndpoint('app');
-      await this.addEndpoint('llm');
+      // Beside a brittle service the usual ones get no requests but probes.
+      if (count === 0 || !this.options.isBrittle) {
+        await this.addEndpoint('app');
+        await this.addEndpoint('llm');
+      }
       if (this.options.isScarce) await this.addEndpoint('scarce');
+      if (this.options.isBrittle) await this.addEndpoint('brittle');
     }
     for (let index = 0; index < boxes; index += 1) await this.addBox(index, boxes);
     await Promise.all(this.boxes.map((box) => this.startBox(box)));
@@ -189,20 +156,23 @@
     const id = `e-${this.endpointCount}`;
     const hall = HALLS[this.endpointCount % HALLS.length] ?? HALLS[0];
     const softwareVersion = this.options.hasVersions ? this.pickVersion(service) : undefined;
+    const slots = readSlots(service);
     const process = await startProcess<number>(
-      [ENDPOINT_PROGRAM, id, ...(service === 'scarce' ? ['0', String(SCARCE_SLOTS)] : [])],
+      [ENDPOINT_PROGRAM, id, '0', ...(slots === undefined ? [] : [String(slots)])],
       (line) => (JSON.parse(line) as { listening?: number }).listening,
       {
         onLine: (line) => this.handleEndpointLine(id, line),
         env: {
           ...(softwareVersion !== undefined && { STANDIN_VERSION: softwareVersion }),
           ...(this.options.hasHarmfulParts && { STANDIN_HARMFUL_PART: HARMFUL_PART }),
+          ...(service === 'brittle' && { STANDIN_REJECTION_LIMIT: String(REJECTION_LIMIT) }),
         },
       },
     );
     const link = new LinkProxy(process.startupInfo);
     // A link accepts connections also when its endpoint has crashed.
-    const port = this.options.hasHarmfulParts ? process.startupInfo : await link.listen();
+    const port =
+      this.options.hasHarmfulParts || service === 'brittle' ? process.startupInfo : await link.listen();
     const address = `127.0.0.1:${port}`;
     const endpoint: SoakEndpoint = {
       id,
@@ -269,7 +239,7 @@
   /** Writes an endpoint's current entry, unless it was removed. */
   writeEntry({ id, service, address, hall, entry, softwareVersion }: SoakEndpoint): void {
     if (entry === 'removed') return;
-    const slots = service === 'scarce' ? SCARCE_SLOTS : undefined;
+    const slots = readSlots(service);
     const listed = { service, address, hall, state: entry, slots, softwareVersion };
     this.store.put(`servers/${id}`, createEndpointEntry(listed));
   }
@@ -322,7 +292,13 @@
 
   private writeConfiguration(): void {
     const versionRoute = { ...ROUTES[0], name: versionRouteName(this.version) } as StandinRoute;
-    const routes = [...ROUTES, LONG_ROUTE, versionRoute, ...(this.options.isScarce ? SCARCE_ROUTES : [])];
+    const routes = [
+      ...ROUTES,
+      LONG_ROUTE,
+      versionRoute,
+      ...(this.options.isScarce ? SCARCE_ROUTES : []),
+      ...(this.options.isBrittle ? [BRITTLE_ROUTE] : []),
+    ];
     this.store.put('op/config', createStandinConfiguration(this.version, routes));
   }
 
@@ -368,6 +344,7 @@
   private handleEndpointLine(id: string, line: string): void {
     const output = JSON.parse(line) as EndpointOutputLine;
     const { run, ended, stalledMs, atMs, isLeaving = false, turnedAway, backOffMs = 0 } = output;
+    const { lacksRoom, fell = false } = output;
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined || atMs === undefined) return;
     if (stalledMs !== undefined) {
@@ -377,6 +354,8 @@
     if (turnedAway !== undefined) {
       this.ledger.rejections.push({ requestId: turnedAway, endpoint: id, atMs, backOffMs });
     }
+    if (lacksRoom !== undefined) this.ledger.lackOfRoom.push({ requestId: lacksRoom, endpoint: id, atMs });
+    if (fell) this.ledger.falls.push({ endpoint: id, atMs });
     if (run === undefined) return;
     const { service } = endpoint;
     const listed = this.countListed(service);
@@ -407,6 +386,12 @@
   }
 }
 
+/** Slots of an endpoint; undefined if it has as many as usual. */
+function readSlots(service: string): number | undefined {
+  if (service === 'scarce') return SCARCE_SLOTS;
+  return service === 'brittle' ? BRITTLE_SLOTS : undefined;
+}
+
 /** Name and path of the route that only the given configuration version has. */
 export function versionRouteName(version: number): string {
   return `mark-${version}`;
