Brittle endpoints: boxes tell each other, so that one that has just started does not find out by rejections

What callers saw: back ends fell over after boxes had been killed and started again. Cause: each box knew of brittle endpoints only from responses that it had got itself; one that had just started sent its first requests without a slot, and a scheduling box that had not yet got a response granted a quarter more than the slots.

A statement in a response now counts at once and not up to half a second later.

--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -1,4 +1,5 @@
 /** Dispatches frames from peers to the components that handle them. */
+import type { BoxAdmission } from '../admission/boxAdmission.js';
 import type { QuarantineRelay } from '../quarantine/quarantineRelay.js';
 import type { PromptHolders } from '../systems/promptHolders.js';
 import type { PublishedState } from '../systems/publishedState.js';
@@ -20,6 +21,7 @@
   readonly valueSync: PeerValueSync;
   readonly feedRelay: FeedRelay;
   readonly slotRelay: SlotRelay;
+  readonly admission: Pick<BoxAdmission, 'handleBrittle'>;
   readonly streamTracker: StreamTracker;
   readonly originLookup: OriginLookup;
   readonly state: PublishedState;
@@ -38,6 +40,7 @@
       promptHolders.addReported(frame.homes);
       loadRelay.handleHeartbeat(frame);
       quarantineRelay.handleHeartbeat(frame);
+      handlers.admission.handleBrittle(frame.brittle ?? []);
       return valueSync.handleHeartbeat(frame);
     case 'feedNotice':
       return feedRelay.handleNotice(frame);
--- a/packages/router/src/peers/heartbeatSender.ts
+++ b/packages/router/src/peers/heartbeatSender.ts
@@ -27,6 +27,8 @@
   readonly isStopping: () => boolean;
   /** Whether this box handles frames about slots. */
   readonly handlesSlots: () => boolean;
+  /** Services with brittle endpoints, as this box has seen. */
+  readonly listBrittle: () => string[];
   /** Whether this box serves tunnels of other boxes. */
   readonly servesTunnels: () => boolean;
   readonly now: () => number;
@@ -63,7 +65,9 @@
 
   private create(holders: HolderList): Heartbeat {
     const { hall, linkMbps, mesh, state, table, feedRelay } = this.options;
+    const brittle = this.options.listBrittle();
     return {
+      ...(brittle.length > 0 && { brittle }),
       type: 'heartbeat',
       hall,
       feed: feedRelay.feedState,
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -70,6 +70,8 @@
   servesTunnels: z.boolean().optional(),
   /** Whether the sender handles frames about streams. Omitted by earlier versions, which close a link that carries one. */
   tracksStreams: z.boolean().optional(),
+  /** Services whose endpoints state that they do not survive many rejections. Absent if there are none. */
+  brittle: z.array(z.string()).optional(),
   /** On a new link: runs that were in flight when their endpoints crashed; absent if there are none. */
   crashes: z.array(crashedRunSchema).optional(),
   /** On a new link: quarantined requests; absent if there are none. */
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -258,6 +258,7 @@
       quarantineRelay,
       isStopping,
       handlesSlots: () => this.admission.handlesSlots,
+      listBrittle: () => this.admission.listBrittle(),
       servesTunnels: () => this.tunnels.isAble,
       now,
     });
@@ -268,6 +269,7 @@
       valueSync,
       feedRelay,
       slotRelay,
+      admission: this.admission,
       streamTracker,
       originLookup,
       state,
@@ -339,6 +341,7 @@
       recordAnnouncements: (row, metadata) => {
         this.observer.recordAnnouncements(row, metadata);
         this.paceObserver.recordMetadata(row, metadata);
+        this.admission.handleStatement(row.listing.service, metadata.rejectionsPerS);
       },
       paceObserver: this.paceObserver,
     };
