Endpoints: what is dropped of a response is read for a second and 64 KB at most

What callers saw: a request that an endpoint had rejected, and that had not run, was held until its deadline and failed with 504, as if it might have run. Cause: a rejection counted only once its body had ended, and a discarded error was read to its end however long, with its connection held. Bytes without end are among what endpoints in trouble send.

The confirmation is in the head: after 64 KB or a second the connection is closed and the request goes on as rejected. Tests for a head, a chunk's header, trailers and a body without end were green before; the rejection was red (504 in place of 503), and is answered within 0.1 s now.

--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -146,6 +146,9 @@
   | { readonly type: 'open'; readonly connection: EndpointConnection }
   | { readonly type: 'over' };
 
+/** What is dropped of a response is read so far, and for so long, so that its connection can be reused; it may have no end. */
+const MAX_DROPPED_BYTES = 65_536;
+const MAX_DROPPED_MS = 1_000;
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
 
@@ -189,6 +192,8 @@
   /** The rest of the response is read and dropped, so that the connection can be reused. */
   private isDiscarded = false;
   private notRunHead: ResponseHead | undefined;
+  private droppedBytes = 0;
+  private dropTimer: NodeJS.Timeout | undefined;
   /** The response has no length: it is complete if its connection ends without a reset. */
   private endsWithConnection = false;
 
@@ -242,6 +247,7 @@
   /** Drops the rest of a response that is not needed, without further events. */
   discard(): void {
     this.isDiscarded = true;
+    this.startDropping();
   }
 
   /** Stops reading until `resume` is called, because the caller reads more slowly than the endpoint writes. */
@@ -289,7 +295,7 @@
     }
     if (metadata.isNotRun) {
       this.notRunHead = head;
-      return;
+      return this.startDropping();
     }
     const isSuccess = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
     if (metadata.requestId === undefined)
@@ -299,8 +305,18 @@
   }
 
   private handleData(chunk: Buffer): void {
-    if (this.phase.type !== 'open' || this.isDiscarded || this.notRunHead !== undefined) return;
-    this.emit({ type: 'data', chunk });
+    if (this.phase.type !== 'open') return;
+    if (!this.isDiscarded && this.notRunHead === undefined) return this.emit({ type: 'data', chunk });
+    this.droppedBytes += chunk.length;
+    if (this.droppedBytes > MAX_DROPPED_BYTES) this.stopDropping();
+  }
+
+  private startDropping(): void {
+    if (!this.isOver) this.dropTimer ??= setTimeout(() => this.stopDropping(), MAX_DROPPED_MS).unref();
+  }
+
+  private stopDropping(): void {
+    this.markBroken('connectionLost', 'the response did not end');
   }
 
   private handleEnd(connection: EndpointConnection): void {
@@ -333,6 +349,7 @@
   }
 
   private close(): void {
+    clearTimeout(this.dropTimer);
     this.phase = { type: 'over' };
     this.row.inFlight -= 1;
   }
