Slots: a leader reports the slots that its hall holds when requests go to another scheduling box

Found on reading the change: a leader looked for another hop of the requests that it relays only for services it had noted, and noted none, so that the slots of its hall were not reported. It notes them as it relays.

--- a/packages/router/src/peers/slotRelay.ts
+++ b/packages/router/src/peers/slotRelay.ts
@@ -136,8 +136,11 @@
     for (const request of requests) {
       const hop = this.findHopFor(request.service, address);
       const isOwn = hop === this.options.mesh.address;
-      // One that asks again waits for an answer from further on.
-      if (!isOwn && this.records.has(readSlotRequestKey(request))) this.outbox.addReceipt(address);
+      if (!isOwn) {
+        this.checkHop(request.service, 'relayed');
+        // One that asks again waits for an answer from further on.
+        if (this.records.has(readSlotRequestKey(request))) this.outbox.addReceipt(address);
+      }
       this.route(request, address, hop);
     }
   }
@@ -361,12 +364,11 @@
     const answering = reachable.filter(
       ({ address, handlesSlots }) => handlesSlots === true && !this.silence.isPassedOver(address, nowMs),
     );
-    const peers = answering.filter(({ isStopping }) => !isStopping);
     return {
       isFullMesh: mesh.isFullMesh,
       own: { address: mesh.address, hall },
       isOwnAble: isAble(),
-      peers,
+      peers: answering.filter(({ isStopping }) => !isStopping),
       createdAtMs: nowMs,
       reachable: new Set(reachable.map(({ address }) => address)),
       answering: new Set(answering.map(({ address }) => address)),
