--- a/packages/router/src/systems/brittleServices.ts
+++ b/packages/router/src/systems/brittleServices.ts
@@ -7,7 +7,7 @@
 
 /** After this time without a response, this box does not report what an endpoint stated. */
 const REPORT_MS = 10_000;
-/** How long a report of another box counts. The own responses tell sooner when it is over, and they tell it to all. */
+/** How long a report of another box counts. Boxes stop reporting once responses no longer state a limit. */
 const REPORTED_MS = 10_000;
 
 /** The services with brittle endpoints, as one box knows. */
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -104,7 +104,7 @@
     ];
     const injector = new FaultInjector(site, ledger, random);
     if (options.isBrittle) await pause(ANNOUNCED_MS);
-    // What overlaps could not be told apart, and the boxes that are left have to serve.
+    // One fault at a time: the effects of two would mix, and enough boxes have to stay up.
     const mostFaults = options.isBrittle ? 1 : MAX_CONCURRENT_FAULTS;
     await injectFaults(options.faultsMs, mostFaults, kinds, injector, random, faults);
     ledger.events.push({ type: 'faultsOver', atMs: readMonotonicMs() });
