Review: case 5, streams go on at another software version

Shows that a machine whose call at the store hangs takes a stream that it does not know to have begun at the only version that it knows of, asks no other machine, and lets it go on at a worker of that version: rule ORDER. The cause is originLookup.ts (find), which relies on PlatformConnectivity.isReading; it stays true for up to 3.9 s after the store has fallen silent.

--- a/review/lib2/site.mjs
+++ b/review/lib2/site.mjs
@@ -18,7 +18,7 @@
 const BOX_COMMAND = ['--max-old-space-size=96', '--max-semi-space-size=2', BOX_PROGRAM];
 const FRONT_PORT = 8_227;
 const READY_PORT = 8_220;
-const CONTROL_PORT = 8_229;
+export const CONTROL_PORT = 8_229;
 const METRICS_PORT = 9_464;
 export const HOST = 'ficu95.example';
 export const KEY = 'n2ctnfzs989anu6wsjnb';
@@ -82,9 +82,15 @@
     this.record.push(JSON.stringify({ atMs: Math.round(now() - this.startedAt), kind, ...fields }));
   }
 
-  async start({ boxes, routes, services, tenants = [{ Name: 'hule930', ApiKeys: [KEY] }], bounds = {} }) {
+  async start({
+    boxes,
+    routes,
+    services,
+    tenants = [{ Name: 'hule930', ApiKeys: [KEY] }],
+    bounds = {},
+    zones = ZONES,
+  }) {
     if (!existsSync(join(ROOT, BOX_PROGRAM))) throw new Error('the program of a box is not built');
-    this.storePort = await this.store.listen();
     this.configuration = {
       Version: 3,
       Routes: routes,
@@ -101,9 +107,11 @@
     const ips = await findAddresses(boxes);
     this.seeds = ips.slice(0, 3).map((ip) => `${ip}:${CONTROL_PORT}`);
     this.bounds = bounds;
-    ips.forEach((ip, index) =>
-      this.boxes.push({ ip, name: `front-${index + 1}`, zone: ZONES[index % ZONES.length] }),
-    );
+    this.zones = zones;
+    for (const [index, ip] of ips.entries()) {
+      const zone = zones[index % zones.length];
+      this.boxes.push({ ip, name: `front-${index + 1}`, zone, storePort: await this.store.listen() });
+    }
   }
 
   /** Writes the settings file of a box as DEPLOY.md shows it. */
@@ -161,7 +169,7 @@
         '[Bounds]',
         ...Object.entries(bounds).map(([name, value]) => `${name} = ${value}`),
         '[Platform]',
-        `Address = "127.0.0.1:${this.storePort}"`,
+        `Address = "127.0.0.1:${box.storePort}"`,
         '',
       ].join('\n'),
     );
--- a/review/lib2/store.mjs
+++ b/review/lib2/store.mjs
@@ -11,11 +11,16 @@
   items = new Map();
   history = [];
   watches = new Set();
-  server = createServer((req, res) => this.handle(req, res));
+  servers = [];
+  /** Ports of the machines that the store does not answer; it serves the others. */
+  silentPorts = new Set();
 
+  /** Opens a further port; each machine has one of its own. */
   async listen() {
-    await new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve));
-    return this.server.address().port;
+    const server = createServer((req, res) => this.handle(req, res));
+    this.servers.push(server);
+    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return server.address().port;
   }
 
   put(key, value) {
@@ -34,8 +39,10 @@
 
   close() {
     for (const watch of this.watches) clearTimeout(watch.timer);
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   record(change) {
@@ -44,6 +51,7 @@
   }
 
   handle(req, res) {
+    if (this.silentPorts.has(req.socket.localPort)) return;
     res.setHeader('Store-Era', this.era);
     const url = new URL(req.url, 'http://store');
     const prefix = url.searchParams.get('PathPrefix') ?? '';
@@ -70,6 +78,8 @@
   complete(watch) {
     clearTimeout(watch.timer);
     this.watches.delete(watch);
+    // Once an answer is lost, its connection says nothing more.
+    if (this.silentPorts.has(watch.res.socket?.localPort)) return;
     watch.res.end(JSON.stringify({ events: this.listChanges(watch), AsOf: this.revision }));
   }
 }
