--- a/packages/router/src/__fixtures__/createPlacement.ts
+++ b/packages/router/src/__fixtures__/createPlacement.ts
@@ -16,6 +16,7 @@
   changes: Partial<PlacementOptions> = {},
 ): Placement {
   return new Placement({
+    filterKnown: (_service, rows) => rows,
     table,
     hasher,
     hall: 'a',
--- a/packages/router/src/__fixtures__/passiveBox.ts
+++ b/packages/router/src/__fixtures__/passiveBox.ts
@@ -109,6 +109,19 @@
     });
     this.publish(undefined, 10, '1');
     this.nowMs += AFTER_GRACE_PERIOD_MS;
+    this.prove();
+  }
+
+  /** The platform responds that it has nothing newer, as a box that reads it finds well within the apply bound. */
+  prove(): void {
+    const { revision } = this.state.listPosition;
+    this.state.applyPublication({
+      from: revision,
+      revision,
+      endpointChanges: [],
+      evacuationChanges: [],
+      configurationText: undefined,
+    });
   }
 
   /** Applies a publication of the platform that lists one endpoint, named after the revision, and announces it. */
--- a/packages/router/src/__fixtures__/virtualRouter.ts
+++ b/packages/router/src/__fixtures__/virtualRouter.ts
@@ -59,6 +59,7 @@
     const readLoadAgeMs = (): number => this.relay.readLoadAgeMs();
     const readLoadPath = (): LoadPath => (mesh.isFullMesh ? 'direct' : 'relayed');
     this.placement = new Placement({
+      filterKnown: (_service, rows) => rows,
       table,
       hasher,
       hall,
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -37,6 +37,7 @@
   const { table, rows } = createTable(ENDPOINTS);
   const random = createSequence();
   const placement = new Placement({
+    filterKnown: (_service, rows) => rows,
     evacuations: new Evacuations(),
     cold: createColdEndpointLimiter(hasher),
     findRegion: () => undefined,
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -96,7 +96,7 @@
 
   /** Decides the current role of this box: watch the platform, read the configuration once, or rely on its peers. */
   decideFeedRole(): FeedRole {
-    return this.parts.feedRelay.decideRole();
+    return this.parts.feed.relay.decideRole();
   }
 
   /** Counts the endpoints of a service that get new requests from this box. */
@@ -160,6 +160,7 @@
     const { work } = this.parts;
     work.tick(nowMs);
     work.measure('timeouts', () => this.parts.state.tick(nowMs));
+    work.measure('lists', () => this.parts.feed.proofs.tick(nowMs));
     work.measure('membership', () => this.parts.mesh.tick());
     work.measure('timeouts', () => this.tickRequests(nowMs));
     work.measure('loads', () => this.parts.loadRelay.tick());
@@ -199,13 +200,14 @@
   }
 
   private handlePublication(publication: Publication): void {
-    this.parts.feedRelay.announce(this.parts.state.applyPublication(publication));
+    this.parts.feed.relay.announce(this.parts.state.applyPublication(publication));
+    if (publication.provenAtMs !== undefined) this.parts.feed.proofs.handleProven(publication.provenAtMs);
   }
 
   private handleFeedLost(reason: string): void {
-    const wasWatcherCandidate = this.parts.feedRelay.feedState === 'able';
+    const wasWatcherCandidate = this.parts.feed.relay.feedState === 'able';
     this.parts.state.handleReadFailure(reason);
-    this.parts.feedRelay.markFeedLost();
+    this.parts.feed.relay.markFeedLost();
     // The hall needs another watcher before the next heartbeat would report the loss.
     if (wasWatcherCandidate) this.parts.heartbeatSender.sendToHall();
   }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,4 +1,5 @@
 /** The router fleet: each box forwards callers' requests directly to endpoints, and boxes share their state. */
+export { afterSocketReads } from './afterSocketReads.js';
 export * from './featureSwitches.js';
 export * from './fleetRouter.js';
 export * from './httpDialect.js';
--- a/packages/router/src/membership/__fixtures__/virtualFleet.ts
+++ b/packages/router/src/membership/__fixtures__/virtualFleet.ts
@@ -23,6 +23,8 @@
   createCrashSnapshot?(): CrashSnapshot;
   /** Prompt counts and paces added to each regular heartbeat. */
   createDemandReport?(): Pick<Heartbeat, 'prompts' | 'paces'>;
+  /** What the box states of the platform in each heartbeat. */
+  createPlatformReport?(): Partial<Heartbeat>;
 }
 
 /** A box of the fleet. */
@@ -153,6 +155,7 @@
       isStopping: false,
       handlesSlots: true,
       tracksStreams: true,
+      ...box.program?.createPlatformReport?.(),
     });
     const mesh: PeerMesh = new PeerMesh(
       {
@@ -165,7 +168,11 @@
         firstIncarnation: timeline.nowMs,
       },
       {
-        createHeartbeat: () => ({ ...createHeartbeat(), ...box.program?.createCrashSnapshot?.() }),
+        createHeartbeat: () => ({
+          ...createHeartbeat(),
+          provesLists: true,
+          ...box.program?.createCrashSnapshot?.(),
+        }),
         onFrameRead: () => {},
         onFrame: (frame, reply) => box.program?.handleFrame(frame, reply),
         onProblem: () => {},
--- /dev/null
+++ b/packages/router/src/peers/boxFeed.ts
@@ -0,0 +1,56 @@
+/** The parts of a box that keep its published values up to date: exchange with peers, relay in its hall, and proofs. */
+import type { DecisionLog } from '../observability/decisionLog.js';
+import type { ListPosition } from '../systems/listPosition.js';
+import type { PublishedState } from '../systems/publishedState.js';
+import { FeedRelay } from './feedRelay.js';
+import { ListProofs } from './listProofs.js';
+import type { PeerMesh } from './peerMesh.js';
+import { PeerValueSync } from './peerValueSync.js';
+
+/** Settings and dependencies of the parts. */
+export interface BoxFeedOptions {
+  readonly mesh: PeerMesh;
+  readonly state: PublishedState;
+  readonly log: DecisionLog;
+  readonly hall: string;
+  /** Bandwidth of this box's link. */
+  readonly linkMbps: number;
+  readonly hash: (text: string) => number;
+  readonly now: () => number;
+  /** Maximum time from the publication of a change until it is in force. */
+  readonly applyBoundMs: number;
+  /** Calls that the platform serves per second. */
+  readonly platformReadsPerS: number;
+  /** Reads the changes after a position without waiting, and publishes them before it calls `onEnd`. */
+  readonly readChanges?: ((position: ListPosition, onEnd: () => void) => void) | undefined;
+}
+
+/** The feed of one box. */
+export class BoxFeed {
+  readonly valueSync: PeerValueSync;
+  readonly relay: FeedRelay;
+  readonly proofs: ListProofs;
+
+  constructor(options: BoxFeedOptions) {
+    const { mesh, state, now, hash, applyBoundMs, platformReadsPerS } = options;
+    this.valueSync = new PeerValueSync(options);
+    this.relay = new FeedRelay({ ...options, valueSync: this.valueSync });
+    const { relay, valueSync } = this;
+    this.proofs = new ListProofs({
+      mesh,
+      readPosition: () => state.listPosition,
+      readProvenAtMs: () => state.provenAtMs,
+      readRole: () => relay.decideRole().type,
+      isFeedLost: () => relay.feedState === 'lost',
+      listWatchers: () => relay.listWatchers(),
+      readChanges: options.readChanges ?? (() => {}),
+      requestList: (address) => valueSync.requestEndpoints(address),
+      onPeerProof: (address, provenAtMs) =>
+        state.recordPeerConfirmation(address, { doubtMs: 0, saidAgoMs: now() - provenAtMs }),
+      rank: hash,
+      now,
+      applyBoundMs,
+      readsPerS: platformReadsPerS,
+    });
+  }
+}
--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -10,7 +10,9 @@
 import type { Reply } from './peerMesh.js';
 import type { SlotRelay } from './slotRelay.js';
 import type { OriginLookup } from '../streams/originLookup.js';
+import type { VersionNotices } from '../streams/versionNotices.js';
 import type { StreamTracker } from '../streams/streamTracker.js';
+import type { ListProofs } from './listProofs.js';
 import type { PeerValueSync } from './peerValueSync.js';
 
 /** Components that handle frames from peers. */
@@ -24,6 +26,8 @@
   readonly admission: Pick<BoxAdmission, 'handleBrittle'>;
   readonly streamTracker: StreamTracker;
   readonly originLookup: OriginLookup;
+  readonly versionNotices: VersionNotices;
+  readonly listProofs: ListProofs;
   readonly state: PublishedState;
 }
 
@@ -43,7 +47,8 @@
       handlers.admission.handleBrittle(frame.brittle ?? []);
       return valueSync.handleHeartbeat(frame);
     case 'feedNotice':
-      return feedRelay.handleNotice(frame);
+      feedRelay.handleNotice(frame);
+      return handlers.listProofs.settleReached();
     case 'boxLoads':
       return loadRelay.handleBoxLoads(frame);
     case 'hallLoads':
@@ -57,7 +62,8 @@
     case 'configurationDifference':
       return valueSync.applyConfigurationChange(frame.change);
     case 'endpointsValue':
-      return valueSync.applyEndpointsValue(frame);
+      valueSync.applyEndpointsValue(frame);
+      return handlers.listProofs.settleReached();
     case 'crashNews':
       return quarantineRelay.handleCrashReports(frame);
     case 'slotRequests':
@@ -72,6 +78,14 @@
       return handlers.originLookup.handleLookup(frame, reply);
     case 'streamLookupReply':
       return handlers.originLookup.handleReply(frame);
+    case 'versionNotice':
+      return handlers.versionNotices.handleNotice(frame, reply);
+    case 'versionNoticeAck':
+      return handlers.versionNotices.handleAck(frame);
+    case 'listProofRequest':
+      return handlers.listProofs.handleRequest(frame, reply);
+    case 'listProof':
+      return handlers.listProofs.handleProof(frame);
   }
 }
 
@@ -95,6 +109,8 @@
     case 'feedNotice':
     case 'valueRequest':
     case 'endpointsValue':
+    case 'listProofRequest':
+    case 'listProof':
       return 'lists';
     case 'configurationValue':
     case 'configurationDifference':
@@ -112,6 +128,8 @@
     case 'streamOrigins':
     case 'streamLookup':
     case 'streamLookupReply':
+    case 'versionNotice':
+    case 'versionNoticeAck':
       return 'streams';
   }
 }
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/peers/feedRelay.ts
@@ -6,7 +6,13 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import type { PublishedState, Publication } from '../systems/publishedState.js';
 import type { WatcherCandidate, FeedRole, FeedRoleInput, FeedState } from '../systems/feedRole.js';
-import { decideFeedRole, findWatcherPosition, isFeedLost, rankWatcher } from '../systems/feedRole.js';
+import {
+  decideFeedRole,
+  findWatcherPosition,
+  isFeedLost,
+  rankWatcher,
+  WATCHERS_PER_HALL,
+} from '../systems/feedRole.js';
 import type { ConfigurationChange } from '../systems/configurationChange.js';
 import type { EndpointChange } from '../systems/endpointDirectory.js';
 import type { EvacuationChange } from '../systems/evacuations.js';
@@ -64,6 +70,15 @@
     return isFeedLost(this.feedLostAtMs, this.options.now()) ? 'lost' : 'able';
   }
 
+  /** Addresses of the boxes of the hall that watch the platform. */
+  listWatchers(): string[] {
+    return this.listHallCandidates()
+      .filter(({ state }) => state === 'able')
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, WATCHERS_PER_HALL)
+      .map(({ address }) => address);
+  }
+
   /** Sends a publication of the platform to the boxes of the hall, if this box is one of the hall's watchers. */
   announce(publication: Publication): void {
     const { mesh, state, hall } = this.options;
@@ -83,6 +98,7 @@
       configurationChars: state.configurationChars,
       isConfigurationChangeSmall: this.isLastChangeSmall,
       configurationChange: change,
+      ...(publication.isComparison === true && { isComparison: true }),
       changes: from === undefined ? [] : endpointChanges.flatMap(toNoticeChange),
       evacuations: evacuationChanges.flatMap(toNoticeEvacuation),
     });
@@ -102,8 +118,8 @@
       this.confirmedAtMs = now();
       state.recordPeerUpdate(notice.address, notice.unsettledMs);
       if (revision > state.endpointsRevision) {
-        const { changes: endpointChanges, evacuations: evacuationChanges } = notice;
-        state.applyLists({ endpointChanges, evacuationChanges }, { era, revision }, 'peer');
+        const { changes: endpointChanges, evacuations: evacuationChanges, isComparison } = notice;
+        state.applyLists({ endpointChanges, evacuationChanges, isComparison }, { era, revision }, 'peer');
       }
     }
     if (notice.configurationChange !== undefined)
@@ -138,12 +154,13 @@
     return { rank: rankWatcher(hash(mesh.address), linkMbps), state: this.feedState };
   }
 
-  private listHallCandidates(): WatcherCandidate[] {
+  private listHallCandidates(): (WatcherCandidate & { readonly address: string })[] {
     const { mesh, hall, hash } = this.options;
     return mesh
       .listReachable()
       .filter((heartbeat) => heartbeat.hall === hall && !heartbeat.isStopping)
       .map((heartbeat: Heartbeat) => ({
+        address: heartbeat.address,
         rank: rankWatcher(hash(heartbeat.address), heartbeat.linkMbps),
         state: heartbeat.feed,
       }));
--- a/packages/router/src/peers/heartbeatSender.ts
+++ b/packages/router/src/peers/heartbeatSender.ts
@@ -54,7 +54,8 @@
   /** Creates the first heartbeat on a new link, with prompt holders and crash reports that the peer may have missed. */
   createInitialHeartbeat(): Heartbeat {
     const { loadRelay, quarantineRelay } = this.options;
-    return { ...this.create(loadRelay.listHoldersForNewLink()), ...quarantineRelay.createSnapshot() };
+    const heartbeat = this.create(loadRelay.listHoldersForNewLink());
+    return { ...heartbeat, provesLists: true, ...quarantineRelay.createSnapshot() };
   }
 
   /** Sends a heartbeat to the own hall before the next one is due, because the state of this box has changed. */
--- a/packages/router/src/peers/knownPeers.ts
+++ b/packages/router/src/peers/knownPeers.ts
@@ -24,9 +24,12 @@
     return this.peers.get(address)?.heartbeat.incarnation;
   }
 
-  /** Records a heartbeat. */
+  /** Records a heartbeat; what a process states only in the first one on a link is kept. */
   record(heartbeat: Heartbeat, nowMs: number): void {
-    this.peers.set(heartbeat.address, { heartbeat, lastSeenAtMs: nowMs });
+    const earlier = this.peers.get(heartbeat.address)?.heartbeat;
+    const isSameRun = earlier !== undefined && earlier.incarnation <= heartbeat.incarnation;
+    const provesLists = heartbeat.provesLists ?? (isSameRun ? earlier.provesLists : undefined);
+    this.peers.set(heartbeat.address, { heartbeat: { ...heartbeat, provesLists }, lastSeenAtMs: nowMs });
   }
 
   /** Peers whose last heartbeat came at this time or later. */
--- a/packages/router/src/peers/listFrames.ts
+++ b/packages/router/src/peers/listFrames.ts
@@ -36,6 +36,21 @@
   type: z.literal('configurationDifference'),
   change: configurationChangeSchema,
 });
+/** Schema of a request to prove a list by a call to the platform. */
+export const listProofRequestSchema = z.object({
+  type: z.literal('listProofRequest'),
+  sequence: z.number(),
+});
+/** Schema of such a proof: by a call sent after the request, the platform had nothing newer than this position. */
+export const listProofSchema = z.object({
+  type: z.literal('listProof'),
+  /** Address of the box that made the call. */
+  address: z.string(),
+  /** Number of the request. */
+  sequence: z.number(),
+  revision: z.number(),
+  era: z.number(),
+});
 /** Schema of the whole list of endpoints. */
 export const endpointsValueSchema = z.object({
   type: z.literal('endpointsValue'),
@@ -72,6 +87,11 @@
   isConfigurationChangeSmall: z.boolean(),
   /** Change of the configuration since the sender's last notice, unless it is large. */
   configurationChange: configurationChangeSchema.optional(),
+  /**
+   * Whether the changes are a comparison of two whole lists: what came and went between them is missing. Omitted by earlier
+   * versions.
+   */
+  isComparison: z.boolean().optional(),
   changes: z.array(
     z.discriminatedUnion('type', [
       z.object({ type: z.literal('listed'), endpoint: listedEndpoint }),
@@ -84,6 +104,10 @@
 
 /** Change of the configuration, for a box that has an earlier version. */
 export type ConfigurationDifference = z.infer<typeof configurationDifferenceSchema>;
+/** Request to prove a list. */
+export type ListProofRequest = z.infer<typeof listProofRequestSchema>;
+/** Proof of a list. */
+export type ListProof = z.infer<typeof listProofSchema>;
 /** The complete list of endpoints. */
 export type EndpointsValue = z.infer<typeof endpointsValueSchema>;
 /** Request for a published value. */
--- a/packages/router/src/peers/peerFrameCodec.ts
+++ b/packages/router/src/peers/peerFrameCodec.ts
@@ -84,6 +84,7 @@
   blamed: 70,
   together: 71,
   callers: 72,
+  provesLists: 73,
 } as const;
 
 const cbor = new Encoder({
--- a/packages/router/src/peers/peerFrames.ts
+++ b/packages/router/src/peers/peerFrames.ts
@@ -16,6 +16,8 @@
   configurationValueSchema,
   endpointsValueSchema,
   feedNoticeSchema,
+  listProofRequestSchema,
+  listProofSchema,
   valueRequestSchema,
 } from './listFrames.js';
 import { boxLoadsSchema, fleetLoadsSchema, hallLoadsSchema } from './loadFrames.js';
@@ -30,7 +32,13 @@
   probeSchema,
 } from './membershipFrames.js';
 import { crashedRunSchema, crashReportsSchema, quarantinedRequestSchema } from './crashFrames.js';
-import { streamLookupReplySchema, streamLookupSchema, streamOriginsSchema } from '../streams/streamFrames.js';
+import {
+  streamLookupReplySchema,
+  streamLookupSchema,
+  streamOriginsSchema,
+  versionNoticeAckSchema,
+  versionNoticeSchema,
+} from '../streams/streamFrames.js';
 import { slotAnswersSchema, slotReleasesSchema, slotRequestsSchema } from './slotFrames.js';
 
 const heartbeat = z.object({
@@ -70,6 +78,11 @@
   servesTunnels: z.boolean().optional(),
   /** Whether the sender handles frames about streams. Omitted by earlier versions, which close a link that carries one. */
   tracksStreams: z.boolean().optional(),
+  /**
+   * On a new link: whether the sender handles frames about proofs of lists and notices of versions. Omitted by earlier versions,
+   * which close a link that carries one.
+   */
+  provesLists: z.boolean().optional(),
   /** Services whose endpoints state that they do not survive many rejections. Absent if there are none. */
   brittle: z.array(z.string()).optional(),
   /** On a new link: runs that were in flight when their endpoints crashed; absent if there are none. */
@@ -103,6 +116,10 @@
   streamOriginsSchema,
   streamLookupSchema,
   streamLookupReplySchema,
+  versionNoticeSchema,
+  versionNoticeAckSchema,
+  listProofRequestSchema,
+  listProofSchema,
   tunnelRequestSchema,
   tunnelReplySchema,
   tunnelDataSchema,
@@ -112,7 +129,14 @@
 
 /** Liveness signal of a box, with its loads and versions. */
 export type Heartbeat = z.infer<typeof heartbeat>;
-export type { ConfigurationDifference, EndpointsValue, FeedNotice, ValueRequest } from './listFrames.js';
+export type {
+  ConfigurationDifference,
+  EndpointsValue,
+  FeedNotice,
+  ListProof,
+  ListProofRequest,
+  ValueRequest,
+} from './listFrames.js';
 export type { BoxLoads, FleetLoads, HallLoads, LoadCoverage } from './loadFrames.js';
 export type {
   BoxDown,
--- a/packages/router/src/peers/peerValueSync.ts
+++ b/packages/router/src/peers/peerValueSync.ts
@@ -20,6 +20,11 @@
  * of the maximum apply time.
  */
 const STALE_LIST_SHARE = 1 / 2;
+/**
+ * A box whose own proof is older than this share of that time requests a newer list from a peer at once: its call may have gone
+ * silent.
+ */
+const UPDATE_SHARE = 1 / 2;
 /** Larger values are read from the platform: links between boxes have little bandwidth, and one box may serve a hall. */
 export const MAX_RELAYED_CHARS = 16_384;
 
@@ -71,7 +76,8 @@
     if (platformReport === undefined) state.removePeerReport(address);
     else if (!lacksEndpoints && era === own.era) state.recordPeerConfirmation(address, platformReport);
     const isStale = this.isListStale(position);
-    const mustRequest = era > own.era || isStale || !state.isReceivingUpdates;
+    const mustRequest =
+      era > own.era || isStale || !state.isReceivingUpdates(this.options.applyBoundMs * UPDATE_SHARE);
     this.requestValues(heartbeat.address, lacksConfiguration, lacksEndpoints && mustRequest);
   }
 
@@ -132,6 +138,11 @@
     }
   }
 
+  /** Requests the complete list of endpoints from a peer that has proven a newer one. */
+  requestEndpoints(address: string): void {
+    this.requestValues(address, false, true);
+  }
+
   /** Applies the complete list of endpoints from a peer, unless this box has a newer one. */
   applyEndpointsValue(value: EndpointsValue): void {
     const { state } = this.options;
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -8,6 +8,7 @@
 import type { FleetConfiguration } from './records.js';
 import type { ColdBound } from './systems/coldEndpointLimiter.js';
 import type { Publication } from './systems/publishedState.js';
+import type { ListPosition } from './systems/listPosition.js';
 import type { RetryBound } from './systems/retryBudget.js';
 
 /** An input of the loop. */
@@ -42,6 +43,13 @@
   readonly coldBound: ColdBound;
   /** Time within which a published change has to be in force. */
   readonly applyBoundMs: number;
+  /** Calls that the platform serves per second, for all boxes. */
+  readonly platformReadsPerS: number;
+  /**
+   * Reads the changes after a position from the platform without waiting for any, and publishes them before it calls `onEnd`,
+   * also if the call fails. Without it, no proof comes from this box.
+   */
+  readonly readChanges?: ((position: ListPosition, onEnd: () => void) => void) | undefined;
   /** Time after which a stopping process is killed. */
   readonly stopGraceMs: number;
   /** Optional parts that are on; all if not given. */
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -15,13 +15,12 @@
 import { WorkMeter } from './observability/workMeter.js';
 import { FeatureSwitches } from './featureSwitches.js';
 import type { PeerFrameHandlers } from './peers/dispatchPeerFrame.js';
-import { FeedRelay } from './peers/feedRelay.js';
+import { BoxFeed } from './peers/boxFeed.js';
 import { HeartbeatSender } from './peers/heartbeatSender.js';
 import { LoadRelay } from './peers/loadRelay.js';
 import { PaceRelay } from './peers/paceRelay.js';
 import { PeerMesh } from './peers/peerMesh.js';
 import { TcpTransport } from './peers/peerTransport.js';
-import { PeerValueSync } from './peers/peerValueSync.js';
 import { CallerServer } from './proxy/callerServer.js';
 import { CrashCheck } from './proxy/crashCheck.js';
 import { cutOffRequests } from './proxy/cutOffRequests.js';
@@ -73,7 +72,7 @@
   readonly callers: CallerServer;
   /** Requests in progress. */
   readonly exchanges = new Set<RunningRequest>();
-  readonly feedRelay: FeedRelay;
+  readonly feed: BoxFeed;
   readonly loadRelay: LoadRelay;
   readonly quarantineRelay: QuarantineRelay;
   readonly heartbeatSender: HeartbeatSender;
@@ -84,7 +83,6 @@
   private readonly healthLog: HealthLog;
   private readonly observer: EndpointObserver;
   private readonly paceObserver: PaceObserver;
-  private readonly valueSync: PeerValueSync;
   private readonly promptHolders = new PromptHolders();
   private readonly demand = new PromptDemand();
   private readonly quarantine: Quarantine;
@@ -171,8 +169,19 @@
       },
     );
     const { mesh, state, log, metrics } = this;
-    const { applyBoundMs, hall, linkMbps } = options;
-    this.valueSync = new PeerValueSync({ mesh, state, log: this.log, now, applyBoundMs });
+    const { applyBoundMs, hall, linkMbps, readChanges, platformReadsPerS } = options;
+    this.feed = new BoxFeed({
+      mesh,
+      state,
+      log,
+      hall,
+      linkMbps,
+      hash,
+      now,
+      applyBoundMs,
+      platformReadsPerS,
+      readChanges,
+    });
     const paceLog = new PaceLog(log, metrics);
     const paces = new EndpointPaces({
       table,
@@ -200,18 +209,8 @@
     const { random } = Math;
     const onReport = createCrashReportLog(log);
     this.quarantineRelay = new QuarantineRelay({ mesh, quarantine, hall, rank: hash, now, random, onReport });
-    this.feedRelay = new FeedRelay({
-      mesh,
-      state,
-      valueSync: this.valueSync,
-      log: this.log,
-      hall,
-      linkMbps,
-      hash,
-      now,
-      applyBoundMs,
-    });
-    const { promptHolders, loadRelay, quarantineRelay, valueSync, feedRelay } = this;
+    const { promptHolders, loadRelay, quarantineRelay } = this;
+    const { relay: feedRelay, valueSync, proofs: listProofs } = this.feed;
     const isStopping = (): boolean => this.gracefulShutdown.isInProgress;
     this.admission = new BoxAdmission({
       hall,
@@ -243,8 +242,8 @@
       onAbilityChange: () => this.heartbeatSender.sendToHall(),
     });
     const rank = (address: string): number => hash(address);
-    this.streams = new BoxStreams({ hall, mesh, table, state, metrics, rank, now });
-    const { tracker: streamTracker, lookup: originLookup } = this.streams;
+    this.streams = new BoxStreams({ hall, mesh, table, state, proofs: listProofs, metrics, rank, now });
+    const { tracker: streamTracker, lookup: originLookup, notices: versionNotices } = this.streams;
     const { slotRelay } = this.admission;
     this.heartbeatSender = new HeartbeatSender({
       hall,
@@ -272,6 +271,8 @@
       admission: this.admission,
       streamTracker,
       originLookup,
+      versionNotices,
+      listProofs,
       state,
     };
     this.callers = new CallerServer(this.createContext(countBoxes), this.stopLog);
@@ -307,6 +308,7 @@
         promptHolders: this.promptHolders,
         demand: this.demand,
         evacuations: this.state.evacuations,
+        filterKnown: (service, rows) => this.streams.notices.filterKnown(service, rows),
         cold: this.createColdEndpointLimiter(),
         findRegion: (other) => options.regions[other],
         readLoadPath: () => (this.mesh.isFullMesh ? 'direct' : 'relayed'),
--- /dev/null
+++ b/packages/router/src/streams/__fixtures__/storeStreams.ts
@@ -0,0 +1,112 @@
+/** A virtual fleet whose boxes read a virtual store, begin streams at what they list and take up streams of others. */
+import { createHasher } from '@hazelwalk/core';
+import { createRandom } from '@hazelwalk/standins';
+import type { VirtualBox } from '../../membership/__fixtures__/virtualFleet.js';
+import { VirtualFleet } from '../../membership/__fixtures__/virtualFleet.js';
+import { RouterMetrics } from '../../observability/metrics.js';
+import { StoreProgram } from './storeProgram.js';
+import { SERVICE, VirtualStore } from './virtualStore.js';
+
+/** Longer than streams can be taken up, after the fleet has started. */
+const SETTLE_S = 36;
+
+/** A stream that a caller has seen the first event of. */
+interface BegunStream {
+  readonly key: number;
+  readonly version: string;
+  readonly box: VirtualBox;
+  isTaken: boolean;
+}
+
+/** What became of the streams that were taken up. */
+export interface StoreStreamCounts {
+  right: number;
+  wrong: number;
+  unknown: number;
+}
+
+/** The fleet, its store and its streams. */
+export class StoreStreams {
+  fleet!: VirtualFleet;
+  store!: VirtualStore;
+  readonly random: () => number;
+  /** Streams that callers took up, by the version that began them. */
+  readonly taken = new Map<string, StoreStreamCounts>();
+  private readonly programs = new WeakMap<VirtualBox, StoreProgram>();
+  private readonly begun: BegunStream[] = [];
+  private nextKey = 1;
+
+  private constructor(seed: number) {
+    this.random = createRandom(seed);
+  }
+
+  static async create(boxes: number, halls: number, seed: number): Promise<StoreStreams> {
+    const streams = new StoreStreams(seed);
+    const hasher = await createHasher();
+    const metrics = new RouterMetrics();
+    const hash = (text: string): number => hasher.h32(text);
+    streams.fleet = await VirtualFleet.create({
+      boxes,
+      halls,
+      seed,
+      createProgram: (box, mesh) => {
+        const { network } = streams.fleet;
+        const { run } = network.readMachine(box.address);
+        const isRunning = (): boolean => {
+          const machine = network.readMachine(box.address);
+          return machine.run === run && machine.state === 'running';
+        };
+        const program = new StoreProgram(box, mesh, { store: streams.store, hash, isRunning, metrics });
+        streams.programs.set(box, program);
+        return program;
+      },
+    });
+    streams.store = new VirtualStore(streams.fleet.timeline);
+    streams.store.list('v1');
+    await streams.fleet.run(SETTLE_S);
+    return streams;
+  }
+
+  /** Begins a stream at each of some boxes, at an endpoint that the box would choose among. */
+  beginAt(boxes: readonly VirtualBox[]): void {
+    for (const box of boxes) {
+      const program = this.find(box);
+      const rows = program.listOpen();
+      const row = rows[Math.floor(this.random() * rows.length)];
+      const version = row?.listing.softwareVersion;
+      if (version === undefined) continue;
+      const stream = { key: this.nextKey, version, box, isTaken: false };
+      this.nextKey += 1;
+      program.streams.tracker.recordFirstEvent(stream.key, { service: SERVICE, softwareVersion: version });
+      this.begun.push(stream);
+    }
+  }
+
+  /** Callers take up, all at once, the streams for which `isBroken` holds, at boxes that run and do not have them. */
+  takeUp(isBroken: (stream: { readonly version: string; readonly box: VirtualBox }) => boolean): void {
+    for (const stream of this.begun) {
+      if (stream.isTaken || !isBroken(stream)) continue;
+      stream.isTaken = true;
+      const boxes = this.fleet.listRunning().filter((box) => box !== stream.box);
+      const box = boxes[Math.floor(this.random() * boxes.length)];
+      if (box === undefined) continue;
+      const counts = this.taken.get(stream.version) ?? { right: 0, wrong: 0, unknown: 0 };
+      this.taken.set(stream.version, counts);
+      this.find(box).streams.lookup.find({ key: stream.key, service: SERVICE }, (result) => {
+        if (result.type === 'unknown') counts.unknown += 1;
+        else if (result.origin.softwareVersion === stream.version) counts.right += 1;
+        else counts.wrong += 1;
+      });
+    }
+  }
+
+  count(kind: keyof StoreStreamCounts): number {
+    return [...this.taken.values()].reduce((sum, counts) => sum + counts[kind], 0);
+  }
+
+  find(box: VirtualBox): StoreProgram {
+    const program = this.programs.get(box);
+    if (program === undefined) throw new Error(`no program at ${box.address}`);
+    return program;
+  }
+}
--- a/packages/router/src/streams/__fixtures__/virtualStreams.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStreams.ts
@@ -5,6 +5,7 @@
 import type { VirtualBox, VirtualProgram } from '../../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../../membership/__fixtures__/virtualFleet.js';
 import type { RouterFrame } from '../../peers/peerFrames.js';
+import { ListProofs } from '../../peers/listProofs.js';
 import type { PeerMesh, Reply } from '../../peers/peerMesh.js';
 import { EndpointTable } from '../../tables/endpointTable.js';
 import type { OriginResult } from '../originLookup.js';
@@ -12,6 +13,7 @@
 import { SoftwareVersions } from '../softwareVersions.js';
 import { StreamOrigins } from '../streamOrigins.js';
 import { StreamTracker } from '../streamTracker.js';
+import { VersionNotices } from '../versionNotices.js';
 
 const RETENTION_MS = 30_000;
 const SERVICE = 'llm';
@@ -22,6 +24,8 @@
   readonly origins = new StreamOrigins();
   readonly tracker: StreamTracker;
   readonly lookup: OriginLookup;
+  readonly notices: VersionNotices;
+  readonly proofs: ListProofs;
   private readonly versions: SoftwareVersions;
   /** Whether changes of the list reach this box. */
   isCurrent = true;
@@ -35,21 +39,51 @@
     this.table = new EndpointTable(hash);
     const { table, origins } = this;
     const readRetentionMs = (): number => RETENTION_MS;
-    this.versions = new SoftwareVersions({ table, now, isCurrent: () => this.isCurrent, readRetentionMs });
-    const shared = { mesh, hall: box.hall, origins, versions: this.versions, now, readRetentionMs };
+    const startedAtMs = now();
+    const readUnbrokenSinceMs = (): number => startedAtMs;
+    this.versions = new SoftwareVersions({ table, now, readUnbrokenSinceMs, readRetentionMs });
+    const { versions } = this;
+    const position = { era: 1, revision: 1 };
+    this.proofs = new ListProofs({
+      mesh,
+      readPosition: () => position,
+      readProvenAtMs: () => now(),
+      readRole: () => 'follow',
+      isFeedLost: () => false,
+      listWatchers: () => [],
+      readChanges: (_position, onEnd) => {
+        if (!this.isCurrent) return;
+        this.proofs.handleProven(now());
+        onEnd();
+      },
+      requestList: () => {},
+      onPeerProof: () => {},
+      rank: hash,
+      now,
+      applyBoundMs: 2_000,
+      readsPerS: 2_000,
+    });
+    const shared = { mesh, hall: box.hall, origins, versions, proofs: this.proofs, now, readRetentionMs };
     this.tracker = new StreamTracker({ ...shared, rank: hash });
     this.lookup = new OriginLookup(shared);
+    this.notices = new VersionNotices({ ...shared, rank: hash });
   }
 
   handleFrame(frame: RouterFrame, reply: Reply): void {
     if (frame.type === 'streamOrigins') this.tracker.handleOrigins(frame);
     if (frame.type === 'streamLookup') this.lookup.handleLookup(frame, reply);
     if (frame.type === 'streamLookupReply') this.lookup.handleReply(frame);
+    if (frame.type === 'versionNotice') this.notices.handleNotice(frame, reply);
+    if (frame.type === 'versionNoticeAck') this.notices.handleAck(frame);
+    if (frame.type === 'listProofRequest') this.proofs.handleRequest(frame, reply);
+    if (frame.type === 'listProof') this.proofs.handleProof(frame);
   }
 
   tick(): void {
     const nowMs = this.now();
     this.versions.tick(nowMs);
+    this.proofs.tick(nowMs);
+    this.notices.tick(nowMs);
     this.tracker.tick(nowMs);
     this.lookup.tick(nowMs);
   }
--- a/packages/router/src/streams/originLookup.ts
+++ b/packages/router/src/streams/originLookup.ts
@@ -3,9 +3,11 @@
  * boxes.
  *
  * A stream that no box knows began at the only version of its service, if there has been only one for as long as streams go on.
- * This holds if one box is certain of it; or else, as in an outage of the platform, if all halls reply that they have seen
- * no other. Otherwise the origin is unknown, and the stream must not go on.
+ * This holds if the list of this box has followed each change for so long and is proven whole as of the lookup or later; or
+ * else, as in an outage of the platform, if all halls reply that they know of no other version, since boxes report one before
+ * streams begin at it (`versionNotices.ts`). Otherwise the origin is unknown, and the stream must not go on.
  */
+import type { ListProofs } from '../peers/listProofs.js';
 import type { PeerMesh, Reply } from '../peers/peerMesh.js';
 import type { SoftwareVersions, VersionView } from './softwareVersions.js';
 import type { StreamLookup, StreamLookupReply } from './streamFrames.js';
@@ -48,6 +50,7 @@
   readonly hall: string;
   readonly origins: StreamOrigins;
   readonly versions: SoftwareVersions;
+  readonly proofs: Pick<ListProofs, 'request'>;
   readonly now: () => number;
   /** How long a stream may go on after its first event. */
   readonly readRetentionMs: () => number;
@@ -82,10 +85,14 @@
     const { origins, versions } = this.options;
     const recorded = origins.find(stream.key);
     if (recorded !== undefined) return onResult({ type: 'known', origin: recorded, source: 'recorded' });
-    const view = versions.readView(stream.service);
-    const only = this.findOnlyVersion(stream.service, view.softwareVersions, view.coveredMs);
-    if (only !== undefined) return onResult(only);
-    this.ask(stream, view, onResult);
+    // The list as it is cannot decide: a version may have come that has not reached this box. But it can rule out the proof.
+    if (this.findCovered(stream) === undefined)
+      return this.ask(stream, versions.readView(stream.service), onResult);
+    this.options.proofs.request((proof) => {
+      const only = proof === 'proven' ? this.findCovered(stream) : undefined;
+      if (only !== undefined) onResult(only);
+      else this.ask(stream, versions.readView(stream.service), onResult);
+    });
   }
 
   /** Runs once a tick: ends the lookups whose time is up, and asks boxes that can be reached since. */
@@ -112,7 +119,8 @@
       box: mesh.address,
       hall,
       softwareVersions: [...view.softwareVersions],
-      coveredMs: view.coveredMs,
+      // Boxes of earlier versions take a time for a proof.
+      coveredMs: 0,
       listedMs: view.listedMs,
       origin: origins.find(stream),
     });
@@ -130,8 +138,6 @@
     if (reply.origin !== undefined)
       return this.finish(lookup, { type: 'known', origin: reply.origin, source: 'peer' });
     this.recordReply(lookup, reply);
-    const only = this.findOnlyVersion(lookup.service, [...lookup.softwareVersions], reply.coveredMs);
-    if (only !== undefined) return this.finish(lookup, only);
     if (this.hasHeardAll(lookup)) this.conclude(lookup);
   }
 
@@ -188,6 +194,12 @@
     if (this.pending.delete(lookup.sequence)) lookup.onResult(result);
   }
 
+  /** The only version of the service by a list that this box has followed for as long as streams go on. */
+  private findCovered({ service }: SoughtStream): OriginResult | undefined {
+    const view = this.options.versions.readView(service);
+    return this.findOnlyVersion(service, view.softwareVersions, view.coveredMs);
+  }
+
   /** The only version of a service, if it has been the only one for as long as streams go on. */
   private findOnlyVersion(
     service: string,
--- a/packages/router/src/streams/softwareVersions.ts
+++ b/packages/router/src/streams/softwareVersions.ts
@@ -8,18 +8,25 @@
 export interface VersionView {
   /** Versions that serve, or have served while streams that they began may still go on. */
   readonly softwareVersions: readonly string[];
-  /** For how long every change has reached this box; 0 while it may miss some. */
+  /** For how long each single change has reached this box; 0 if it lacks the version of an endpoint. */
   readonly coveredMs: number;
   /** For how long this box has had a list of endpoints, be it an old one; 0 if it lacks the version of one of them. */
   readonly listedMs: number;
 }
 
+/** The versions of one service in the list of a box. */
+export interface ServiceVersions {
+  readonly service: string;
+  readonly listed: readonly string[];
+  readonly isMixed: boolean;
+}
+
 /** Dependencies of the versions. */
 export interface SoftwareVersionsOptions {
   readonly table: Pick<EndpointTable, 'byId' | 'listService' | 'revision'>;
   readonly now: () => number;
-  /** Whether every change of the list of endpoints reaches this box. */
-  readonly isCurrent: () => boolean;
+  /** Since when each single change of the list of endpoints has reached this box. */
+  readonly readUnbrokenSinceMs: () => number;
   /** How long a stream may go on after its first event. */
   readonly readRetentionMs: () => number;
 }
@@ -29,14 +36,12 @@
   /** By service and version: when it was last listed. */
   private readonly lastListedAtMs = new Map<string, Map<string, number>>();
   private seenRevision = -1;
-  private coveredSinceMs = Infinity;
   private listedSinceMs = Infinity;
 
   constructor(private readonly options: SoftwareVersionsOptions) {}
 
   /** Runs once a tick. */
   tick(nowMs: number): void {
-    this.updateCoverage(nowMs);
     this.refresh(nowMs);
     this.forgetOld(nowMs);
   }
@@ -51,25 +56,37 @@
     return (this.lastListedAtMs.get(service)?.size ?? 0) > 1;
   }
 
+  /** The services with the versions that are listed now, and whether streams may belong to others as well. */
+  listServices(): ServiceVersions[] {
+    this.refresh(this.options.now());
+    return [...this.lastListedAtMs].map(([service, versions]) => ({
+      service,
+      listed: [...versions].filter(([, atMs]) => atMs === Infinity).map(([version]) => version),
+      isMixed: versions.size > 1,
+    }));
+  }
+
+  /** Records a version that another box has listed and this one may not have. */
+  recordReported(service: string, softwareVersion: string): void {
+    const versions = this.lastListedAtMs.get(service) ?? new Map<string, number>();
+    const atMs = versions.get(softwareVersion) ?? -Infinity;
+    versions.set(softwareVersion, Math.max(atMs, this.options.now()));
+    this.lastListedAtMs.set(service, versions);
+  }
+
   /** The versions of a service that serve or served lately, and how certain that is. */
   readView(service: string): VersionView {
     const nowMs = this.options.now();
     this.refresh(nowMs);
     const softwareVersions = [...(this.lastListedAtMs.get(service)?.keys() ?? [])];
-    const isCertain = this.options.isCurrent() && !this.lacksVersion(service);
+    const isComplete = !this.lacksVersion(service);
     return {
       softwareVersions,
-      coveredMs: isCertain ? Math.max(0, nowMs - this.coveredSinceMs) : 0,
-      listedMs: this.lacksVersion(service) ? 0 : Math.max(0, nowMs - this.listedSinceMs),
+      coveredMs: isComplete ? Math.max(0, nowMs - this.options.readUnbrokenSinceMs()) : 0,
+      listedMs: isComplete ? Math.max(0, nowMs - this.listedSinceMs) : 0,
     };
   }
 
-  /** A change that this box missed while it was cut off may have brought a version and taken it away again. */
-  private updateCoverage(nowMs: number): void {
-    if (!this.options.isCurrent()) this.coveredSinceMs = Infinity;
-    else if (this.coveredSinceMs === Infinity) this.coveredSinceMs = nowMs;
-  }
-
   private refresh(nowMs: number): void {
     const { table } = this.options;
     if (table.revision === this.seenRevision) return;
--- a/packages/router/src/streams/streamFrames.ts
+++ b/packages/router/src/streams/streamFrames.ts
@@ -47,12 +47,35 @@
   origin: z.object({ service: z.string(), softwareVersion: z.string() }).optional(),
   /** Versions of the service that serve or served lately, in the view of the box. */
   softwareVersions: z.array(z.string()),
-  /** For how long every change of these versions has reached the box; 0 if it may miss some. */
+  /** Always 0; for earlier versions, which take another value for a proof. */
   coveredMs: z.number(),
   /** For how long the box has had a list of endpoints. */
   listedMs: z.number(),
 });
 
+/** Reports the versions of a service before streams begin at a further one, so that no box takes another for the only one. */
+export const versionNoticeSchema = z.object({
+  type: z.literal('versionNotice'),
+  address: z.string(),
+  sequence: z.number(),
+  /** How often the notice was relayed before. */
+  hops: z.number(),
+  service: z.string(),
+  softwareVersions: z.array(z.string()),
+});
+
+/** Confirms that the receiver of a notice counts with its versions. */
+export const versionNoticeAckSchema = z.object({
+  type: z.literal('versionNoticeAck'),
+  /** Address of the box that confirms. */
+  address: z.string(),
+  sequence: z.number(),
+});
+
+/** Report of the versions of a service. */
+export type VersionNotice = z.infer<typeof versionNoticeSchema>;
+/** Confirmation of such a report. */
+export type VersionNoticeAck = z.infer<typeof versionNoticeAckSchema>;
 /** Report of where streams began. */
 export type StreamOriginsFrame = z.infer<typeof streamOriginsSchema>;
 /** Request for the origin of a stream. */
--- a/packages/router/src/systems/loggedConnectivity.ts
+++ b/packages/router/src/systems/loggedConnectivity.ts
@@ -23,11 +23,11 @@
     return this.loggedSource;
   }
 
-  /** Records that the platform responded to a call of this box. */
-  recordResponse(): void {
+  /** Records that the platform responded to a call of this box, and the time for which the response holds. */
+  recordResponse(provenAtMs: number): void {
     const { log, now, readRevision } = this.options;
     const wasReading = this.connectivity.readSource(now()) === 'own';
-    this.connectivity.recordResponse(now());
+    this.connectivity.recordResponse(now(), provenAtMs);
     if (!wasReading) log.write('lifecycle', 'platformRegained', { revision: readRevision() });
     this.logSource();
   }
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -107,6 +107,8 @@
   readonly evacuations: Evacuations;
   /** Limits the requests of this box to cold endpoints. */
   readonly cold: ColdEndpointLimiter;
+  /** Endpoints of a service at which a request may begin: those of software versions that other boxes know of. */
+  readonly filterKnown: (service: string, rows: readonly EndpointRow[]) => readonly EndpointRow[];
   /** Region of a hall; undefined if it is not known. */
   readonly findRegion: (hall: string) => string | undefined;
   readonly readLoadPath: () => LoadPath;
@@ -240,9 +242,12 @@
     return this.options.table.listService(service).filter((row) => !isLeaving(row));
   }
 
-  /** Endpoints that are not leaving and have the version that the request needs. */
+  /** Endpoints that are not leaving and have the version that the request needs; if it needs none, a known one. */
   private listSuitable(request: PlacementRequest): readonly EndpointRow[] {
-    return filterVersion(this.listLive(request.service), request);
+    const live = this.listLive(request.service);
+    return request.softwareVersion === undefined
+      ? this.options.filterKnown(request.service, live)
+      : filterVersion(live, request);
   }
 
   /** Endpoints outside evacuated halls. */
--- a/packages/router/src/systems/platformConnectivity.ts
+++ b/packages/router/src/systems/platformConnectivity.ts
@@ -1,6 +1,15 @@
 /**
- * Tracks whether this box is up to date with the platform, by its own calls or by reports of peers that read the
- * platform.
+ * Tracks up to when this box's list is proven to be that of the platform, by its own calls or by reports of peers that
+ * read the platform. That no call has failed yet proves nothing: a call that waits for a change and one that has gone
+ * silent look the same. So each decision states how old the proof on which it rests may be:
+ *
+ * | Decision                                             | Oldest proof                                             |
+ * | ---------------------------------------------------- | -------------------------------------------------------- |
+ * | origin of a stream that is taken up                  | from after the request arrived (`peers/listProofs.ts`)   |
+ * | an entry that disappears has been removed            | `LAPSE_PROOF_AGE_MS`                                     |
+ * | report to peers                                      | `PEER_REPORT_TTL_MS`, with its age                       |
+ * | leaving endpoints, evacuations, configuration, keys: | a share of the time within which changes have to be in   |
+ * | look for changes without waiting for a call to end   | force (`RENEWAL_SHARE`, `UPDATE_SHARE`)                  |
  *
  * Entries of live endpoints expire during an outage of the platform, so an entry that disappears then does not prove
  * that its endpoint has left. Failed calls of this box do not prove an outage: its own link may be down while peers
@@ -16,18 +25,16 @@
  */
 const PEER_REPORT_TTL_MS = 2_000;
 /**
- * For how long a response to this box's own call is current: a waiting call lasts up to 3 s, and its loss is detected
- * 0.9 s later.
+ * Oldest own proof by which an entry that disappears was removed and did not lapse. An endpoint writes its entry each 1.2 s
+ * and the entry expires after 3.6 s, so no entry can lapse earlier than 2.4 s after an outage has begun.
  */
-const OWN_RESPONSE_TTL_MS = 4_000;
+const LAPSE_PROOF_AGE_MS = 2_400;
 
 /** Report of a box to a peer about its connection to the platform. It travels in frames under these field names. */
 export interface PlatformReport {
   /** Remaining grace period, in which an entry that disappears may only have lapsed; 0 after it. */
   readonly doubtMs: number;
-  /**
-   * Age of the report: 0 if the sender reads the platform itself, otherwise the time since a watcher last updated it.
-   */
+  /** Age of the proof: time since the sender's own call showed its list to be whole, or since a watcher last updated it. */
   readonly saidAgoMs: number;
 }
 
@@ -46,8 +53,11 @@
 
 /** Connectivity of one box to the platform. Times are in milliseconds of one clock. */
 export class PlatformConnectivity {
+  /** Whether the last call of this box succeeded. */
   private isReading = false;
-  private respondedAtMs = -Infinity;
+  private hasResponded = false;
+  /** When the platform last had nothing that this box lacks, by its own calls. */
+  private ownProvenAtMs = -Infinity;
   /** Unexpired reports of peers, by address. */
   private readonly reports = new Map<string, PeerReport>();
   /** End of the grace period: until then an entry that disappears may only have lapsed. */
@@ -59,14 +69,19 @@
    */
   private reportedGraceEndsAtMs = 0;
 
-  /** Records that the platform responded to a call of this box. */
-  recordResponse(nowMs: number): void {
+  /**
+   * Records that the platform responded to a call of this box.
+   *
+   * @param provenAtMs time for which the response shows what the platform held: the call was sent no later
+   */
+  recordResponse(nowMs: number, provenAtMs = nowMs): void {
     this.startGracePeriodAfterOutage(nowMs);
     // A box that just started has no knowledge of earlier outages: it does not report its first grace period to
     // peers.
-    if (!this.isReading && this.respondedAtMs !== -Infinity) this.ownGraceEndsAtMs = this.graceEndsAtMs;
+    if (!this.isOwnCurrent(nowMs) && this.hasResponded) this.ownGraceEndsAtMs = this.graceEndsAtMs;
     this.isReading = true;
-    this.respondedAtMs = nowMs;
+    this.hasResponded = true;
+    this.ownProvenAtMs = Math.max(this.ownProvenAtMs, provenAtMs);
   }
 
   /**
@@ -119,13 +134,23 @@
 
   /** How this box learns what the platform publishes. */
   readSource(nowMs: number): ConnectivitySource {
-    if (this.isReading) return 'own';
+    if (this.isOwnCurrent(nowMs)) return 'own';
     return isUnexpired(this.readNewest('confirmedAtMs'), nowMs) ? 'peers' : 'none';
   }
 
-  /** Whether every change reaches this box on its own, so that it need not request the list. */
-  isReceivingUpdates(nowMs: number): boolean {
-    return this.isReading || isUnexpired(this.readNewest('updatedAtMs'), nowMs);
+  /**
+   * Whether every change reaches this box on its own, so that it need not request the list.
+   *
+   * @param maxAgeMs oldest own proof by which that holds
+   */
+  isReceivingUpdates(nowMs: number, maxAgeMs: number): boolean {
+    const isOwn = this.isReading && nowMs - this.ownProvenAtMs < maxAgeMs;
+    return isOwn || isUnexpired(this.readNewest('updatedAtMs'), nowMs);
+  }
+
+  /** When the list of this box was last proven to be that of the platform, by its own calls or by peers. */
+  get provenAtMs(): number {
+    return Math.max(this.ownProvenAtMs, this.readNewest('confirmedAtMs'));
   }
 
   /**
@@ -155,8 +180,11 @@
    * @example new PlatformConnectivity().createReport(0) // undefined
    */
   createReport(nowMs: number): PlatformReport | undefined {
-    if (this.isReading && nowMs - this.respondedAtMs < OWN_RESPONSE_TTL_MS) {
-      return { doubtMs: readRemainingMs(this.ownGraceEndsAtMs, nowMs), saidAgoMs: 0 };
+    if (this.isReading && isUnexpired(this.ownProvenAtMs, nowMs)) {
+      return {
+        doubtMs: readRemainingMs(this.ownGraceEndsAtMs, nowMs),
+        saidAgoMs: Math.max(0, Math.ceil(nowMs - this.ownProvenAtMs)),
+      };
     }
     const updatedAtMs = this.readNewest('updatedAtMs');
     if (!isUnexpired(updatedAtMs, nowMs)) return undefined;
@@ -166,6 +194,10 @@
     };
   }
 
+  private isOwnCurrent(nowMs: number): boolean {
+    return this.isReading && nowMs - this.ownProvenAtMs < LAPSE_PROOF_AGE_MS;
+  }
+
   private readNewest(kind: keyof PeerReport): number {
     return Math.max(-Infinity, ...[...this.reports.values()].map((report) => report[kind]));
   }
--- a/packages/router/src/systems/publishedLists.ts
+++ b/packages/router/src/systems/publishedLists.ts
@@ -31,6 +31,7 @@
   /** Evacuation orders: the halls concerned get no new requests. */
   readonly evacuations = new Evacuations();
   private currentPosition = NO_LIST;
+  private brokenAtMs = Infinity;
   /** Latest era seen in a response of the platform or a list from a peer. */
   private era = NO_LIST.era;
   private readonly directory: EndpointDirectory;
@@ -47,6 +48,11 @@
     return this.currentPosition;
   }
 
+  /** Since when each single change has reached this box; Infinity before the first list. */
+  get unbrokenSinceMs(): number {
+    return this.brokenAtMs;
+  }
+
   /** All known endpoints, or only those that are listed, or only those that are kept as lapsed. */
   list(which: 'all' | 'listed' | 'lapsed' = 'all'): ListedEndpoint[] {
     return [...this.options.table.byId.values()]
@@ -70,10 +76,17 @@
    * Applies changes of the list of endpoints and of the evacuation orders, which then have the revision of
    * `position`.
    */
-  apply(changes: ListChanges, position: ListPosition, source: ValueSource): void {
+  apply(
+    changes: ListChanges & Pick<Publication, 'isComparison'>,
+    position: ListPosition,
+    source: ValueSource,
+  ): void {
     this.updateEra(position, source);
     const { endpointChanges, evacuationChanges } = this.screen(changes);
-    if (isNewerPosition(position, this.currentPosition)) this.currentPosition = position;
+    if (isNewerPosition(position, this.currentPosition)) {
+      if (!isUnbroken(changes, position, this.currentPosition)) this.brokenAtMs = this.options.now();
+      this.currentPosition = position;
+    }
     // Applied first: an endpoint listed together with an order for its hall must not get a request in between.
     for (const change of evacuationChanges) this.applyEvacuationChange(change, source);
     for (const change of endpointChanges) this.applyEndpointChange(change, position.revision, source);
@@ -138,7 +151,7 @@
     const changes = diffSnapshot(publication, byId, this.evacuations.list());
     return changes === undefined
       ? publication
-      : { ...publication, ...changes, from: this.currentPosition.revision };
+      : { ...publication, ...changes, from: this.currentPosition.revision, isComparison: true };
   }
 
   private applyEndpointChange(change: EndpointChange, revision: number, source: ValueSource): void {
@@ -205,6 +218,16 @@
   }
 }
 
+/** Whether the changes are all those since a position: neither a whole list, nor a comparison of two, nor another era. */
+function isUnbroken(
+  { endpointChanges, isComparison = false }: ListChanges & Pick<Publication, 'isComparison'>,
+  position: ListPosition,
+  before: ListPosition,
+): boolean {
+  const isWhole = endpointChanges.some(({ type }) => type === 'snapshot');
+  return !isWhole && !isComparison && position.era === before.era;
+}
+
 /** Listing of an endpoint, with the remaining time for which it is cold. */
 function describeListing({ listing, coldUntilMs }: EndpointRow, nowMs: number): ListedEndpoint {
   if (listing.coldMs === undefined) return listing;
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/systems/publishedState.ts
@@ -87,14 +87,23 @@
     return this.contact.connectivity.readSource(this.options.now()) !== 'none';
   }
 
-  /** Whether every change of the list reaches this box without a request. */
-  get isReceivingUpdates(): boolean {
-    return this.contact.connectivity.isReceivingUpdates(this.options.now());
+  /**
+   * Whether every change of the list reaches this box without a request.
+   *
+   * @param maxAgeMs oldest own proof by which that holds
+   */
+  isReceivingUpdates(maxAgeMs: number): boolean {
+    return this.contact.connectivity.isReceivingUpdates(this.options.now(), maxAgeMs);
+  }
+
+  /** When the list of endpoints was last proven to be that of the platform, by own calls or by peers. */
+  get provenAtMs(): number {
+    return this.contact.connectivity.provenAtMs;
   }
 
-  /** Whether the list of endpoints is that of the platform: no change was missed, and no outage ended just now. */
-  get isListCurrent(): boolean {
-    return this.contact.connectivity.readGracePeriodMs(this.options.now()) === 0;
+  /** Since when each single change of the list has reached this box; Infinity before the first list. */
+  get unbrokenSinceMs(): number {
+    return this.lists.unbrokenSinceMs;
   }
 
   /** Report about the platform for peers; undefined if this box cannot make one. */
@@ -114,7 +123,7 @@
 
   /** Applies a response of the platform; returns it as the changes since the revision that this box had. */
   applyPublication(response: Publication): Publication {
-    this.contact.recordResponse();
+    this.contact.recordResponse(response.provenAtMs ?? this.options.now());
     const wasInitialized = this.isInitialized;
     const difference = this.lists.applyPublication(response);
     this.notifyOnceInitialized(wasInitialized);
@@ -161,9 +170,13 @@
 
   /**
    * Applies changes of the list of endpoints and of the evacuation orders, which then have the revision of
-   * `position`.
+   * `position`. A whole list, or a comparison of two, lacks what came and went since the earlier one.
    */
-  applyLists(changes: ListChanges, position: ListPosition, source: ValueSource): void {
+  applyLists(
+    changes: ListChanges & Pick<Publication, 'isComparison'>,
+    position: ListPosition,
+    source: ValueSource,
+  ): void {
     const wasInitialized = this.isInitialized;
     this.lists.apply(changes, position, source);
     this.notifyOnceInitialized(wasInitialized);
--- a/packages/router/src/systems/snapshotDifference.ts
+++ b/packages/router/src/systems/snapshotDifference.ts
@@ -52,6 +52,7 @@
     a.port === b.port &&
     a.slots === b.slots &&
     a.coldMs === b.coldMs &&
-    a.bornMs === b.bornMs
+    a.bornMs === b.bornMs &&
+    a.softwareVersion === b.softwareVersion
   );
 }
