Streams: bytes without a blank line end as no answer, and cost no more than they are

Cause: what is kept of an incomplete event had no limit, and each chunk was joined with all of it and searched again. Ruled out: the volume alone (plain bodies at that speed hang no box).

Change: bytes are kept in a queue that copies each at most twice; blank lines are searched in the new chunk only; an event of over 1 MB ends the attempt as broken, and the stream goes on from its last whole event.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** The core, free of I/O: tables, the systems that operate on them, and the messages between boxes. */
 export * from './idempotencyKey.js';
+export { ChunkQueue } from './chunkQueue.js';
 export * from './coreSettings.js';
 export * from './effects.js';
 export * from './events.js';
--- a/packages/core/src/lengthPrefix.ts
+++ b/packages/core/src/lengthPrefix.ts
@@ -1,4 +1,5 @@
 /** Frames on a stream: each is preceded by the number of its bytes. */
+import { ChunkQueue } from './chunkQueue.js';
 import type { Problem } from './resultCodes.js';
 import type { Result } from './result.js';
 import { Err, Ok } from './result.js';
@@ -20,7 +21,9 @@
 
 /** Splits the bytes received on one link into frames. After an error the link must be closed. */
 export class FrameReader<Frame> {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = new ChunkQueue();
+  /** Length of the frame that is being received; undefined before its prefix is complete. */
+  private expectedBytes: number | undefined;
 
   constructor(
     private readonly maxFrameBytes: number,
@@ -29,26 +32,32 @@
 
   /** Number of bytes received of a frame that is not complete yet. */
   get pendingBytes(): number {
-    return this.pending.length;
+    return this.pending.bytes + (this.expectedBytes === undefined ? 0 : LENGTH_BYTES);
   }
 
   /** Adds a chunk; returns the frames that it completes, or the first error. */
   push(chunk: Buffer): Result<Frame[], Problem> {
-    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    this.pending.push(chunk);
     const frames: Frame[] = [];
-    while (this.pending.length >= LENGTH_BYTES) {
-      const length = this.pending.readUInt32BE(0);
+    for (;;) {
+      const length = this.readLength();
+      if (length === undefined) return Ok(frames);
       if (length > this.maxFrameBytes) {
         const detail = `a frame of ${length} bytes is over ${this.maxFrameBytes}`;
         return Err({ code: 'frameTooLarge', at: 'peer', detail });
       }
-      const end = LENGTH_BYTES + length;
-      if (this.pending.length < end) break;
-      const frame = this.decode(this.pending.subarray(LENGTH_BYTES, end));
+      if (this.pending.bytes < length) return Ok(frames);
+      this.expectedBytes = undefined;
+      const frame = this.decode(this.pending.take(length));
       if (frame.err) return frame;
       frames.push(frame.val);
-      this.pending = this.pending.subarray(end);
     }
-    return Ok(frames);
+  }
+
+  /** Length of the current frame; undefined while its prefix is incomplete. */
+  private readLength(): number | undefined {
+    if (this.expectedBytes === undefined && this.pending.bytes >= LENGTH_BYTES)
+      this.expectedBytes = this.pending.take(LENGTH_BYTES).readUInt32BE(0);
+    return this.expectedBytes;
   }
 }
--- a/packages/router/src/__tests__/attempt.test.ts
+++ b/packages/router/src/__tests__/attempt.test.ts
@@ -2,7 +2,8 @@
 import { Ok } from '@hazelwalk/core';
 import { createTable } from '../__fixtures__/createEndpoints.js';
 import { Attempt } from '../proxy/attempt.js';
-import type { AttemptEvent, AttemptOptions } from '../proxy/attempt.js';
+import type { AttemptOptions } from '../proxy/attempt.js';
+import type { AttemptEvent } from '../proxy/attemptEvent.js';
 import type { EndpointConnection, EndpointConnections } from '../proxy/endpointConnections.js';
 
 test.each([true, false])(
--- a/packages/router/src/__tests__/paceObserver.test.ts
+++ b/packages/router/src/__tests__/paceObserver.test.ts
@@ -2,7 +2,7 @@
 import { createTable } from '../__fixtures__/createEndpoints.js';
 import type { EndpointPaces } from '../capacity/endpointPaces.js';
 import type { PaceLog } from '../observability/paceLog.js';
-import type { ResponseHead } from '../proxy/attempt.js';
+import type { ResponseHead } from '../proxy/attemptEvent.js';
 import { PaceObserver } from '../proxy/paceObserver.js';
 import type { ResponseMetadata } from '../records.js';
 
--- a/packages/router/src/__tests__/responseOwner.test.ts
+++ b/packages/router/src/__tests__/responseOwner.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import { HEAD, mockOpened, open } from '../__fixtures__/playedExchange.js';
 import type { StubAttempt } from '../__fixtures__/playedExchange.js';
-import type { Attempt, AttemptEvent } from '../proxy/attempt.js';
+import type { Attempt } from '../proxy/attempt.js';
+import type { AttemptEvent } from '../proxy/attemptEvent.js';
 import type { Route } from '../records.js';
 
 /** What an attempt has written, which names the attempt. */
--- a/packages/router/src/proxy/activeResponse.ts
+++ b/packages/router/src/proxy/activeResponse.ts
@@ -2,7 +2,9 @@
 import type { ServerResponse } from 'node:http';
 import type { RouterContext } from '../routerContext.js';
 import type { Assignment } from './assignment.js';
-import type { Attempt, ResponseHead } from './attempt.js';
+import type { Attempt } from './attempt.js';
+import type { ResponseHead } from './attemptEvent.js';
+import { MAX_EVENT_BYTES } from './eventSplitter.js';
 import type { ResponseDelivery } from './responseDelivery.js';
 import { createDelivery } from './responseDelivery.js';
 import type { StreamContinuity } from './streamContinuity.js';
@@ -84,7 +86,15 @@
     this.lastActivityAtMs = this.context.now();
     attempt.row.lastResponseAtMs = this.lastActivityAtMs;
     const hadStarted = this.delivery.hasStarted;
-    if (!this.delivery.push(chunk)) attempt.pause();
+    switch (this.delivery.push(chunk)) {
+      case 'taken':
+        break;
+      case 'full':
+        attempt.pause();
+        break;
+      case 'endless':
+        return attempt.breakOff('endlessEvent', `an event of over ${MAX_EVENT_BYTES} bytes`);
+    }
     if (!hadStarted && this.delivery.hasStarted) this.recordFirstEvent(assignment, attempt);
   }
 
--- a/packages/router/src/proxy/attemptEnd.ts
+++ b/packages/router/src/proxy/attemptEnd.ts
@@ -1,6 +1,6 @@
 /** How attempts end: the label by which each end is counted, and what it says about the slot that the attempt used. */
 import type { SlotUseOutcome } from '../admission/slotMessages.js';
-import type { UnsentReason } from './attempt.js';
+import type { UnsentReason } from './attemptEvent.js';
 import type { RequestOutcome } from './requestEnding.js';
 
 /** How an attempt ended, as the metrics count it. */
--- a/packages/router/src/proxy/eventSplitter.ts
+++ b/packages/router/src/proxy/eventSplitter.ts
@@ -2,9 +2,14 @@
  * Splits the bytes of an event stream into complete events and tracks their ids, so that a broken stream can be resumed
  * at another endpoint without losing, repeating or splitting an event.
  */
+import { ChunkQueue } from '@hazelwalk/core';
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
+/** An event longer than this is taken for bytes without end: what arrives of it is kept until it is complete. */
+export const MAX_EVENT_BYTES = 1_048_576;
+/** What ends an event: a blank line after the end of another line. */
+const BLANK_LINES = ['\n\n', '\n\r\n'];
+/** Bytes of a blank line that may have arrived with earlier chunks. */
+const MAX_SPLIT_BYTES = 2;
 
 /** Complete events, and the id of the last one that has an id. */
 export interface CompleteEvents {
@@ -14,46 +19,61 @@
 
 /** Collects chunks and returns the complete events in them. */
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = new ChunkQueue();
 
   /** Adds a chunk; returns the events that are now complete, if any. */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const end = findLastEventEnd(bytes);
-    this.pending = bytes.subarray(end);
+    const end = findLastEventEnd(this.pending.peekEnd(MAX_SPLIT_BYTES), chunk);
+    const missing = chunk.length - end;
+    this.pending.push(chunk);
     if (end === 0) return undefined;
-    const complete = bytes.subarray(0, end);
+    const complete = this.pending.take(this.pending.bytes - missing);
     return { bytes: complete, lastEventId: readLastEventId(complete) };
   }
 
+  /** Bytes that are kept until their event is complete. */
+  get heldBytes(): number {
+    return this.pending.bytes;
+  }
+
+  /** Whether what has arrived without the end of an event is more than an event may take. */
+  get isOverlong(): boolean {
+    return this.pending.bytes > MAX_EVENT_BYTES;
+  }
+
   /** Drops an incomplete event before the stream is resumed at another endpoint. */
   reset(): void {
-    this.pending = Buffer.alloc(0);
+    this.pending.clear();
   }
 
   /** Whether the bytes so far end inside an event; blank lines and comments after the last one belong to none. */
   get isInsideEvent(): boolean {
-    return EVENT_LINE.test(this.pending.toString('latin1'));
+    return EVENT_LINE.test(this.pending.peekEnd(this.pending.bytes).toString('latin1'));
   }
 
-  /** Bytes of the incomplete event at the end. */
-  get pendingBytes(): Buffer {
-    return this.pending;
+  /** Takes the bytes of the incomplete event at the end. */
+  takeRest(): Buffer {
+    return this.pending.takeAll();
   }
 }
 
 /** A line of an event: neither blank nor a comment. */
 const EVENT_LINE = /^[^:\r\n]/m;
 
-/** Offset after the last blank line; 0 if there is none. */
-function findLastEventEnd(bytes: Buffer): number {
-  for (let at = bytes.length - 1; at > 0; at -= 1) {
-    if (bytes[at] !== LINE_FEED) continue;
-    const before = bytes[at - 1];
-    if (before === LINE_FEED) return at + 1;
-    if (before === CARRIAGE_RETURN && bytes[at - 2] === LINE_FEED) return at + 1;
-  }
-  return 0;
+/** Offset in the chunk after the last blank line that ends in it; 0 if there is none. */
+function findLastEventEnd(before: Buffer, chunk: Buffer): number {
+  const start = Buffer.concat([before, chunk.subarray(0, MAX_SPLIT_BYTES)]);
+  const acrossChunks = findEnd(start) - before.length;
+  return Math.max(0, acrossChunks, findEnd(chunk));
+}
+
+/** Offset after the last blank line; 0 if there is none. Each byte is searched a fixed number of times. */
+function findEnd(bytes: Buffer): number {
+  const ends = BLANK_LINES.map((line) => {
+    const at = bytes.lastIndexOf(line);
+    return at < 0 ? 0 : at + line.length;
+  });
+  return Math.max(...ends);
 }
 
 /**
--- a/packages/router/src/proxy/paceObserver.ts
+++ b/packages/router/src/proxy/paceObserver.ts
@@ -3,7 +3,7 @@
 import type { PaceLog } from '../observability/paceLog.js';
 import type { ResponseMetadata } from '../records.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
-import type { ResponseHead } from './attempt.js';
+import type { ResponseHead } from './attemptEvent.js';
 
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
--- a/packages/router/src/proxy/requestBody.ts
+++ b/packages/router/src/proxy/requestBody.ts
@@ -1,5 +1,6 @@
 /** Buffers the body of a request, so that the request can be sent again. */
 import type { IncomingMessage } from 'node:http';
+import { ChunkQueue } from '@hazelwalk/core';
 
 /** Size limit and callbacks for reading a body. */
 export interface RequestBodyHandlers {
@@ -12,17 +13,16 @@
 
 /** Reads a request to its end, also after its body has become too large. */
 export function readRequestBody(req: IncomingMessage, handlers: RequestBodyHandlers): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const received = new ChunkQueue();
   let isTooLarge = false;
   req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
     if (isTooLarge) return;
-    isTooLarge = bytes > handlers.readLimit();
-    if (isTooLarge) handlers.onTooLarge();
-    else chunks.push(chunk);
+    isTooLarge = received.bytes + chunk.length > handlers.readLimit();
+    if (!isTooLarge) return received.push(chunk);
+    received.clear();
+    handlers.onTooLarge();
   });
   req.on('end', () => {
-    if (!isTooLarge) handlers.onComplete(chunks.length === 0 ? undefined : Buffer.concat(chunks));
+    if (!isTooLarge) handlers.onComplete(received.bytes === 0 ? undefined : received.takeAll());
   });
 }
--- a/packages/router/src/proxy/responseDelivery.ts
+++ b/packages/router/src/proxy/responseDelivery.ts
@@ -3,13 +3,22 @@
  * replaced; a stream is delivered event by event.
  */
 import type { ServerResponse } from 'node:http';
-import type { ResponseHead } from './attempt.js';
+import { ChunkQueue } from '@hazelwalk/core';
+import type { ResponseHead } from './attemptEvent.js';
 import { EventSplitter } from './eventSplitter.js';
 import { selectResponseHeaders } from './forwardHeaders.js';
 
 /** A plain response longer than this is delivered before it is complete. */
 const MAX_BUFFERED_BYTES = 262_144;
 
+/** What becomes of bytes of a response. */
+export type PushResult =
+  | 'taken'
+  /** The caller reads more slowly than they arrive. */
+  | 'full'
+  /** They are part of no event that ends in time: the response is none. */
+  | 'endless';
+
 /** A response that is being delivered to the caller. */
 export interface ResponseDelivery {
   readonly status: number;
@@ -18,8 +27,8 @@
   /** Whether it can continue with the events of another endpoint: the last event that was sent must have an id. */
   readonly canResume: boolean;
   readonly lastEventId: string | undefined;
-  /** Adds bytes of the response; returns false if the caller reads more slowly than they arrive. */
-  push(chunk: Buffer): boolean;
+  /** Adds bytes of the response. */
+  push(chunk: Buffer): PushResult;
   /** Whether the response may end here. */
   isComplete(): boolean;
   /** Drops an incomplete event before another endpoint continues the stream. */
@@ -45,13 +54,16 @@
   res.writeHead(head.status, selectResponseHeaders(head.headers));
 }
 
+function write(res: ServerResponse, bytes: Buffer): PushResult {
+  return res.write(bytes) ? 'taken' : 'full';
+}
+
 class BufferedDelivery implements ResponseDelivery {
   readonly status: number;
   readonly canResume = false;
   readonly lastEventId = undefined;
   hasStarted = false;
-  private readonly bufferedChunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  private readonly buffered = new ChunkQueue();
 
   constructor(
     private readonly res: ServerResponse,
@@ -60,14 +72,13 @@
     this.status = head.status;
   }
 
-  push(chunk: Buffer): boolean {
-    if (this.hasStarted) return this.res.write(chunk);
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes <= MAX_BUFFERED_BYTES) return true;
+  push(chunk: Buffer): PushResult {
+    if (this.hasStarted) return write(this.res, chunk);
+    this.buffered.push(chunk);
+    if (this.buffered.bytes <= MAX_BUFFERED_BYTES) return 'taken';
     this.hasStarted = true;
     writeHead(this.res, this.head);
-    return this.res.write(Buffer.concat(this.bufferedChunks));
+    return write(this.res, this.buffered.takeAll());
   }
 
   isComplete(): boolean {
@@ -79,7 +90,7 @@
   finish(): void {
     if (this.hasStarted) return void this.res.end();
     this.hasStarted = true;
-    const body = Buffer.concat(this.bufferedChunks);
+    const body = this.buffered.takeAll();
     this.res.setHeader('content-length', body.length);
     writeHead(this.res, this.head);
     this.res.end(body);
@@ -100,12 +111,13 @@
     this.status = head.status;
   }
 
-  push(chunk: Buffer): boolean {
+  push(chunk: Buffer): PushResult {
     const events = this.splitter.push(chunk);
-    if (events === undefined) return true;
+    if (this.splitter.isOverlong) return 'endless';
+    if (events === undefined) return 'taken';
     this.lastEventId = events.lastEventId ?? this.lastEventId;
     this.sendHeadOnce();
-    return this.res.write(events.bytes);
+    return write(this.res, events.bytes);
   }
 
   get canResume(): boolean {
@@ -123,7 +135,7 @@
 
   finish(): void {
     this.sendHeadOnce();
-    this.res.end(this.splitter.pendingBytes);
+    this.res.end(this.splitter.takeRest());
   }
 
   private sendHeadOnce(): void {
