--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -30,6 +30,8 @@
 export const RESTORE_FAULT_KINDS = ['storeRestore'] as const;
 /** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
 export const CUT_FAULT_KINDS = ['boxCut'] as const;
+/** Optional kinds, kept out of `FAULT_KINDS` for the same reason. */
+export const SILENCE_FAULT_KINDS = ['storeSilence', 'endpointEndless'] as const;
 /** Faults of a third of the boxes at once, under a service that does not survive many rejections; they replace the others. */
 export const BRITTLE_FAULT_KINDS = ['boxesPause', 'boxesKill'] as const;
 /** Planned operations around boxes that stop; they replace the others, so that what is lost is due to a stop. */
@@ -50,6 +52,7 @@
   | (typeof ANNOUNCEMENT_FAULT_KINDS)[number]
   | (typeof RESTORE_FAULT_KINDS)[number]
   | (typeof CUT_FAULT_KINDS)[number]
+  | (typeof SILENCE_FAULT_KINDS)[number]
   | (typeof BRITTLE_FAULT_KINDS)[number]
   | (typeof STOP_FAULT_KINDS)[number];
 
@@ -82,6 +85,10 @@
 const CUT_MS = 6_000;
 /** How long a third of the boxes stands still at once. */
 const STARVED_MS = 1_500;
+/** How long streams of an endpoint bring bytes without end. */
+const ENDLESS_MS = 3_000;
+/** How long new endpoints serve before one of them crashes while the store is silent. */
+const BEGIN_MS = 700;
 const SERIES_LENGTH = 4;
 const SERIES_GAP_MS = 150;
 const LINK_FAULTS = ['delay', 'silence', 'cutToServer', 'cutToClient', 'refuse'] as const;
@@ -120,6 +127,10 @@
         return this.onRandomBox(async (box) => void box.process?.child.kill('SIGHUP'));
       case 'boxCut':
         return this.cutBoxes();
+      case 'storeSilence':
+        return this.silenceStore();
+      case 'endpointEndless':
+        return this.onRandomEndpoint((endpoint) => this.streamWithoutEnd(endpoint));
       case 'endpointKill':
         return this.onRandomEndpoint((endpoint) => this.killEndpoint(endpoint));
       case 'endpointPause':
@@ -270,6 +281,37 @@
     });
   }
 
+  /** The store falls silent for some boxes, on their open connections or on all; then an endpoint is added, and one crashes. */
+  private async silenceStore(): Promise<void> {
+    const count = 1 + Math.floor(this.random() * (this.site.boxes.length - 1));
+    const boxes = [...this.site.boxes].sort(() => this.random() - 0.5).slice(0, count);
+    const isForGood = this.random() < 0.5;
+    const silences = boxes.map((box) =>
+      this.runExclusively(box.name, () =>
+        this.runAsDisturbance(box.name, async () => {
+          if (isForGood) box.storeLink.silenceOpen();
+          else box.storeLink.setFault({ type: 'silence' });
+          await pause(this.drawDurationMs());
+          box.storeLink.setFault({ type: 'none' });
+        }),
+      ),
+    );
+    const added = await this.site.addEndpoint(this.pick([...this.site.endpoints.values()]).service);
+    await pause(BEGIN_MS);
+    const crash = this.random() < 0.5;
+    const release = crash
+      ? this.runExclusively(added.id, () => this.killEndpoint(added))
+      : this.onRandomEndpoint((endpoint) => this.drainEndpoint(endpoint));
+    await Promise.all([...silences, release]);
+  }
+
+  private async streamWithoutEnd(endpoint: SoakEndpoint): Promise<void> {
+    await this.runAsDisturbance(endpoint.id, async () => {
+      endpoint.process.child.kill('SIGUSR2');
+      await pause(ENDLESS_MS);
+    });
+  }
+
   private async injectStoreFault(): Promise<void> {
     await this.runAsDisturbance('store', async () => {
       this.site.store.fault = this.pick(STORE_FAULTS);
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -43,6 +43,11 @@
     default: false,
     describe: 'also cut boxes off from all endpoints',
   })
+  .option('silences', {
+    type: 'boolean',
+    default: false,
+    describe: 'also a store that is silent for some boxes beside releases, and streams without end',
+  })
   .option('scarce', {
     type: 'boolean',
     default: false,
@@ -122,6 +127,7 @@
     hasAnnouncements: argv.announcements,
     hasRestores: argv.restores,
     hasCuts: argv.cuts,
+    hasSilences: argv.silences,
     isScarce: argv.scarce,
     hasVersions: argv.versions,
     hasHarmfulParts: argv.harmful,
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -10,6 +10,7 @@
   ANNOUNCEMENT_FAULT_KINDS,
   BRITTLE_FAULT_KINDS,
   CUT_FAULT_KINDS,
+  SILENCE_FAULT_KINDS,
   FAULT_KINDS,
   FaultInjector,
   RESTORE_FAULT_KINDS,
@@ -37,6 +38,8 @@
   readonly hasRestores: boolean;
   /** Whether boxes are also cut off from all endpoints. */
   readonly hasCuts: boolean;
+  /** Whether the store is also silent for some boxes beside releases and crashes, and streams bring bytes without end. */
+  readonly hasSilences: boolean;
   /** Whether there is also a service with too few slots for its callers, and routes of different priority. */
   readonly isScarce: boolean;
   /** Whether endpoints of two software versions serve side by side, and callers take up streams that break off. */
@@ -101,6 +104,7 @@
       ...(options.hasAnnouncements ? ANNOUNCEMENT_FAULT_KINDS : []),
       ...(options.hasRestores ? RESTORE_FAULT_KINDS : []),
       ...(options.hasCuts ? CUT_FAULT_KINDS : []),
+      ...(options.hasSilences ? SILENCE_FAULT_KINDS : []),
     ];
     const injector = new FaultInjector(site, ledger, random);
     if (options.isBrittle) await pause(ANNOUNCED_MS);
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -27,5 +27,7 @@
 npm run --silent soak -- --seeds 1 --from 924 --restores --seconds 25
 # Guards against orders that a stopping box has run and never answers, under callers that keep their connections (grace time 8 s).
 npm run --silent soak -- --seeds 1 --from 4 --stops --seconds 10
+# Guards against streams of two versions, and requests to endpoints that left, while the store is silent for some boxes.
+npm run --silent soak -- --seeds 1 --from 5001 --silences --versions --seconds 10
 # Guards against refusals at boxes that are cut off from endpoints: here together with all boxes of other halls that they know.
 npm run --silent soak -- --seeds 1 --from 2103 --cuts --boxes 20 --callers 24
