--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -307,7 +307,7 @@
 
   private async streamWithoutEnd(endpoint: SoakEndpoint): Promise<void> {
     await this.runAsDisturbance(endpoint.id, async () => {
-      endpoint.process.child.kill('SIGUSR2');
+      endpoint.process.child.kill('SIGWINCH');
       await pause(ENDLESS_MS);
     });
   }
