Bytes: a chunk that is used up before the next one comes is not copied

The queue copied each small chunk into a block when it came, also where it is a whole event or frame, as nearly all are; and the reader of events searched each chunk's start twice with nothing kept before it. Now only what is left when another chunk follows is copied, so that a queue keeps at most one chunk as it came. The tail of a body in the own interface is joined with the end of a chunk only. byteReaders, eventSplitter, endlessBytes and the tests of frames and tunnels pass unchanged.

--- a/packages/core/src/chunkQueue.ts
+++ b/packages/core/src/chunkQueue.ts
@@ -1,8 +1,8 @@
 /** Bytes that were received and are not used yet. */
 
 /**
- * Smaller chunks are copied into blocks of this size: a chunk may be a small part of a large buffer, which it would keep in
- * memory.
+ * Smaller chunks that others follow are copied into blocks of this size: a chunk may be a small part of a large buffer, which it
+ * would keep in memory.
  */
 const BLOCK_BYTES = 16_384;
 
@@ -13,7 +13,9 @@
 export class ChunkQueue {
   private readonly chunks: Buffer[] = [];
   private length = 0;
-  /** Block whose first bytes are the last chunk, and the number of these bytes. */
+  /** Whether the last chunk is small and was not copied: most chunks are taken before the next one comes. */
+  private isLastLoose = false;
+  /** Block into which small chunks are copied, and the number of its bytes in use. */
   private block = Buffer.alloc(0);
   private blockUsed = 0;
 
@@ -24,9 +26,11 @@
 
   /** Adds a chunk at the end. */
   push(chunk: Buffer): void {
+    if (chunk.length === 0) return;
+    if (this.isLastLoose) this.copyLast();
+    this.chunks.push(chunk);
     this.length += chunk.length;
-    if (chunk.length >= BLOCK_BYTES) this.chunks.push(chunk);
-    else if (chunk.length > 0) this.copyToBlocks(chunk);
+    this.isLastLoose = chunk.length < BLOCK_BYTES;
   }
 
   /**
@@ -72,7 +76,10 @@
     this.length = 0;
   }
 
-  private copyToBlocks(chunk: Buffer): void {
+  /** Copies what is left of the last chunk into a block, directly after the chunk before it if that ends there. */
+  private copyLast(): void {
+    const chunk = this.chunks.pop();
+    if (chunk === undefined) return;
     const room = this.block.length - this.blockUsed;
     if (room < chunk.length) {
       this.block = Buffer.allocUnsafeSlow(BLOCK_BYTES);
--- a/packages/daemon/src/adapters/endpointCalls.ts
+++ b/packages/daemon/src/adapters/endpointCalls.ts
@@ -208,7 +208,8 @@
   }
 
   private updateTail(chunk: Buffer): void {
-    this.tail = Buffer.from(Buffer.concat([this.tail, chunk]).subarray(-TAIL_BYTES));
+    const end = chunk.subarray(-TAIL_BYTES);
+    this.tail = Buffer.concat([this.tail, end]).subarray(-TAIL_BYTES);
   }
 
   private abort(code: ResultCode): void {
--- a/packages/router/src/proxy/eventSplitter.ts
+++ b/packages/router/src/proxy/eventSplitter.ts
@@ -62,6 +62,7 @@
 
 /** Offset in the chunk after the last blank line that ends in it; 0 if there is none. */
 function findLastEventEnd(before: Buffer, chunk: Buffer): number {
+  if (before.length === 0) return findEnd(chunk);
   const start = Buffer.concat([before, chunk.subarray(0, MAX_SPLIT_BYTES)]);
   const acrossChunks = findEnd(start) - before.length;
   return Math.max(0, acrossChunks, findEnd(chunk));
