Proofs of lists, attempts: one piece where there were two, state that can be derived is not kept

Found when the change was read once more: options of the feed repeated those of its relay; an attempt had a public alias of its own ending; whether a box has had a response follows from the time of its proof, the number of watchers from their waits; versions were recorded by two copies of one step; late decisions were searched for in a list, which grows with the square of those that wait; the virtual streams judged take-ups twice.

--- a/packages/router/src/peers/boxFeed.ts
+++ b/packages/router/src/peers/boxFeed.ts
@@ -1,24 +1,12 @@
 /** The parts of a box that keep its published values up to date: exchange with peers, relay in its hall, and proofs. */
-import type { DecisionLog } from '../observability/decisionLog.js';
 import type { ListPosition } from '../systems/listPosition.js';
-import type { PublishedState } from '../systems/publishedState.js';
+import type { FeedRelayOptions } from './feedRelay.js';
 import { FeedRelay } from './feedRelay.js';
 import { ListProofs } from './listProofs.js';
-import type { PeerMesh } from './peerMesh.js';
 import { PeerValueSync } from './peerValueSync.js';
 
 /** Settings and dependencies of the parts. */
-export interface BoxFeedOptions {
-  readonly mesh: PeerMesh;
-  readonly state: PublishedState;
-  readonly log: DecisionLog;
-  readonly hall: string;
-  /** Bandwidth of this box's link. */
-  readonly linkMbps: number;
-  readonly hash: (text: string) => number;
-  readonly now: () => number;
-  /** Maximum time from the publication of a change until it is in force. */
-  readonly applyBoundMs: number;
+export interface BoxFeedOptions extends Omit<FeedRelayOptions, 'valueSync'> {
   /** Calls that the platform serves per second. */
   readonly platformReadsPerS: number;
   /** Reads the changes after a position without waiting, and publishes them before it calls `onEnd`. */
--- a/packages/router/src/peers/listProofs.ts
+++ b/packages/router/src/peers/listProofs.ts
@@ -1,7 +1,7 @@
 /**
  * Proofs that the list of endpoints of this box is whole as of a time: by a call to the platform that is sent after that
- * time and brings what was missing, or by a peer that makes such a call when asked. What a peer says of itself unasked, or
- * what has arrived earlier, proves nothing later.
+ * time and brings what was missing, or by a peer that makes such a call when asked. A report that a peer sends unasked,
+ * or a response that came earlier, proves nothing later.
  *
  * Also renews the proof before it is too old for changes to be in force in time, which finds waiting calls that have gone
  * silent. Peers report the age of their proofs in heartbeats, so that in a small fleet one renewal serves several boxes.
@@ -105,7 +105,7 @@
   tick(nowMs: number): void {
     this.settleReached();
     const late = this.waiting.filter(({ endsAtMs }) => nowMs >= endsAtMs);
-    if (late.length > 0) this.waiting = this.waiting.filter((decision) => !late.includes(decision));
+    if (late.length > 0) this.waiting = this.waiting.filter(({ endsAtMs }) => nowMs < endsAtMs);
     for (const { onResult } of late) onResult('unproven');
     this.proceed(nowMs);
     if (this.isRenewalDue(nowMs)) this.call(nowMs);
@@ -214,7 +214,7 @@
   private get callIntervalMs(): number {
     const { mesh, listWatchers, readRole, readsPerS } = this.options;
     const isWatcher = !mesh.isFullMesh && readRole() === 'follow';
-    const watchersPerHall = Math.max(1, listWatchers().length + 1);
+    const watchersPerHall = listWatchers().length + 1;
     const readers = isWatcher ? watchersPerHall * (mesh.listOtherHalls().length + 1) : mesh.countBoxes();
     return Math.max(MIN_CALL_INTERVAL_MS, (readers * MS_PER_S) / (readsPerS * READS_SHARE));
   }
--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -185,11 +185,6 @@
     this.pacing.release('caller');
   }
 
-  /** Ends the attempt as what was received of its response is none. */
-  breakOff(reason: BreakReason, detail: string): void {
-    this.markBroken(reason, detail);
-  }
-
   private send(connection: EndpointConnection): void {
     const request = this.options.createRequest();
     this.emit({ type: 'sent' });
@@ -209,7 +204,7 @@
       onResponseData: (_controller, chunk) => this.handleData(chunk),
       onResponseEnd: () => this.handleEnd(connection),
       onResponseError: (_controller, error) =>
-        this.markBroken(isTunnelLost(error) ? 'tunnelLost' : 'connectionLost', error.message),
+        this.breakOff(isTunnelLost(error) ? 'tunnelLost' : 'connectionLost', error.message),
     });
   }
 
@@ -221,7 +216,7 @@
     const head = { status, headers, metadata };
     this.endsWithConnection = isCloseDelimited(headers);
     if (metadata.requestId !== undefined && metadata.requestId !== request.requestId) {
-      return this.markBroken('foreignAnswer', `answer to ${metadata.requestId}`);
+      return this.breakOff('foreignAnswer', `answer to ${metadata.requestId}`);
     }
     if (metadata.isNotRun) {
       this.notRunHead = head;
@@ -229,8 +224,8 @@
     }
     const isSuccess = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
     if (metadata.requestId === undefined)
-      return this.markBroken('foreignAnswer', 'answer without a request id');
-    if (isSuccess && !metadata.isSealed) return this.markBroken('unsealed', `status ${status}`);
+      return this.breakOff('foreignAnswer', 'answer without a request id');
+    if (isSuccess && !metadata.isSealed) return this.breakOff('unsealed', `status ${status}`);
     this.emit({ type: 'head', head });
   }
 
@@ -247,14 +242,14 @@
   }
 
   private stopDropping(): void {
-    this.markBroken('connectionLost', 'the response did not end');
+    this.breakOff('connectionLost', 'the response did not end');
   }
 
   private handleEnd(connection: EndpointConnection): void {
     if (this.isOver) return;
     const { connections, row } = this.options;
     if (this.endsWithConnection && connection.wasReset()) {
-      return this.markBroken('connectionLost', 'reset in an answer without a length');
+      return this.breakOff('connectionLost', 'reset in an answer without a length');
     }
     this.close();
     // Undici decides within this turn of the loop whether the connection can be kept.
@@ -263,7 +258,8 @@
     else if (!this.isDiscarded) this.emit({ type: 'end' });
   }
 
-  private markBroken(reason: BreakReason, detail: string): void {
+  /** Ends the attempt and closes its connection, as its response cannot be used. */
+  breakOff(reason: BreakReason, detail: string): void {
     const { phase } = this;
     if (phase.type === 'over') return;
     // The confirmation in the head remains valid even if the body is incomplete.
--- a/packages/router/src/proxy/attemptEvent.ts
+++ b/packages/router/src/proxy/attemptEvent.ts
@@ -1,4 +1,4 @@
-/** The events of an attempt, and what they say of its endpoint. */
+/** The events of an attempt, and what they mean for the health of its endpoint. */
 import type { ResponseHeaders } from '../httpDialect.js';
 import type { ResponseMetadata } from '../records.js';
 import type { HealthSignal } from '../systems/endpointHealth.js';
--- a/packages/router/src/streams/__fixtures__/storeStreams.ts
+++ b/packages/router/src/streams/__fixtures__/storeStreams.ts
@@ -6,6 +6,8 @@
 import { RouterMetrics } from '../../observability/metrics.js';
 import { StoreProgram } from './storeProgram.js';
 import { SERVICE, VirtualStore } from './virtualStore.js';
+import type { TakenUp } from './virtualStreams.js';
+import { judge } from './virtualStreams.js';
 
 /** Longer than streams can be taken up, after the fleet has started. */
 const SETTLE_S = 36;
@@ -18,20 +20,13 @@
   isTaken: boolean;
 }
 
-/** What became of the streams that were taken up. */
-export interface StoreStreamCounts {
-  right: number;
-  wrong: number;
-  unknown: number;
-}
-
 /** The fleet, its store and its streams. */
 export class StoreStreams {
   fleet!: VirtualFleet;
   store!: VirtualStore;
   readonly random: () => number;
   /** Streams that callers took up, by the version that began them. */
-  readonly taken = new Map<string, StoreStreamCounts>();
+  readonly taken = new Map<string, TakenUp>();
   private readonly programs = new WeakMap<VirtualBox, StoreProgram>();
   private readonly begun: BegunStream[] = [];
   private nextKey = 1;
@@ -93,14 +88,12 @@
       const counts = this.taken.get(stream.version) ?? { right: 0, wrong: 0, unknown: 0 };
       this.taken.set(stream.version, counts);
       this.find(box).streams.lookup.find({ key: stream.key, service: SERVICE }, (result) => {
-        if (result.type === 'unknown') counts.unknown += 1;
-        else if (result.origin.softwareVersion === stream.version) counts.right += 1;
-        else counts.wrong += 1;
+        counts[judge(result, stream.version)] += 1;
       });
     }
   }
 
-  count(kind: keyof StoreStreamCounts): number {
+  count(kind: keyof TakenUp): number {
     return [...this.taken.values()].reduce((sum, counts) => sum + counts[kind], 0);
   }
 
--- a/packages/router/src/streams/__fixtures__/virtualStreams.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStreams.ts
@@ -189,7 +189,8 @@
   }
 }
 
-function judge(result: OriginResult, version: string): keyof TakenUp {
+/** How a caller fared whose stream a version began. */
+export function judge(result: OriginResult, version: string): keyof TakenUp {
   if (result.type === 'unknown') return 'unknown';
   return result.origin.softwareVersion === version ? 'right' : 'wrong';
 }
--- a/packages/router/src/streams/softwareVersions.ts
+++ b/packages/router/src/streams/softwareVersions.ts
@@ -68,10 +68,7 @@
 
   /** Records a version that another box has listed and this one may not have. */
   recordReported(service: string, softwareVersion: string): void {
-    const versions = this.lastListedAtMs.get(service) ?? new Map<string, number>();
-    const atMs = versions.get(softwareVersion) ?? -Infinity;
-    versions.set(softwareVersion, Math.max(atMs, this.options.now()));
-    this.lastListedAtMs.set(service, versions);
+    this.recordListed(service, softwareVersion, this.options.now());
   }
 
   /** The versions of a service that serve or served lately, and how certain that is. */
@@ -99,9 +96,13 @@
 
   private markListed({ listing }: EndpointRow): void {
     const { service, softwareVersion } = listing;
-    if (softwareVersion === undefined) return;
+    if (softwareVersion !== undefined) this.recordListed(service, softwareVersion, Infinity);
+  }
+
+  /** @param untilMs when it was last listed; Infinity while it is */
+  private recordListed(service: string, softwareVersion: string, untilMs: number): void {
     const versions = this.lastListedAtMs.get(service) ?? new Map<string, number>();
-    versions.set(softwareVersion, Infinity);
+    versions.set(softwareVersion, Math.max(untilMs, versions.get(softwareVersion) ?? -Infinity));
     this.lastListedAtMs.set(service, versions);
   }
 
--- a/packages/router/src/streams/versionNotices.ts
+++ b/packages/router/src/streams/versionNotices.ts
@@ -93,8 +93,7 @@
   handleAck({ address, sequence }: VersionNoticeAck): void {
     for (const [service, notice] of this.pending) {
       if (notice.sequence !== sequence) continue;
-      notice.isConfirmed ||= notice.unconfirmed.delete(address);
-      notice.unconfirmed.delete(address);
+      if (notice.unconfirmed.delete(address)) notice.isConfirmed = true;
       if (notice.unconfirmed.size === 0) this.settle(service, notice.softwareVersions);
     }
   }
--- a/packages/router/src/systems/feedRole.ts
+++ b/packages/router/src/systems/feedRole.ts
@@ -6,8 +6,6 @@
 
 /** Up to this many boxes, every box watches the platform itself: the calls saved would not be worth the detour. */
 const WATCH_ALL_BOXES = 16;
-/** Boxes of a hall of a larger fleet that read the platform for it. */
-export const WATCHERS_PER_HALL = 2;
 /**
  * Longest waiting calls of the two watchers of a hall, as shares of the time within which a change has to be in
  * force. Each call ends in a notice to the hall, which confirms the current state if nothing has changed. The first
@@ -15,6 +13,8 @@
  * one is down.
  */
 const WAIT_SHARES = [0.3, 0.45] as const;
+/** Boxes of a hall of a larger fleet that read the platform for it. */
+export const WATCHERS_PER_HALL = WAIT_SHARES.length;
 /**
  * A passive box watches the platform itself if its watchers have sent neither a change nor a confirmation for this
  * share of that time.
--- a/packages/router/src/systems/platformConnectivity.ts
+++ b/packages/router/src/systems/platformConnectivity.ts
@@ -55,7 +55,6 @@
 export class PlatformConnectivity {
   /** Whether the last call of this box succeeded. */
   private isReading = false;
-  private hasResponded = false;
   /** When the platform last had nothing that this box lacks, by its own calls. */
   private ownProvenAtMs = -Infinity;
   /** Unexpired reports of peers, by address. */
@@ -78,9 +77,9 @@
     this.startGracePeriodAfterOutage(nowMs);
     // A box that just started has no knowledge of earlier outages: it does not report its first grace period to
     // peers.
-    if (!this.isOwnCurrent(nowMs) && this.hasResponded) this.ownGraceEndsAtMs = this.graceEndsAtMs;
+    if (!this.isOwnCurrent(nowMs) && this.ownProvenAtMs !== -Infinity)
+      this.ownGraceEndsAtMs = this.graceEndsAtMs;
     this.isReading = true;
-    this.hasResponded = true;
     this.ownProvenAtMs = Math.max(this.ownProvenAtMs, provenAtMs);
   }
 
