--- a/packages/router/src/__fixtures__/createPlacement.ts
+++ b/packages/router/src/__fixtures__/createPlacement.ts
@@ -1,6 +1,6 @@
 /** Creates placements and placement requests for tests. */
 import type { Hasher } from '@hazelwalk/core';
-import { Evacuations } from '../systems/evacuations.js';
+import { Evacuations } from '../published/evacuations.js';
 import type { PlacementOptions } from '../systems/placement.js';
 import type { PlacementRequest } from '../systems/placementRequest.js';
 import { Placement } from '../systems/placement.js';
--- a/packages/router/src/__fixtures__/relayBox.ts
+++ b/packages/router/src/__fixtures__/relayBox.ts
@@ -9,7 +9,7 @@
 import { PromptHolders } from '../systems/promptHolders.js';
 import { EndpointTable } from '../tables/endpointTable.js';
 import { createListing } from './createEndpoints.js';
-import { createHeartbeat } from './passiveBox.js';
+import { createHeartbeat } from '../published/__fixtures__/passiveBox.js';
 
 /** Tag of the only endpoint. */
 export const ENDPOINT_TAG = 77;
--- a/packages/router/src/__fixtures__/virtualRouter.ts
+++ b/packages/router/src/__fixtures__/virtualRouter.ts
@@ -7,7 +7,7 @@
 import type { Heartbeat, RouterFrame } from '../peers/peerFrames.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
 import { ColdEndpointLimiter } from '../systems/coldEndpointLimiter.js';
-import { Evacuations } from '../systems/evacuations.js';
+import { Evacuations } from '../published/evacuations.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
 import type { LoadPath } from '../systems/loadCap.js';
 import { Placement } from '../systems/placement.js';
--- a/packages/router/src/__tests__/coldSharing.test.ts
+++ b/packages/router/src/__tests__/coldSharing.test.ts
@@ -4,7 +4,7 @@
 import { createPromptRequest, createPlacement } from '../__fixtures__/createPlacement.js';
 import type { ColdEndpointLimiter } from '../systems/coldEndpointLimiter.js';
 import { markReachable, recordHealthSignal } from '../systems/endpointHealth.js';
-import { Evacuations } from '../systems/evacuations.js';
+import { Evacuations } from '../published/evacuations.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 
 /** The bound of an endpoint is 24.5 requests within a second, half of which the boxes share among them. */
--- a/packages/router/src/__tests__/cutOffBox.test.ts
+++ b/packages/router/src/__tests__/cutOffBox.test.ts
@@ -7,7 +7,7 @@
   createAppListing,
   createNotice,
   TestBox,
-} from '../__fixtures__/passiveBox.js';
+} from '../published/__fixtures__/passiveBox.js';
 
 let box: TestBox;
 
--- a/packages/router/src/__tests__/hotPrompt.test.ts
+++ b/packages/router/src/__tests__/hotPrompt.test.ts
@@ -1,7 +1,7 @@
 import { createHasher } from '@hazelwalk/core';
 import { createColdEndpointLimiter, createTable } from '../__fixtures__/createEndpoints.js';
 import type { LoadPath } from '../systems/loadCap.js';
-import { Evacuations } from '../systems/evacuations.js';
+import { Evacuations } from '../published/evacuations.js';
 import { Placement } from '../systems/placement.js';
 import { PromptDemand } from '../systems/promptDemand.js';
 import { PromptHolders } from '../systems/promptHolders.js';
--- a/packages/router/src/__tests__/peerFrames.test.ts
+++ b/packages/router/src/__tests__/peerFrames.test.ts
@@ -1,6 +1,6 @@
 /** Guards against incompatible frames between boxes of different versions. */
 import { Encoder } from 'cbor-x';
-import { createHeartbeat, createAppListing } from '../__fixtures__/passiveBox.js';
+import { createHeartbeat, createAppListing } from '../published/__fixtures__/passiveBox.js';
 import type { PeerFrame } from '../peers/peerFrames.js';
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 
--- a/packages/router/src/admission/boxAdmission.ts
+++ b/packages/router/src/admission/boxAdmission.ts
@@ -13,7 +13,7 @@
 import { SheddingLog } from '../observability/sheddingLog.js';
 import { BrittleServices } from '../systems/brittleServices.js';
 import { acceptsRequests } from '../systems/endpointNotices.js';
-import type { PublishedState } from '../systems/publishedState.js';
+import type { PublishedState } from '../published/publishedState.js';
 import { readFleetLoad } from '../tables/endpointTable.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { LoadShedder } from './loadShedder.js';
--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -10,8 +10,8 @@
 import { RouterParts } from './routerParts.js';
 import { isUsable } from './systems/endpointHealth.js';
 import { acceptsRequests } from './systems/endpointNotices.js';
-import type { FeedRole } from './systems/feedRole.js';
-import type { Publication } from './systems/publishedState.js';
+import type { FeedRole } from './published/feedRole.js';
+import type { Publication } from './published/publishedState.js';
 
 /** Interval at which the systems run: short enough for timeouts of half a second, long enough to cost little. */
 const TICK_MS = 40;
--- a/packages/router/src/peers/configurationSchema.ts
+++ b/packages/router/src/peers/configurationSchema.ts
@@ -1,7 +1,7 @@
 /** Schemas of configurations and their changes in frames between boxes. They match the router's records. */
 import * as z from 'zod';
 import type { CallerLimits, FleetConfiguration, Route, Service, Team } from '../records.js';
-import type { ConfigurationChange } from '../systems/configurationChange.js';
+import type { ConfigurationChange } from '../published/configurationChange.js';
 
 const route = z.object({
   name: z.string(),
--- a/packages/router/src/peers/dispatchPeerFrame.ts
+++ b/packages/router/src/peers/dispatchPeerFrame.ts
@@ -2,8 +2,8 @@
 import type { BoxAdmission } from '../admission/boxAdmission.js';
 import type { QuarantineRelay } from '../quarantine/quarantineRelay.js';
 import type { PromptHolders } from '../systems/promptHolders.js';
-import type { PublishedState } from '../systems/publishedState.js';
-import type { FeedRelay } from './feedRelay.js';
+import type { PublishedState } from '../published/publishedState.js';
+import type { FeedRelay } from '../published/feedRelay.js';
 import type { LoadRelay } from './loadRelay.js';
 import type { WorkKind } from '../observability/workMeter.js';
 import type { PeerFrame, RouterFrame, TunnelFrame } from './peerFrames.js';
@@ -12,7 +12,7 @@
 import type { OriginLookup } from '../streams/originLookup.js';
 import type { VersionNotices } from '../streams/versionNotices.js';
 import type { StreamTracker } from '../streams/streamTracker.js';
-import type { ListProofs } from './listProofs.js';
+import type { ListProofs } from '../published/listProofs.js';
 import type { PeerValueSync } from './peerValueSync.js';
 
 /** Components that handle frames from peers. */
--- a/packages/router/src/peers/frameFields.ts
+++ b/packages/router/src/peers/frameFields.ts
@@ -1,6 +1,6 @@
 /** Schemas of fields that several frames between boxes share. */
 import * as z from 'zod';
-import type { PlatformReport } from '../systems/platformConnectivity.js';
+import type { PlatformReport } from '../published/platformConnectivity.js';
 
 /**
  * Large frames consist mostly of lists of numbers. They are checked as a whole, since `z.array` would check each entry
--- a/packages/router/src/peers/heartbeatSender.ts
+++ b/packages/router/src/peers/heartbeatSender.ts
@@ -2,9 +2,9 @@
 import type { QuarantineRelay } from '../quarantine/quarantineRelay.js';
 import { listOwnLoads } from '../systems/loadExchange.js';
 import type { HolderList, PromptHolders } from '../systems/promptHolders.js';
-import type { PublishedState } from '../systems/publishedState.js';
+import type { PublishedState } from '../published/publishedState.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
-import type { FeedRelay } from './feedRelay.js';
+import type { FeedRelay } from '../published/feedRelay.js';
 import type { LoadRelay } from './loadRelay.js';
 import type { Heartbeat } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
--- a/packages/router/src/peers/peerValueSync.ts
+++ b/packages/router/src/peers/peerValueSync.ts
@@ -2,11 +2,11 @@
  * Published values that boxes request from each other: the configuration, since the platform may refuse some boxes while
  * it serves others, and the list of endpoints, for a box that does not watch the platform or cannot reach it.
  */
-import type { PublishedState } from '../systems/publishedState.js';
+import type { PublishedState } from '../published/publishedState.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
-import type { ConfigurationChange } from '../systems/configurationChange.js';
-import type { ListPosition } from '../systems/listPosition.js';
-import { comparePositions, isNewerPosition, NO_LIST } from '../systems/listPosition.js';
+import type { ConfigurationChange } from '../published/configurationChange.js';
+import type { ListPosition } from '../published/listPosition.js';
+import { comparePositions, isNewerPosition, NO_LIST } from '../published/listPosition.js';
 import type { EndpointsValue, FeedNotice, Heartbeat, ValueRequest } from './peerFrames.js';
 import type { PeerMesh } from './peerMesh.js';
 
--- a/packages/router/src/__fixtures__/passiveBox.ts
+++ b/packages/router/src/published/__fixtures__/passiveBox.ts
@@ -1,17 +1,17 @@
 /** A box of a fleet of 40 with its feed relay and published state. The test controls its clock and its links. */
 import { Ok } from '@hazelwalk/core';
-import { DecisionLog } from '../observability/decisionLog.js';
-import { RouterMetrics } from '../observability/metrics.js';
-import { FeedRelay } from '../peers/feedRelay.js';
-import type { FeedNotice, Heartbeat, PeerFrame } from '../peers/peerFrames.js';
-import type { PeerMesh } from '../peers/peerMesh.js';
-import { PeerValueSync } from '../peers/peerValueSync.js';
-import type { FleetConfiguration, ListedEndpoint } from '../records.js';
-import type { EndpointChange } from '../systems/endpointDirectory.js';
-import type { ValueSource } from '../systems/publishedState.js';
-import { PublishedState } from '../systems/publishedState.js';
-import { EndpointTable } from '../tables/endpointTable.js';
-import { createListing } from './createEndpoints.js';
+import { DecisionLog } from '../../observability/decisionLog.js';
+import { RouterMetrics } from '../../observability/metrics.js';
+import { FeedRelay } from '../feedRelay.js';
+import type { FeedNotice, Heartbeat, PeerFrame } from '../../peers/peerFrames.js';
+import type { PeerMesh } from '../../peers/peerMesh.js';
+import { PeerValueSync } from '../../peers/peerValueSync.js';
+import type { FleetConfiguration, ListedEndpoint } from '../../records.js';
+import type { EndpointChange } from '../endpointDirectory.js';
+import type { ValueSource } from '../publishedState.js';
+import { PublishedState } from '../publishedState.js';
+import { EndpointTable } from '../../tables/endpointTable.js';
+import { createListing } from '../../__fixtures__/createEndpoints.js';
 
 /** Time in which a change of the platform has to be in force. */
 export const APPLY_BOUND_MS = 3_000;
--- a/packages/router/src/__tests__/configurationChange.test.ts
+++ b/packages/router/src/published/__tests__/configurationChange.test.ts
@@ -1,11 +1,11 @@
 import * as fc from 'fast-check';
-import type { FleetConfiguration, Route } from '../records.js';
+import type { FleetConfiguration, Route } from '../../records.js';
 import {
   applyConfigurationChange,
   ConfigurationDigest,
   diffConfigurations,
   shareRecords,
-} from '../systems/configurationChange.js';
+} from '../configurationChange.js';
 
 const SEED = 20_261_202;
 
--- a/packages/router/src/__tests__/endpointDirectory.test.ts
+++ b/packages/router/src/published/__tests__/endpointDirectory.test.ts
@@ -1,7 +1,7 @@
-import { createListing, createTable } from '../__fixtures__/createEndpoints.js';
-import { EndpointDirectory } from '../systems/endpointDirectory.js';
-import { PlatformConnectivity } from '../systems/platformConnectivity.js';
-import type { EndpointTable } from '../tables/endpointTable.js';
+import { createListing, createTable } from '../../__fixtures__/createEndpoints.js';
+import { EndpointDirectory } from '../endpointDirectory.js';
+import { PlatformConnectivity } from '../platformConnectivity.js';
+import type { EndpointTable } from '../../tables/endpointTable.js';
 
 interface TestDirectory {
   directory: EndpointDirectory;
--- a/packages/router/src/__tests__/evacuations.test.ts
+++ b/packages/router/src/published/__tests__/evacuations.test.ts
@@ -1,10 +1,10 @@
 import { createHasher } from '@hazelwalk/core';
 import type { Hasher } from '@hazelwalk/core';
-import { createTable } from '../__fixtures__/createEndpoints.js';
-import { createPromptRequest, createPlacement } from '../__fixtures__/createPlacement.js';
-import { Evacuations } from '../systems/evacuations.js';
-import type { Placement } from '../systems/placement.js';
-import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
+import { createTable } from '../../__fixtures__/createEndpoints.js';
+import { createPromptRequest, createPlacement } from '../../__fixtures__/createPlacement.js';
+import { Evacuations } from '../evacuations.js';
+import type { Placement } from '../../systems/placement.js';
+import type { EndpointRow, EndpointTable } from '../../tables/endpointTable.js';
 
 const NOW_MS = 60_000;
 let hasher: Hasher;
--- a/packages/router/src/__tests__/feedRelay.test.ts
+++ b/packages/router/src/published/__tests__/feedRelay.test.ts
@@ -7,8 +7,8 @@
   createHeartbeat,
   createNotice,
 } from '../__fixtures__/passiveBox.js';
-import type { ConfigurationDifference, FeedNotice, ValueRequest } from '../peers/peerFrames.js';
-import type { ConfigurationChange } from '../systems/configurationChange.js';
+import type { ConfigurationDifference, FeedNotice, ValueRequest } from '../../peers/peerFrames.js';
+import type { ConfigurationChange } from '../configurationChange.js';
 
 let box: TestBox;
 
--- a/packages/router/src/__tests__/feedRole.test.ts
+++ b/packages/router/src/published/__tests__/feedRole.test.ts
@@ -1,5 +1,5 @@
-import type { WatcherCandidate, FeedRoleInput } from '../systems/feedRole.js';
-import { decideFeedRole, rankWatcher } from '../systems/feedRole.js';
+import type { WatcherCandidate, FeedRoleInput } from '../feedRole.js';
+import { decideFeedRole, rankWatcher } from '../feedRole.js';
 
 const BOUND_MS = 3_000;
 
--- a/packages/router/src/__tests__/platformConnectivity.test.ts
+++ b/packages/router/src/published/__tests__/platformConnectivity.test.ts
@@ -2,8 +2,8 @@
  * Guards against a box that treats its own loss of connectivity as an outage of the platform, and therefore keeps using
  * endpoints that have left. The platform's goneEndpoint.test.ts covers the whole path.
  */
-import type { PlatformReport } from '../systems/platformConnectivity.js';
-import { PlatformConnectivity } from '../systems/platformConnectivity.js';
+import type { PlatformReport } from '../platformConnectivity.js';
+import { PlatformConnectivity } from '../platformConnectivity.js';
 
 /** A time at which the grace period after the first response has ended. */
 const STEADY_MS = 10_000;
--- a/packages/router/src/__tests__/restoredPlatform.test.ts
+++ b/packages/router/src/published/__tests__/restoredPlatform.test.ts
@@ -6,10 +6,10 @@
   createNotice,
   TestBox,
 } from '../__fixtures__/passiveBox.js';
-import type { EndpointsValue } from '../peers/peerFrames.js';
-import type { ListedEndpoint } from '../records.js';
-import { comparePositions } from '../systems/listPosition.js';
-import { RestoredEntries } from '../systems/restoredEntries.js';
+import type { EndpointsValue } from '../../peers/peerFrames.js';
+import type { ListedEndpoint } from '../../records.js';
+import { comparePositions } from '../listPosition.js';
+import { RestoredEntries } from '../restoredEntries.js';
 
 const PEER = '10.0.1.1:1';
 
--- a/packages/router/src/peers/boxFeed.ts
+++ b/packages/router/src/published/boxFeed.ts
@@ -1,9 +1,9 @@
 /** The parts of a box that keep its published values up to date: exchange with peers, relay in its hall, and proofs. */
-import type { ListPosition } from '../systems/listPosition.js';
+import type { ListPosition } from './listPosition.js';
 import type { FeedRelayOptions } from './feedRelay.js';
 import { FeedRelay } from './feedRelay.js';
 import { ListProofs } from './listProofs.js';
-import { PeerValueSync } from './peerValueSync.js';
+import { PeerValueSync } from '../peers/peerValueSync.js';
 
 /** Settings and dependencies of the parts. */
 export interface BoxFeedOptions extends Omit<FeedRelayOptions, 'valueSync'> {
--- a/packages/router/src/systems/configurationHistory.ts
+++ b/packages/router/src/published/configurationHistory.ts
@@ -10,7 +10,7 @@
   shareRecords,
 } from './configurationChange.js';
 import type { ValueSource } from './publication.js';
-import { RouteIndex } from './routeIndex.js';
+import { RouteIndex } from '../systems/routeIndex.js';
 
 /**
  * Earlier configurations to which a change for a peer may apply; records are shared, so each one takes little memory.
--- a/packages/router/src/peers/feedRelay.ts
+++ b/packages/router/src/published/feedRelay.ts
@@ -4,22 +4,22 @@
  * and watch the platform themselves if the notices stop.
  */
 import type { DecisionLog } from '../observability/decisionLog.js';
-import type { PublishedState, Publication } from '../systems/publishedState.js';
-import type { WatcherCandidate, FeedRole, FeedRoleInput, FeedState } from '../systems/feedRole.js';
+import type { PublishedState, Publication } from './publishedState.js';
+import type { WatcherCandidate, FeedRole, FeedRoleInput, FeedState } from './feedRole.js';
 import {
   decideFeedRole,
   findWatcherPosition,
   isFeedLost,
   rankWatcher,
   WATCHERS_PER_HALL,
-} from '../systems/feedRole.js';
-import type { ConfigurationChange } from '../systems/configurationChange.js';
-import type { EndpointChange } from '../systems/endpointDirectory.js';
-import type { EvacuationChange } from '../systems/evacuations.js';
-import type { FeedNotice, Heartbeat } from './peerFrames.js';
-import type { PeerMesh } from './peerMesh.js';
-import { MAX_RELAYED_CHARS } from './peerValueSync.js';
-import type { PeerValueSync } from './peerValueSync.js';
+} from './feedRole.js';
+import type { ConfigurationChange } from './configurationChange.js';
+import type { EndpointChange } from './endpointDirectory.js';
+import type { EvacuationChange } from './evacuations.js';
+import type { FeedNotice, Heartbeat } from '../peers/peerFrames.js';
+import type { PeerMesh } from '../peers/peerMesh.js';
+import { MAX_RELAYED_CHARS } from '../peers/peerValueSync.js';
+import type { PeerValueSync } from '../peers/peerValueSync.js';
 
 /** Dependencies and settings of the relay. */
 export interface FeedRelayOptions {
--- a/packages/router/src/peers/listProofs.ts
+++ b/packages/router/src/published/listProofs.ts
@@ -6,11 +6,11 @@
  * Also renews the proof before it is too old for changes to be in force in time, which finds waiting calls that have gone
  * silent. Peers report the age of their proofs in heartbeats, so that in a small fleet one renewal serves several boxes.
  */
-import type { FeedRole } from '../systems/feedRole.js';
-import type { ListPosition } from '../systems/listPosition.js';
-import { isNewerPosition } from '../systems/listPosition.js';
-import type { ListProof, ListProofRequest } from './peerFrames.js';
-import type { PeerMesh, Reply } from './peerMesh.js';
+import type { FeedRole } from './feedRole.js';
+import type { ListPosition } from './listPosition.js';
+import { isNewerPosition } from './listPosition.js';
+import type { ListProof, ListProofRequest } from '../peers/peerFrames.js';
+import type { PeerMesh, Reply } from '../peers/peerMesh.js';
 
 /** The proof is renewed when its age is this share of the time within which changes have to be in force. */
 const RENEWAL_SHARE = 0.35;
--- a/packages/router/src/systems/platformConnectivity.ts
+++ b/packages/router/src/published/platformConnectivity.ts
@@ -5,7 +5,7 @@
  *
  * | Decision                                             | Oldest proof                                             |
  * | ---------------------------------------------------- | -------------------------------------------------------- |
- * | origin of a stream that is taken up                  | from after the request arrived (`peers/listProofs.ts`)   |
+ * | origin of a stream that is taken up                  | from after the request arrived (`published/listProofs.ts`)   |
  * | an entry that disappears has been removed            | `LAPSE_PROOF_AGE_MS`                                     |
  * | report to peers                                      | `PEER_REPORT_TTL_MS`, with its age                       |
  * | leaving endpoints, evacuations, configuration, keys: | a share of the time within which changes have to be in   |
--- a/packages/router/src/systems/publishedState.ts
+++ b/packages/router/src/published/publishedState.ts
@@ -16,7 +16,7 @@
 import type { PlatformReport } from './platformConnectivity.js';
 import type { Publication, ValueSource } from './publication.js';
 import { PublishedLists } from './publishedLists.js';
-import type { RouteIndex } from './routeIndex.js';
+import type { RouteIndex } from '../systems/routeIndex.js';
 import type { ListChanges } from './snapshotDifference.js';
 
 export type { Publication, ValueSource } from './publication.js';
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -7,8 +7,8 @@
 import type { Dial } from './proxy/dialTcp.js';
 import type { FleetConfiguration } from './records.js';
 import type { ColdBound } from './systems/coldEndpointLimiter.js';
-import type { Publication } from './systems/publishedState.js';
-import type { ListPosition } from './systems/listPosition.js';
+import type { Publication } from './published/publishedState.js';
+import type { ListPosition } from './published/listPosition.js';
 import type { RetryBound } from './systems/retryBudget.js';
 
 /** An input of the loop. */
--- a/packages/router/src/streams/__fixtures__/virtualStore.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStore.ts
@@ -2,9 +2,9 @@
 import type { Timeline } from '@hazelwalk/standins';
 import { createListing } from '../../__fixtures__/createEndpoints.js';
 import type { RouterInput } from '../../routerOptions.js';
-import type { EndpointChange } from '../../systems/endpointDirectory.js';
-import type { FeedRole } from '../../systems/feedRole.js';
-import type { ListPosition } from '../../systems/listPosition.js';
+import type { EndpointChange } from '../../published/endpointDirectory.js';
+import type { FeedRole } from '../../published/feedRole.js';
+import type { ListPosition } from '../../published/listPosition.js';
 
 export const SERVICE = 'llm';
 const RESPONSE_MS = 4;
--- a/packages/router/src/streams/__fixtures__/virtualStreams.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStreams.ts
@@ -5,7 +5,7 @@
 import type { VirtualBox, VirtualProgram } from '../../membership/__fixtures__/virtualFleet.js';
 import { VirtualFleet } from '../../membership/__fixtures__/virtualFleet.js';
 import type { RouterFrame } from '../../peers/peerFrames.js';
-import { ListProofs } from '../../peers/listProofs.js';
+import { ListProofs } from '../../published/listProofs.js';
 import type { PeerMesh, Reply } from '../../peers/peerMesh.js';
 import { EndpointTable } from '../../tables/endpointTable.js';
 import type { OriginResult } from '../originLookup.js';
--- a/packages/router/src/streams/boxStreams.ts
+++ b/packages/router/src/streams/boxStreams.ts
@@ -1,8 +1,8 @@
 /** The parts of a box that keep streams at the software version that began them. */
 import type { RouterMetrics } from '../observability/metrics.js';
-import type { ListProofs } from '../peers/listProofs.js';
+import type { ListProofs } from '../published/listProofs.js';
 import type { PeerMesh } from '../peers/peerMesh.js';
-import type { PublishedState } from '../systems/publishedState.js';
+import type { PublishedState } from '../published/publishedState.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import { OriginLookup } from './originLookup.js';
 import { SoftwareVersions } from './softwareVersions.js';
--- a/packages/router/src/streams/originLookup.ts
+++ b/packages/router/src/streams/originLookup.ts
@@ -7,7 +7,7 @@
  * else, as in an outage of the platform, if all halls reply that they know of no other version, since boxes report one before
  * streams begin at it (`versionNotices.ts`). Otherwise the origin is unknown, and the stream must not go on.
  */
-import type { ListProofs } from '../peers/listProofs.js';
+import type { ListProofs } from '../published/listProofs.js';
 import type { PeerMesh, Reply } from '../peers/peerMesh.js';
 import type { SoftwareVersions, VersionView } from './softwareVersions.js';
 import type { StreamLookup, StreamLookupReply } from './streamFrames.js';
--- a/packages/router/src/systems/cacheSources.ts
+++ b/packages/router/src/systems/cacheSources.ts
@@ -1,6 +1,6 @@
 /** Finds the endpoint from which another one fetches a cached prompt: a known holder, or one that probably holds it. */
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
-import type { Evacuations } from './evacuations.js';
+import type { Evacuations } from '../published/evacuations.js';
 import type { PlacementRequest } from './placementRequest.js';
 import type { PromptRanking } from './promptRanking.js';
 
--- a/packages/router/src/systems/placement.ts
+++ b/packages/router/src/systems/placement.ts
@@ -21,7 +21,7 @@
 import { choosePlainEndpoint } from './plainPlacement.js';
 import type { PromptDemand } from './promptDemand.js';
 import { isLeaving, readBackOffMs } from './endpointNotices.js';
-import type { Evacuations } from './evacuations.js';
+import type { Evacuations } from '../published/evacuations.js';
 import { PromptRanking } from './promptRanking.js';
 import { shuffle } from './shuffle.js';
 import { filterVersion, listWithinBound } from './versionChoice.js';
