Endpoints that leave: since when, from which proof, and whether a request was stopped

Cause: the logs could not tell the hypotheses of the incident apart: how old the proof of the list was when an endpoint was kept or dropped, and whether a request was sent although its endpoint was known to be gone. No decision changes.

--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -9,6 +9,7 @@
 import type { PlacementChoice, PlacementFailure } from '../systems/placement.js';
 import type { PlacementRequest } from '../systems/placementRequest.js';
 import { acceptsRequests } from '../systems/endpointNotices.js';
+import { findDeparture } from '../tables/departure.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 import type { Assignment } from './assignment.js';
 import { Attempt } from './attempt.js';
@@ -218,6 +219,8 @@
   private recordSent(route: Route, attempt: Attempt): void {
     const nowMs = this.context.now();
     this.firstSentAtMs ??= nowMs;
+    const departure = findDeparture(attempt.row);
+    if (departure !== undefined) this.context.metrics.lateSends.inc({ proof: departure.proof });
     this.durations.set(attempt, this.context.durations.begin(route.name, nowMs));
   }
 
@@ -229,7 +232,11 @@
     connectionClosesAtMs: number,
   ): SendObstacle | undefined {
     const nowMs = this.context.now();
-    if (!acceptsRequests(row, nowMs)) return 'endpointDeclined';
+    if (!acceptsRequests(row, nowMs)) {
+      const departure = findDeparture(row);
+      if (departure !== undefined) this.context.metrics.lateStops.inc({ proof: departure.proof });
+      return 'endpointDeclined';
+    }
     if (basis.type === 'granted' && nowMs > basis.grant.usableUntilMs) return 'grantExpired';
     if (this.endsInTime(assignment, connectionClosesAtMs)) return undefined;
     return this.endsInTime(assignment) ? 'tunnelClosing' : 'boxStopping';
--- a/packages/router/src/published/endpointDirectory.ts
+++ b/packages/router/src/published/endpointDirectory.ts
@@ -6,6 +6,7 @@
  * endpoints are listed again.
  */
 import type { ListedEndpoint } from '../records.js';
+import type { RemovalReason } from '../tables/departure.js';
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { PlatformConnectivity } from './platformConnectivity.js';
 import { RestoredEntries } from './restoredEntries.js';
@@ -24,7 +25,7 @@
 
 /** Called when an endpoint is removed or its entry lapses. */
 export interface EndpointDirectoryHandlers {
-  readonly onRemoved: (id: string, reason: 'removed' | 'lapsed') => void;
+  readonly onRemoved: (id: string, reason: RemovalReason) => void;
   /**
    * The entry of an endpoint disappeared, and the endpoint is kept for `gracePeriodMs` because the entry may only have
    * lapsed. The grace period is infinite while neither this box nor a peer reads the platform.
@@ -121,9 +122,9 @@
     this.handlers.onLapsed(id, gracePeriodMs);
   }
 
-  private remove(id: string, reason: 'removed' | 'lapsed', nowMs: number): void {
-    this.table.remove(id);
+  private remove(id: string, proof: RemovalReason, nowMs: number): void {
+    this.table.remove(id, { proof, sinceMs: nowMs });
     this.restored.recordRemoval(id, nowMs);
-    this.handlers.onRemoved(id, reason);
+    this.handlers.onRemoved(id, proof);
   }
 }
--- a/packages/router/src/published/loggedConnectivity.ts
+++ b/packages/router/src/published/loggedConnectivity.ts
@@ -65,6 +65,11 @@
     this.logSource();
   }
 
+  /** Age of the latest proof that the list is that of the platform, as logged beside each decision that rests on it. */
+  describeProof(): { readonly provenAgoMs: number | undefined } {
+    return { provenAgoMs: toLogMs(this.options.now() - this.connectivity.provenAtMs) };
+  }
+
   /** Logs each change in how this box learns what the platform publishes. */
   private logSource(): void {
     const { log, now, readRevision } = this.options;
@@ -75,6 +80,7 @@
       before: this.loggedSource,
       revision: readRevision(),
       unsettledMs: toLogMs(this.connectivity.readGracePeriodMs(now())),
+      ...this.describeProof(),
     });
     this.loggedSource = source;
   }
--- a/packages/router/src/published/publishedLists.ts
+++ b/packages/router/src/published/publishedLists.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import type { RouterMetrics } from '../observability/metrics.js';
 import type { ListedEndpoint } from '../records.js';
+import type { RemovalReason } from '../tables/departure.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { assumeCold } from '../tables/endpointTable.js';
 import type { EndpointChange } from './endpointDirectory.js';
@@ -199,10 +200,16 @@
     metrics.evacuatedHalls.set(this.evacuations.list().length);
   }
 
-  private handleRemoved(id: string, reason: string): void {
+  private handleRemoved(id: string, reason: RemovalReason): void {
+    const { onEndpointRemoved, log, contact } = this.options;
     this.measureLapsed();
-    this.options.onEndpointRemoved(id);
-    this.options.log.write('lifecycle', 'endpointRemoved', { id, reason });
+    onEndpointRemoved(id);
+    log.write('lifecycle', 'endpointRemoved', {
+      id,
+      reason,
+      contact: contact.source,
+      ...contact.describeProof(),
+    });
   }
 
   private handleLapsed(id: string, gracePeriodMs: number): void {
@@ -210,6 +217,7 @@
       id,
       contact: this.options.contact.source,
       unsettledMs: toLogMs(gracePeriodMs),
+      ...this.options.contact.describeProof(),
     });
   }
 
--- a/packages/router/src/systems/endpointNotices.ts
+++ b/packages/router/src/systems/endpointNotices.ts
@@ -26,6 +26,7 @@
   const changes: EndpointNoticeChange[] = [];
   if (isLeaving && !notice.isLeaving) {
     notice.isLeaving = true;
+    notice.leavingSinceMs = nowMs;
     changes.push('leaving');
   }
   // A new back-off can extend the current one but not shorten it.
--- a/packages/router/src/tables/endpointNotice.ts
+++ b/packages/router/src/tables/endpointNotice.ts
@@ -4,6 +4,8 @@
 export interface EndpointNotice {
   /** The endpoint is about to leave and asks for no new requests. */
   isLeaving: boolean;
+  /** When this box read that; undefined before. */
+  leavingSinceMs?: number | undefined;
   /** Time until which the endpoint asks this router to send no requests; 0 if it has never asked. */
   backOffUntilMs: number;
   /** Rejections for lack of room that the endpoint survives in a second; undefined if it has stated no limit. */
--- a/packages/router/src/tables/endpointTable.ts
+++ b/packages/router/src/tables/endpointTable.ts
@@ -1,5 +1,6 @@
 /** The table of endpoints: the published listing of each, its health as observed by this box, and its load. */
 import type { ListedEndpoint } from '../records.js';
+import type { Removal } from './departure.js';
 import type { EndpointPath } from './endpointPath.js';
 import { DIRECT_PATH } from './endpointPath.js';
 import type { EndpointNotice } from './endpointNotice.js';
@@ -45,6 +46,10 @@
   isBeingChecked: boolean;
   /** The platform no longer lists it, but its entry may only have expired during an outage. Set by `markLapsed`. */
   isLapsed: boolean;
+  /** Since when its listing states that it is leaving; 0 if it never did. */
+  leavingSinceMs: number;
+  /** Set when the row leaves the table, as requests may still hold it. */
+  removal: Removal | undefined;
   /** Until then it sustains few requests, according to its listing or as assumed by this box. */
   coldUntilMs: number;
   /** Announcements that the endpoint made in its responses. */
@@ -68,6 +73,9 @@
   row.coldUntilMs = Math.max(row.coldUntilMs, nowMs + ASSUMED_COLD_MS);
 }
 
+/** Removal of an endpoint for which nobody asks since when. */
+const UNDATED_REMOVAL: Removal = { proof: 'removed', sinceMs: 0 };
+
 /** All endpoints, indexed by id, service and tag. */
 export class EndpointTable {
   readonly byId = new Map<string, EndpointRow>();
@@ -95,6 +103,7 @@
     const known = this.byId.get(listing.id);
     if (known !== undefined) {
       known.coldUntilMs = readColdUntil(known, listing, nowMs);
+      if (listing.state === 'leaving' && known.listing.state !== 'leaving') known.leavingSinceMs = nowMs;
       known.listing = listing;
       known.notice = this.notices.getOrCreate(listing, known.notice);
       this.clearLapsed(known);
@@ -114,10 +123,11 @@
     row.isLapsed = true;
   }
 
-  /** Removes an endpoint. */
-  remove(id: string): void {
+  /** Removes an endpoint; requests that hold its row find out by its `removal`. */
+  remove(id: string, removal: Removal = UNDATED_REMOVAL): void {
     const row = this.byId.get(id);
     if (row === undefined) return;
+    row.removal = removal;
     this.changes += 1;
     this.clearLapsed(row);
     this.byId.delete(id);
@@ -167,6 +177,8 @@
     consecutiveFailures: 0,
     isBeingChecked: false,
     isLapsed: false,
+    leavingSinceMs: listing.state === 'leaving' ? nowMs : 0,
+    removal: undefined,
     coldUntilMs: nowMs + (listing.coldMs ?? 0),
     notice,
   };
