--- a/packages/router/src/streams/__fixtures__/storeProgram.ts
+++ b/packages/router/src/streams/__fixtures__/storeProgram.ts
@@ -16,7 +16,6 @@
 import type { VirtualStore } from './virtualStore.js';
 import { SERVICE, VirtualFeed } from './virtualStore.js';
 
-const APPLY_BOUND_MS = 2_000;
 const READS_PER_S = 2_000;
 
 /** What the programs of a fleet share. */
@@ -25,6 +24,10 @@
   readonly hash: (text: string) => number;
   /** Whether this run of the box goes on. */
   readonly isRunning: () => boolean;
+  /** Runs an action of the process of the box: later while it is paused. */
+  readonly act: (action: () => void) => void;
+  /** Time within which a published change has to be in force. */
+  readonly applyBoundMs: number;
   readonly metrics: RouterMetrics;
 }
 
@@ -33,7 +36,7 @@
   readonly table: EndpointTable;
   readonly state: PublishedState;
   readonly streams: BoxStreams;
-  private readonly feed: BoxFeed;
+  readonly feed: BoxFeed;
   private readonly handlers: PeerFrameHandlers;
 
   constructor(
@@ -41,7 +44,7 @@
     mesh: PeerMesh,
     private readonly options: StoreProgramOptions,
   ) {
-    const { store, hash, metrics } = options;
+    const { store, hash, metrics, applyBoundMs, act } = options;
     const now = (): number => store.timeline.nowMs;
     const log = { write: () => {} } as unknown as DecisionLog;
     const { hall } = box;
@@ -63,6 +66,7 @@
       push: (input) => this.handleInput(input),
       decideRole: () => this.feed.relay.decideRole(),
       isRunning: options.isRunning,
+      act,
     });
     this.feed = new BoxFeed({
       mesh,
@@ -72,7 +76,7 @@
       linkMbps: 1_000,
       hash,
       now,
-      applyBoundMs: APPLY_BOUND_MS,
+      applyBoundMs,
       platformReadsPerS: READS_PER_S,
       readChanges: (position, onEnd) => storeFeed.readChanges(position, onEnd),
     });
--- a/packages/router/src/streams/__fixtures__/storeStreams.ts
+++ b/packages/router/src/streams/__fixtures__/storeStreams.ts
@@ -9,8 +9,16 @@
 import type { TakenUp } from './virtualStreams.js';
 import { judge } from './virtualStreams.js';
 
-/** Longer than streams can be taken up, after the fleet has started. */
-const SETTLE_S = 36;
+/** Size and settings of a fleet. */
+export interface StoreFleetPlan {
+  readonly boxes: number;
+  readonly halls: number;
+  readonly seed: number;
+  /** Time within which a published change has to be in force. */
+  readonly applyBoundMs: number;
+  /** Time that the fleet runs before anything happens; by default longer than streams can be taken up. */
+  readonly settleS?: number;
+}
 
 /** A stream that a caller has seen the first event of. */
 interface BegunStream {
@@ -35,7 +43,13 @@
     this.random = createRandom(seed);
   }
 
-  static async create(boxes: number, halls: number, seed: number): Promise<StoreStreams> {
+  static async create({
+    boxes,
+    halls,
+    seed,
+    applyBoundMs,
+    settleS = 36,
+  }: StoreFleetPlan): Promise<StoreStreams> {
     const streams = new StoreStreams(seed);
     const hasher = await createHasher();
     const metrics = new RouterMetrics();
@@ -49,16 +63,18 @@
         const { run } = network.readMachine(box.address);
         const isRunning = (): boolean => {
           const machine = network.readMachine(box.address);
-          return machine.run === run && machine.state === 'running';
+          return machine.run === run && (machine.state === 'running' || machine.state === 'paused');
         };
-        const program = new StoreProgram(box, mesh, { store: streams.store, hash, isRunning, metrics });
+        const act = (action: () => void): void => network.actIn(box.address, run, action);
+        const { store } = streams;
+        const program = new StoreProgram(box, mesh, { store, hash, isRunning, act, metrics, applyBoundMs });
         streams.programs.set(box, program);
         return program;
       },
     });
     streams.store = new VirtualStore(streams.fleet.timeline);
     streams.store.list('v1');
-    await streams.fleet.run(SETTLE_S);
+    await streams.fleet.run(settleS);
     return streams;
   }
 
--- a/packages/router/src/streams/__fixtures__/virtualStore.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStore.ts
@@ -1,5 +1,6 @@
 /** A store in virtual time whose calls boxes make: its list of versions changes, and it may be silent for some boxes. */
 import type { Timeline } from '@hazelwalk/standins';
+import type { ListedEndpoint } from '../../records.js';
 import { createListing } from '../../__fixtures__/createEndpoints.js';
 import type { RouterInput } from '../../routerOptions.js';
 import type { EndpointChange } from '../../published/endpointDirectory.js';
@@ -17,7 +18,10 @@
 export class VirtualStore {
   readonly silentFor = new Set<string>();
   reads = 0;
-  private readonly changes: EndpointChange[] = [];
+  era = 0;
+  private changes: EndpointChange[] = [];
+  /** Changes up to this revision are forgotten. */
+  private compactedRevision = 0;
   private readonly watches = new Set<() => void>();
 
   constructor(readonly timeline: Timeline) {}
@@ -27,20 +31,47 @@
   }
 
   list(softwareVersion: string): void {
-    const endpoint = createListing(`${SERVICE}-${softwareVersion}`, { softwareVersion });
-    this.record({ type: 'listed', endpoint });
+    this.put(createListing(`${SERVICE}-${softwareVersion}`, { softwareVersion }));
   }
 
   remove(softwareVersion: string): void {
-    this.record({ type: 'removed', id: `${SERVICE}-${softwareVersion}` });
+    this.drop(`${SERVICE}-${softwareVersion}`);
+  }
+
+  /** Writes the entry of an endpoint. */
+  put(endpoint: ListedEndpoint): void {
+    this.record({ type: 'listed', endpoint });
+  }
+
+  /** Deletes the entry of an endpoint. */
+  drop(id: string): void {
+    this.record({ type: 'removed', id });
+  }
+
+  /** Forgets all changes so far: who waits for one has to read everything. */
+  compact(): void {
+    this.compactedRevision = this.revision;
+    for (const check of [...this.watches]) check();
+  }
+
+  /** Comes back from a copy that lacks the changes after a revision. */
+  restore(revision: number): void {
+    this.changes = this.changes.slice(0, revision);
+    this.era += 1;
+    this.compact();
+  }
+
+  /** Whether the changes since a position are known. */
+  knows({ era, revision }: ListPosition): boolean {
+    return era === this.era && revision >= this.compactedRevision;
   }
 
   listSince(revision: number): EndpointChange[] {
     return this.changes.slice(revision);
   }
 
-  /** Calls back when there is a change after a revision, or after `waitMs`. */
-  watch(address: string, revision: number, waitMs: number, onResponse: () => void): void {
+  /** Calls back when there is a change after a position, when it is no longer known, or after `waitMs`. */
+  watch(address: string, position: ListPosition, waitMs: number, onResponse: () => void): void {
     this.reads += 1;
     let isDone = false;
     const complete = (): void => {
@@ -52,7 +83,7 @@
       });
     };
     const check = (): void => {
-      if (this.revision > revision) complete();
+      if (!this.knows(position) || this.revision > position.revision) complete();
     };
     this.timeline.after(RESPONSE_MS / 2, () => {
       this.watches.add(check);
@@ -73,11 +104,13 @@
   readonly push: (input: RouterInput) => void;
   readonly decideRole: () => FeedRole;
   readonly isRunning: () => boolean;
+  /** Runs an action of its process, which may be paused. */
+  readonly act: (action: () => void) => void;
 }
 
 /** Reads the store for one box, as the platform's feed does. */
 export class VirtualFeed {
-  private revision: number | undefined;
+  private position: ListPosition | undefined;
 
   constructor(
     private readonly store: VirtualStore,
@@ -87,29 +120,29 @@
   }
 
   readChanges(position: ListPosition, onEnd: () => void): void {
-    this.call(position.revision, 0, READ_TIMEOUT_MS, onEnd, onEnd);
+    this.call(position, 0, READ_TIMEOUT_MS, onEnd, onEnd);
   }
 
   private proceed(): void {
     if (!this.box.isRunning()) return;
     const role = this.box.decideRole();
     if (role.type !== 'follow') {
-      this.revision = undefined;
+      this.position = undefined;
       return this.store.timeline.after(ROLE_CHECK_MS, () => this.proceed());
     }
-    const isFirst = this.revision === undefined;
+    const isFirst = this.position === undefined;
     const fail = (): void => {
       this.box.push({ type: 'feedLost', reason: 'silent' });
-      this.revision = undefined;
+      this.position = undefined;
       this.store.timeline.after(role.retryMs, () => this.proceed());
     };
     const succeed = (): void => this.store.timeline.after(role.coalesceMs, () => this.proceed());
-    this.call(this.revision, isFirst ? 0 : role.waitMs, WATCH_TIMEOUT_MS, succeed, fail);
+    this.call(this.position, isFirst ? 0 : role.waitMs, WATCH_TIMEOUT_MS, succeed, fail);
   }
 
-  /** @param revision undefined to read everything */
+  /** @param position undefined to read everything */
   private call(
-    revision: number | undefined,
+    position: ListPosition | undefined,
     waitMs: number,
     timeoutMs: number,
     onDone: () => void,
@@ -119,26 +152,32 @@
     const sentAtMs = store.timeline.nowMs;
     let isOpen = true;
     store.timeline.after(waitMs + timeoutMs, () => {
-      if (isOpen && box.isRunning()) onFailed();
+      if (isOpen && box.isRunning()) box.act(onFailed);
       isOpen = false;
     });
-    store.watch(box.address, revision ?? -1, waitMs, () => {
+    const respond = (): void => {
       if (!isOpen || !box.isRunning()) return;
       isOpen = false;
-      const changes = store.listSince(revision ?? 0);
+      if (position !== undefined && !store.knows(position)) {
+        if (waitMs > 0) this.position = undefined;
+        return onDone();
+      }
+      const changes = store.listSince(position?.revision ?? 0);
       const provenAtMs = changes.length === 0 ? sentAtMs + waitMs : sentAtMs;
-      if (waitMs > 0 || revision === undefined) this.revision = store.revision;
+      const { era, revision } = store;
+      if (waitMs > 0 || position === undefined) this.position = { era, revision };
       const { endpointChanges, from } =
-        revision === undefined
+        position === undefined
           ? { endpointChanges: toSnapshot(changes), from: undefined }
-          : { endpointChanges: changes, from: revision };
+          : { endpointChanges: changes, from: position.revision };
       const lists = { endpointChanges, evacuationChanges: [], configurationText: undefined };
       box.push({
         type: 'published',
-        publication: { ...lists, from, revision: store.revision, provenAtMs },
+        publication: { ...lists, from, revision, era, provenAtMs },
       });
       onDone();
-    });
+    };
+    store.watch(box.address, position ?? { era: store.era, revision: -1 }, waitMs, () => box.act(respond));
   }
 }
 
--- a/packages/router/src/streams/__tests__/silentStore.test.ts
+++ b/packages/router/src/streams/__tests__/silentStore.test.ts
@@ -8,11 +8,11 @@
 /** Plays of a fleet of four or eight boxes; larger ones get fewer. By hand: SILENT_STORE_SEEDS=1000. */
 const SEEDS = Number(process.env['SILENT_STORE_SEEDS'] ?? 24);
 const fleets = [
-  { boxes: 4, halls: 2, seeds: SEEDS },
-  { boxes: 8, halls: 3, seeds: SEEDS },
-  { boxes: 34, halls: 3, seeds: Math.ceil(SEEDS / 6) },
-  { boxes: 195, halls: 6, seeds: Math.ceil(SEEDS / 50) },
-  { boxes: 590, halls: 12, seeds: Math.floor(SEEDS / 500) },
+  { boxes: 4, halls: 2, seeds: SEEDS, applyBoundMs: 2_000 },
+  { boxes: 8, halls: 3, seeds: SEEDS, applyBoundMs: 2_000 },
+  { boxes: 34, halls: 3, seeds: Math.ceil(SEEDS / 6), applyBoundMs: 2_000 },
+  { boxes: 195, halls: 6, seeds: Math.ceil(SEEDS / 50), applyBoundMs: 2_000 },
+  { boxes: 590, halls: 12, seeds: Math.floor(SEEDS / 500), applyBoundMs: 2_000 },
 ];
 /** How much of the fleet the store is silent for. */
 const SILENT_SHARES = [0, 0.25, 0.5, 0.9, 1];
@@ -73,14 +73,14 @@
   await fleet.run(1);
 }
 
-const cases = fleets.flatMap(({ boxes, halls, seeds }) =>
-  Array.from({ length: seeds }, (_, at) => ({ boxes, halls, seed: 100 * boxes + at })),
+const cases = fleets.flatMap(({ boxes, halls, seeds, applyBoundMs }) =>
+  Array.from({ length: seeds }, (_, at) => ({ boxes, halls, applyBoundMs, seed: 100 * boxes + at })),
 );
 
 test.each(cases)(
   '$boxes boxes, seed $seed: a stream goes on at its version or not at all, whatever the store answers to whom',
-  async ({ boxes, halls, seed }) => {
-    const streams = await StoreStreams.create(boxes, halls, seed);
+  async ({ boxes, halls, seed, applyBoundMs }) => {
+    const streams = await StoreStreams.create({ boxes, halls, seed, applyBoundMs });
     const plan = drawPlan(streams);
     await play(streams, plan);
     if (process.env['SILENT_STORE_PRINT'] !== undefined)
@@ -93,8 +93,8 @@
 
 test.each(fleets)(
   '$boxes boxes: streams of one version go on, hundreds at once, when the boxes that began them are dead',
-  async ({ boxes, halls }) => {
-    const streams = await StoreStreams.create(boxes, halls, boxes);
+  async ({ boxes, halls, applyBoundMs }) => {
+    const streams = await StoreStreams.create({ boxes, halls, seed: boxes, applyBoundMs });
     const { fleet, store } = streams;
     const dead = new Set(fleet.boxes.filter((_, at) => at % 4 === 1));
     for (let round = 0; round < 400 / dead.size; round += 1) streams.beginAt([...dead]);
