Lists: a gap without proof is an outage only if nobody saw the platform answer

What callers saw: requests reached endpoints seconds after their entries had gone, and failed when these ended. Cause: a box took a time without contact for an outage of the platform, and kept each endpoint whose entry had gone meanwhile for two seconds after contact returned; a second gap began that time anew. Peers passed the doubt on. Where changes have to be in force within 4 s, a box whose readers are silent took over after 2.2 s, later than entries can begin to lapse. Change: boxes report for how long the platform has answered without a pause in which an entry could lapse (two heartbeats, from the settings). A box joins that period with what it knows itself: no doubt remains if the platform was not away. Boxes of earlier versions are understood as before. Whatever the bound, silent readers are replaced before an entry can lapse. Reports state one field more, so five checks of them name it; none is looser.

--- a/packages/router/src/peers/frameFields.ts
+++ b/packages/router/src/peers/frameFields.ts
@@ -17,5 +17,7 @@
     doubtMs: z.number().nonnegative(),
     /** Age of the report that the sender received, if it does not read the platform itself. */
     saidAgoMs: z.number().nonnegative(),
+    /** For how long before that the platform had answered without a pause in which an entry could lapse. Omitted by earlier versions. */
+    answeringForMs: z.number().nonnegative().optional(),
   })
   .optional() satisfies z.ZodType<PlatformReport | undefined>;
--- a/packages/router/src/peers/listFrames.ts
+++ b/packages/router/src/peers/listFrames.ts
@@ -80,6 +80,8 @@
   era: z.number().default(0),
   /** Remaining grace period: an entry that disappears during it may have expired while its endpoint still runs. */
   unsettledMs: z.number(),
+  /** For how long the platform has answered without a pause in which an entry could lapse. Omitted by earlier versions. */
+  answeringForMs: z.number().nonnegative().optional(),
   configurationVersion: z.number(),
   /** Approximate size of the complete configuration in characters. */
   configurationChars: z.number(),
--- a/packages/router/src/published/__tests__/feedRole.test.ts
+++ b/packages/router/src/published/__tests__/feedRole.test.ts
@@ -14,6 +14,7 @@
   hallPeers: [able(10), able(20), able(40)],
   confirmedAtMs: 9_500,
   applyBoundMs: BOUND_MS,
+  lapseMs: 2_400,
   lacksConfiguration: false,
 };
 
--- a/packages/router/src/published/__tests__/platformConnectivity.test.ts
+++ b/packages/router/src/published/__tests__/platformConnectivity.test.ts
@@ -80,13 +80,21 @@
   expect(connectivity.readSource(STEADY_MS)).toBe('peers');
   expect(connectivity.createReport(STEADY_MS)).toBeUndefined();
   connectivity.recordPeerUpdate(PEER, 700, STEADY_MS);
-  expect(connectivity.createReport(STEADY_MS)).toEqual(createFreshReport(700));
+  expect(connectivity.createReport(STEADY_MS)).toEqual({
+    ...createFreshReport(700),
+    answeringForMs: STEADY_MS,
+  });
   expect(connectivity.createReport(STEADY_MS + 2_000)).toBeUndefined();
 });
 
 test('a report of own reading states the age of its proof, and ends when no peer would count with it', () => {
-  expect(connectivity.createReport(STEADY_MS)).toEqual(createFreshReport(0));
-  expect(connectivity.createReport(STEADY_MS + 1_900)).toEqual({ doubtMs: 0, saidAgoMs: 1_900 });
+  const answeringForMs = STEADY_MS;
+  expect(connectivity.createReport(STEADY_MS)).toEqual({ ...createFreshReport(0), answeringForMs });
+  expect(connectivity.createReport(STEADY_MS + 1_900)).toEqual({
+    doubtMs: 0,
+    saidAgoMs: 1_900,
+    answeringForMs,
+  });
   expect(connectivity.createReport(STEADY_MS + 2_000)).toBeUndefined();
 });
 
@@ -107,19 +115,22 @@
 test('a box reports an outage that it observed, but neither its own start nor the reports of peers', () => {
   const started = new PlatformConnectivity();
   started.recordResponse(0);
-  expect(started.createReport(0)).toEqual(createFreshReport(0));
+  expect(started.createReport(0)).toEqual({ ...createFreshReport(0), answeringForMs: 0 });
   started.recordPeerConfirmation(PEER, createFreshReport(1_000), 100);
-  expect(started.createReport(100)).toEqual({ doubtMs: 0, saidAgoMs: 100 });
+  expect(started.createReport(100)).toEqual({ doubtMs: 0, saidAgoMs: 100, answeringForMs: 0 });
   connectivity.recordFailure();
   connectivity.recordResponse(STEADY_MS + 300);
-  expect(connectivity.createReport(STEADY_MS + 300)).toEqual(createFreshReport(2_000));
+  expect(connectivity.createReport(STEADY_MS + 300)).toEqual({
+    ...createFreshReport(2_000),
+    answeringForMs: 0,
+  });
 });
 
 test('a box that receives updates does not report a grace period that is due to its own isolation', () => {
   connectivity.recordFailure();
   connectivity.recordPeerUpdate(PEER, 0, STEADY_MS);
   expect(connectivity.readGracePeriodMs(STEADY_MS)).toBe(2_000);
-  expect(connectivity.createReport(STEADY_MS)).toEqual(createFreshReport(0));
+  expect(connectivity.createReport(STEADY_MS)).toEqual({ ...createFreshReport(0), answeringForMs: 0 });
 });
 
 test('a grace period ends only with a report from after its end, as earlier lists may lack endpoints that returned', () => {
@@ -134,7 +145,11 @@
 test('a relayed report is as old as the update on which its sender relies', () => {
   connectivity.recordPeerUpdate(PEER, 0, STEADY_MS);
   connectivity.recordFailure();
-  expect(connectivity.createReport(STEADY_MS + 1_500)).toEqual({ doubtMs: 0, saidAgoMs: 1_500 });
+  expect(connectivity.createReport(STEADY_MS + 1_500)).toEqual({
+    doubtMs: 0,
+    saidAgoMs: 1_500,
+    answeringForMs: STEADY_MS,
+  });
   const reader = new PlatformConnectivity();
   reader.recordPeerConfirmation(PEER, { doubtMs: 0, saidAgoMs: 1_500 }, STEADY_MS);
   expect(reader.readSource(STEADY_MS + 499)).toBe('peers');
@@ -150,6 +165,35 @@
   }
 });
 
+test.each([
+  ['read the platform all along', 60_000, 0],
+  ['has read it since shortly after this box lost it', 4_000, 0],
+  ['saw it come back a second ago', 1_000, 1_000],
+  ['has just started', 0, 2_000],
+])('contact after a gap of five seconds, by a peer that %s', (_, answeringForMs, graceMs) => {
+  connectivity.recordFailure();
+  const nowMs = STEADY_MS + 5_000;
+  connectivity.recordPeerConfirmation(PEER, { doubtMs: 2_000, saidAgoMs: 0, answeringForMs }, nowMs);
+  expect(connectivity.readGracePeriodMs(nowMs)).toBe(graceMs);
+  // A second peer that knows more ends the doubt; one that knows less does not begin it again.
+  connectivity.recordPeerConfirmation(
+    OTHER_PEER,
+    { doubtMs: 0, saidAgoMs: 0, answeringForMs: 60_000 },
+    nowMs,
+  );
+  connectivity.recordPeerConfirmation(PEER, { doubtMs: 2_000, saidAgoMs: 0, answeringForMs: 0 }, nowMs + 1);
+  expect(connectivity.readGracePeriodMs(nowMs + 1)).toBe(0);
+});
+
+test('a passive box reads before an entry can have lapsed, and keeps none that has gone', () => {
+  const passive = new PlatformConnectivity();
+  for (let ms = 0; ms <= STEADY_MS; ms += 1_000) passive.recordPeerUpdate(PEER, 0, ms, ms);
+  passive.recordResponse(STEADY_MS + 2_399);
+  expect(passive.readGracePeriodMs(STEADY_MS + 2_399)).toBe(0);
+  passive.recordResponse(STEADY_MS + 4_799);
+  expect(passive.readGracePeriodMs(STEADY_MS + 4_799)).toBe(2_000);
+});
+
 test('two boxes without the platform cannot confirm each other forever', () => {
   const other = new PlatformConnectivity();
   other.recordResponse(STEADY_MS);
--- a/packages/router/src/published/feedRelay.ts
+++ b/packages/router/src/published/feedRelay.ts
@@ -50,7 +50,7 @@
 
   /** Decides the feed role of this box: watch the platform, read the configuration once, or stay passive. */
   decideRole(): FeedRole {
-    const { now, mesh, valueSync, applyBoundMs } = this.options;
+    const { now, mesh, state, valueSync, applyBoundMs } = this.options;
     const input: FeedRoleInput = {
       nowMs: now(),
       boxes: mesh.countBoxes(),
@@ -58,6 +58,7 @@
       hallPeers: this.listHallCandidates(),
       confirmedAtMs: this.confirmedAtMs,
       applyBoundMs,
+      lapseMs: state.lapseMs,
       lacksConfiguration: valueSync.mustReadConfiguration(),
     };
     const role = decideFeedRole(input);
@@ -86,6 +87,7 @@
     if (findWatcherPosition(this.describeOwnCandidate(), this.listHallCandidates()) === undefined) return;
     const { from, revision, endpointChanges, evacuationChanges } = publication;
     const change = this.describeSmallChange();
+    const report = state.platformReport;
     mesh.sendToHall(hall, {
       type: 'feedNotice',
       address: mesh.address,
@@ -93,7 +95,8 @@
       from: from ?? revision,
       revision,
       era: publication.era ?? state.listPosition.era,
-      unsettledMs: state.platformReport?.doubtMs ?? 0,
+      unsettledMs: report?.doubtMs ?? 0,
+      answeringForMs: report?.answeringForMs,
       configurationVersion: state.configurationVersion,
       configurationChars: state.configurationChars,
       isConfigurationChangeSmall: this.isLastChangeSmall,
@@ -116,7 +119,7 @@
     const { era, revision } = notice;
     if (era === state.listPosition.era && notice.from <= state.endpointsRevision) {
       this.confirmedAtMs = now();
-      state.recordPeerUpdate(notice.address, notice.unsettledMs);
+      state.recordPeerUpdate(notice.address, notice.unsettledMs, notice.answeringForMs);
       if (revision > state.endpointsRevision) {
         const { changes: endpointChanges, evacuations: evacuationChanges, isComparison } = notice;
         state.applyLists({ endpointChanges, evacuationChanges, isComparison }, { era, revision }, 'peer');
--- a/packages/router/src/published/feedRole.ts
+++ b/packages/router/src/published/feedRole.ts
@@ -20,6 +20,11 @@
  * share of that time.
  */
 const STALE_SHARE = 0.55;
+/**
+ * However long that time is, a box whose watchers are silent reads before an entry can have lapsed, so that it knows of one
+ * that has disappeared that it was removed. The rest is left for a slow processor.
+ */
+const STALE_LAPSE_SHARE = 0.8;
 /** Longest waiting call of a box on which no other relies: short enough to detect a lost connection in time. */
 const UNSHARED_WAIT_MS = 3_000;
 /** A box that could not read the platform leaves the watching to others for this long. */
@@ -88,6 +93,8 @@
   readonly confirmedAtMs: number;
   /** Time within which a change has to be in force. */
   readonly applyBoundMs: number;
+  /** Shortest pause of the platform in which an entry of a live endpoint can lapse. */
+  readonly lapseMs: number;
   /** Peers have a newer configuration that they did not send. */
   readonly lacksConfiguration: boolean;
 }
@@ -119,7 +126,9 @@
   }
   const position = findWatcherPosition(input.own, hallPeers);
   if (position !== undefined) return createWatchRole(position, applyBoundMs, RETRY_MS);
-  const isStale = input.nowMs - input.confirmedAtMs > applyBoundMs * STALE_SHARE;
+  const isStale =
+    input.nowMs - input.confirmedAtMs >
+    Math.min(applyBoundMs * STALE_SHARE, input.lapseMs * STALE_LAPSE_SHARE);
   if (isStale) {
     const hallRetryMs = Math.min(HALL_RETRY_MS * (hallPeers.length + 1), applyBoundMs * MAX_RETRY_SHARE);
     return createWatchRole(1, applyBoundMs, Math.max(RETRY_MS, hallRetryMs));
--- a/packages/router/src/published/loggedConnectivity.ts
+++ b/packages/router/src/published/loggedConnectivity.ts
@@ -7,16 +7,20 @@
 export interface LoggedConnectivityOptions {
   readonly log: DecisionLog;
   readonly now: () => number;
+  /** Interval at which endpoints write their entries, if the deployment states it. */
+  readonly entryHeartbeatMs?: number | undefined;
   /** Returns the revision of the list of endpoints. */
   readonly readRevision: () => number;
 }
 
 /** Records what shows whether the platform can be read, and logs how the box learns what it publishes. */
 export class LoggedConnectivity {
-  readonly connectivity = new PlatformConnectivity();
+  readonly connectivity: PlatformConnectivity;
   private loggedSource: ConnectivitySource = 'none';
 
-  constructor(private readonly options: LoggedConnectivityOptions) {}
+  constructor(private readonly options: LoggedConnectivityOptions) {
+    this.connectivity = new PlatformConnectivity(options.entryHeartbeatMs);
+  }
 
   /** How this box learns what the platform publishes, as last logged. */
   get source(): ConnectivitySource {
@@ -42,8 +46,8 @@
   }
 
   /** Records that a watcher sent this box all changes. */
-  recordPeerUpdate(address: string, gracePeriodMs: number): void {
-    this.connectivity.recordPeerUpdate(address, gracePeriodMs, this.options.now());
+  recordPeerUpdate(address: string, gracePeriodMs: number, answeringForMs?: number): void {
+    this.connectivity.recordPeerUpdate(address, gracePeriodMs, this.options.now(), answeringForMs);
     this.logSource();
   }
 
--- a/packages/router/src/published/platformConnectivity.ts
+++ b/packages/router/src/published/platformConnectivity.ts
@@ -6,7 +6,7 @@
  * | Decision                                             | Oldest proof                                             |
  * | ---------------------------------------------------- | -------------------------------------------------------- |
  * | origin of a stream that is taken up                  | from after the request arrived (`published/listProofs.ts`)   |
- * | an entry that disappears has been removed            | `LAPSE_PROOF_AGE_MS`                                     |
+ * | an entry that disappears has been removed            | `lapseMs`, two heartbeats of its endpoint                |
  * | report to peers                                      | `PEER_REPORT_TTL_MS`, with its age                       |
  * | leaving endpoints, evacuations, configuration, keys: | a share of the time within which changes have to be in   |
  * | look for changes without waiting for a call to end   | force (`RENEWAL_SHARE`, `UPDATE_SHARE`)                  |
@@ -14,8 +14,10 @@
  * Entries of live endpoints expire during an outage of the platform, so an entry that disappears then does not prove
  * that its endpoint has left. Failed calls of this box do not prove an outage: its own link may be down while peers
  * keep reading the platform and relaying changes. If such a cut counted as an outage, endpoints that have left would
- * stay in use for as long as it lasts.
+ * stay in use for as long as it lasts. Nor does a time without contact: when it ends, what peers report decides whether
+ * the platform was away meanwhile (`answeringPeriod.ts`).
  */
+import { AnsweringPeriod } from './answeringPeriod.js';
 
 /** Entries of live endpoints are listed again within about two seconds of the platform's return. */
 const GRACE_PERIOD_MS = 2_000;
@@ -24,18 +26,17 @@
  * lapse, since an entry expires only after three missed heartbeats of its endpoint, 1.2 s apart.
  */
 const PEER_REPORT_TTL_MS = 2_000;
-/**
- * Oldest own proof by which an entry that disappears was removed and did not lapse. An endpoint writes its entry each 1.2 s
- * and the entry expires after 3.6 s, so no entry can lapse earlier than 2.4 s after an outage has begun.
- */
-const LAPSE_PROOF_AGE_MS = 2_400;
-
 /** Report of a box to a peer about its connection to the platform. It travels in frames under these field names. */
 export interface PlatformReport {
   /** Remaining grace period, in which an entry that disappears may only have lapsed; 0 after it. */
   readonly doubtMs: number;
   /** Age of the proof: time since the sender's own call showed its list to be whole, or since a watcher last updated it. */
   readonly saidAgoMs: number;
+  /**
+   * For how long before that proof the platform had answered without a pause in which an entry could lapse. Boxes of versions
+   * without it send `doubtMs` alone.
+   */
+  readonly answeringForMs?: number | undefined;
 }
 
 /** Times of the last reports of a peer. */
@@ -59,8 +60,12 @@
   private ownProvenAtMs = -Infinity;
   /** Unexpired reports of peers, by address. */
   private readonly reports = new Map<string, PeerReport>();
-  /** End of the grace period: until then an entry that disappears may only have lapsed. */
-  private graceEndsAtMs = 0;
+  /** When the platform is known to have answered. A grace period follows its begin. */
+  private readonly period: AnsweringPeriod;
+  /** Whether a call of this box has failed since the list was last proven. */
+  private hasFailed = false;
+  /** End of the grace period after a restore, or as reported by boxes that know no more than that. */
+  private reportedDoubtEndsAtMs = 0;
   /** End of the grace period as this box observed it while reading the platform; reported to peers. */
   private ownGraceEndsAtMs = 0;
   /**
@@ -68,6 +73,11 @@
    */
   private reportedGraceEndsAtMs = 0;
 
+  /** @param entryHeartbeatMs interval at which endpoints write their entries */
+  constructor(entryHeartbeatMs?: number) {
+    this.period = new AnsweringPeriod(entryHeartbeatMs);
+  }
+
   /**
    * Records that the platform responded to a call of this box.
    *
@@ -80,7 +90,9 @@
     if (!this.isOwnCurrent(nowMs) && this.ownProvenAtMs !== -Infinity)
       this.ownGraceEndsAtMs = this.graceEndsAtMs;
     this.isReading = true;
+    this.hasFailed = false;
     this.ownProvenAtMs = Math.max(this.ownProvenAtMs, provenAtMs);
+    this.period.extend(provenAtMs);
   }
 
   /**
@@ -90,18 +102,19 @@
    * @param isOwn whether this box detected the restore itself and reports it to its peers
    */
   handleRestore(isOwn: boolean, nowMs: number): void {
-    this.graceEndsAtMs = Math.max(this.graceEndsAtMs, nowMs + GRACE_PERIOD_MS);
+    this.extendDoubt(nowMs + GRACE_PERIOD_MS);
     if (isOwn) this.ownGraceEndsAtMs = this.graceEndsAtMs;
   }
 
   /** Records that a call of this box failed. */
   recordFailure(): void {
     this.isReading = false;
+    this.hasFailed = true;
   }
 
-  /** Records that a watcher sent all changes, and the grace period that it reported. */
-  recordPeerUpdate(address: string, gracePeriodMs: number, nowMs: number): void {
-    this.recordPeerConfirmation(address, { doubtMs: gracePeriodMs, saidAgoMs: 0 }, nowMs);
+  /** Records that a watcher sent all changes, the grace period that it reported, and for how long the platform has answered. */
+  recordPeerUpdate(address: string, gracePeriodMs: number, nowMs: number, answeringForMs?: number): void {
+    this.recordPeerConfirmation(address, { doubtMs: gracePeriodMs, saidAgoMs: 0, answeringForMs }, nowMs);
     this.reports.set(address, { confirmedAtMs: nowMs, updatedAtMs: nowMs });
     this.reportedGraceEndsAtMs = Math.max(this.reportedGraceEndsAtMs, nowMs + gracePeriodMs);
   }
@@ -111,10 +124,14 @@
     const confirmedAtMs = nowMs - report.saidAgoMs;
     if (!isUnexpired(confirmedAtMs, nowMs)) return;
     this.startGracePeriodAfterOutage(nowMs);
+    this.hasFailed = false;
     const updatedAtMs = this.reports.get(address)?.updatedAtMs ?? -Infinity;
     this.reports.set(address, { confirmedAtMs, updatedAtMs });
+    this.period.extend(confirmedAtMs);
+    const { answeringForMs, doubtMs } = report;
+    if (answeringForMs !== undefined) this.period.join(confirmedAtMs - answeringForMs, confirmedAtMs);
     // A report without a grace period neither ends nor starts one: a relayed report is older than its arrival.
-    if (report.doubtMs > 0) this.graceEndsAtMs = Math.max(this.graceEndsAtMs, nowMs + report.doubtMs);
+    else if (doubtMs > 0) this.extendDoubt(nowMs + doubtMs);
   }
 
   /**
@@ -147,6 +164,11 @@
     return isOwn || isUnexpired(this.readNewest('updatedAtMs'), nowMs);
   }
 
+  /** Shortest pause of the platform in which the entry of a live endpoint can lapse. */
+  get lapseMs(): number {
+    return this.period.lapseMs;
+  }
+
   /** When the list of this box was last proven to be that of the platform, by its own calls or by peers. */
   get provenAtMs(): number {
     return Math.max(this.ownProvenAtMs, this.readNewest('confirmedAtMs'));
@@ -181,8 +203,9 @@
   createReport(nowMs: number): PlatformReport | undefined {
     if (this.isReading && isUnexpired(this.ownProvenAtMs, nowMs)) {
       return {
-        doubtMs: readRemainingMs(this.ownGraceEndsAtMs, nowMs),
+        doubtMs: readRemainingMs(Math.min(this.ownGraceEndsAtMs, this.graceEndsAtMs), nowMs),
         saidAgoMs: Math.max(0, Math.ceil(nowMs - this.ownProvenAtMs)),
+        answeringForMs: this.period.readLengthMs(this.ownProvenAtMs),
       };
     }
     const updatedAtMs = this.readNewest('updatedAtMs');
@@ -190,24 +213,35 @@
     return {
       doubtMs: readRemainingMs(this.reportedGraceEndsAtMs, nowMs),
       saidAgoMs: Math.ceil(nowMs - updatedAtMs),
+      answeringForMs: this.period.readLengthMs(updatedAtMs),
     };
   }
 
   private isOwnCurrent(nowMs: number): boolean {
-    return this.isReading && nowMs - this.ownProvenAtMs < LAPSE_PROOF_AGE_MS;
+    return this.isReading && nowMs - this.ownProvenAtMs < this.period.lapseMs;
   }
 
   private readNewest(kind: keyof PeerReport): number {
     return Math.max(-Infinity, ...[...this.reports.values()].map((report) => report[kind]));
   }
 
+  /** End of the grace period: until then an entry that disappears may only have lapsed. */
+  private get graceEndsAtMs(): number {
+    const { sinceMs } = this.period;
+    return Math.max(this.reportedDoubtEndsAtMs, Number.isFinite(sinceMs) ? sinceMs + GRACE_PERIOD_MS : 0);
+  }
+
+  private extendDoubt(untilMs: number): void {
+    this.reportedDoubtEndsAtMs = Math.max(this.reportedDoubtEndsAtMs, untilMs);
+  }
+
   /**
-   * Starts a grace period if nobody could read the platform until now. If the source only changes between own calls
-   * and peers, there was no outage.
+   * Starts a grace period if the platform may have been away until now: calls of this box failed and no peer read it, or
+   * there was no proof for so long that entries can have lapsed. A peer that has read it all along ends the period.
    */
   private startGracePeriodAfterOutage(nowMs: number): void {
-    if (this.readSource(nowMs) === 'none')
-      this.graceEndsAtMs = Math.max(this.graceEndsAtMs, nowMs + GRACE_PERIOD_MS);
+    if (this.readSource(nowMs) !== 'none') return;
+    if (this.hasFailed || this.period.isInterrupted(nowMs)) this.period.restart(nowMs);
   }
 }
 
--- a/packages/router/src/published/publishedState.ts
+++ b/packages/router/src/published/publishedState.ts
@@ -27,6 +27,8 @@
   readonly log: DecisionLog;
   readonly metrics: RouterMetrics;
   readonly now: () => number;
+  /** Interval at which endpoints write their entries, if the deployment states it. */
+  readonly entryHeartbeatMs?: number | undefined;
   readonly hash: (text: string) => number;
   readonly parseConfiguration: (text: string) => Result<FleetConfiguration, Problem>;
   readonly onLimits: (limits: CallerLimits) => void;
@@ -42,8 +44,13 @@
   private readonly history: ConfigurationHistory;
 
   constructor(private readonly options: PublishedStateOptions) {
-    const { table, log, metrics, now, hash, onEndpointRemoved } = options;
-    this.contact = new LoggedConnectivity({ log, now, readRevision: () => this.endpointsRevision });
+    const { table, log, metrics, now, hash, entryHeartbeatMs, onEndpointRemoved } = options;
+    this.contact = new LoggedConnectivity({
+      log,
+      now,
+      entryHeartbeatMs,
+      readRevision: () => this.endpointsRevision,
+    });
     const { contact } = this;
     this.lists = new PublishedLists({ table, log, metrics, now, contact, onEndpointRemoved });
     this.history = new ConfigurationHistory({
@@ -96,6 +103,11 @@
     return this.contact.connectivity.isReceivingUpdates(this.options.now(), maxAgeMs);
   }
 
+  /** Shortest pause of the platform in which the entry of a live endpoint can lapse. */
+  get lapseMs(): number {
+    return this.contact.connectivity.lapseMs;
+  }
+
   /** When the list of endpoints was last proven to be that of the platform, by own calls or by peers. */
   get provenAtMs(): number {
     return this.contact.connectivity.provenAtMs;
@@ -188,8 +200,8 @@
   }
 
   /** Records that a watcher sent this box all changes. */
-  recordPeerUpdate(address: string, gracePeriodMs: number): void {
-    this.contact.recordPeerUpdate(address, gracePeriodMs);
+  recordPeerUpdate(address: string, gracePeriodMs: number, answeringForMs?: number): void {
+    this.contact.recordPeerUpdate(address, gracePeriodMs, answeringForMs);
   }
 
   /** Records that a peer connected to the platform has nothing newer than this box. */
--- a/packages/router/src/routerOptions.ts
+++ b/packages/router/src/routerOptions.ts
@@ -43,6 +43,8 @@
   readonly coldBound: ColdBound;
   /** Time within which a published change has to be in force. */
   readonly applyBoundMs: number;
+  /** Interval at which endpoints write their entries; 1,200 if not given. */
+  readonly entryHeartbeatMs?: number | undefined;
   /** Calls that the platform serves per second, for all boxes. */
   readonly platformReadsPerS: number;
   /**
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -106,6 +106,7 @@
       log: this.log,
       metrics: this.metrics,
       now,
+      entryHeartbeatMs: options.entryHeartbeatMs,
       hash,
       parseConfiguration: (text) => work.measure('configuration', () => options.parseConfiguration(text)),
       onLimits: (limits) => this.callers.applyLimits(limits),
--- a/packages/router/src/streams/__fixtures__/virtualStore.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStore.ts
@@ -182,7 +182,10 @@
 }
 
 function toSnapshot(changes: readonly EndpointChange[]): EndpointChange[] {
-  const removed = new Set(changes.flatMap((change) => (change.type === 'removed' ? [change.id] : [])));
-  const listed = changes.flatMap((change) => (change.type === 'listed' ? [change.endpoint] : []));
-  return [{ type: 'snapshot', endpoints: listed.filter(({ id }) => !removed.has(id)) }];
+  const entries = new Map<string, ListedEndpoint>();
+  for (const change of changes) {
+    if (change.type === 'listed') entries.set(change.endpoint.id, change.endpoint);
+    if (change.type === 'removed') entries.delete(change.id);
+  }
+  return [{ type: 'snapshot', endpoints: [...entries.values()] }];
 }
