Lists: a lapsed endpoint is dropped by a list from after the wait, not by the clock

What callers saw: fewer endpoints for up to 1.6 s after an outage, though these had written their entries in time. Cause: a box that reads the platform dropped what was missing when the two seconds were over, although it pauses between two calls (0.4 of the bound) and had not yet read the entries that had just come back. Change: the list has to be proven after that time; if it is not, a reader calls for it at once. Four tests that let the clock alone drop an endpoint were wrong by this; each now checks that it is kept without the proof, and dropped with it.

--- a/packages/router/src/published/__tests__/departures.test.ts
+++ b/packages/router/src/published/__tests__/departures.test.ts
@@ -139,6 +139,38 @@
   }
 }
 
+/** Boxes that do not use a live endpoint. */
+function countMissing(streams: StoreStreams, id: string): number {
+  const rows = streams.fleet.listRunning().map((box) => streams.find(box).table.byId.get(id));
+  return rows.filter((row) => row === undefined || findDeparture(row) !== undefined).length;
+}
+
+test.each(
+  FLEETS.slice(0, 4).flatMap((fleet) => BOUNDS_MS.map((applyBoundMs) => ({ ...fleet, applyBoundMs }))),
+)(
+  '$boxes boxes, bound $applyBoundMs ms: entries of live endpoints that lapse in outages take none of them away',
+  async ({ boxes, halls, applyBoundMs }) => {
+    const streams = await StoreStreams.create({ boxes, halls, seed: boxes, applyBoundMs, settleS: 4 });
+    const { fleet, store } = streams;
+    for (const id of ['e0', 'e1']) store.put(createListing(id));
+    await fleet.run(5);
+    for (const outageS of [2.6, 4]) {
+      for (const { address } of fleet.boxes) store.silentFor.add(address);
+      await fleet.run(outageS - 0.1);
+      store.drop('e0');
+      await fleet.run(0.1);
+      // The boxes reach the store again one after the other; the entry is back 1.9 s after the first.
+      fleet.timeline.after(1_900, () => store.put(createListing('e0')));
+      for (const { address } of fleet.boxes)
+        fleet.timeline.after(1_000 * streams.random(), () => store.silentFor.delete(address));
+      for (let step = 0; step < 80; step += 1) {
+        await fleet.run(0.05);
+        expect(countMissing(streams, 'e0')).toBe(0);
+      }
+    }
+  },
+);
+
 const cases = FLEETS.flatMap(({ boxes, halls, seeds }, at) =>
   TROUBLES.slice(0, boxes < 195 || SEEDS > 1 ? undefined : 2).flatMap((trouble, kind) =>
     Array.from({ length: seeds }, (_, run) => {
--- a/packages/router/src/published/__tests__/endpointDirectory.test.ts
+++ b/packages/router/src/published/__tests__/endpointDirectory.test.ts
@@ -40,6 +40,11 @@
   expect(table.byId.size).toBe(3);
   directory.apply({ type: 'listed', endpoint: createListing('e1') }, STEADY_MS + 1_950);
   directory.tick(STEADY_MS + 2_100);
+  // Its entry may have come back since the last response.
+  expect(removed).toEqual([]);
+  expect(directory.awaitsProof(STEADY_MS + 2_100)).toBe(true);
+  connectivity.recordResponse(STEADY_MS + 2_100);
+  directory.tick(STEADY_MS + 2_100);
   expect(removed).toEqual(['e2 lapsed']);
 });
 
@@ -63,6 +68,9 @@
   expect(table.lapsedCount).toBe(1);
   connectivity.recordResponse(STEADY_MS);
   directory.tick(STEADY_MS + 2_000);
+  expect(removed).toEqual([]);
+  connectivity.recordResponse(STEADY_MS + 2_000);
+  directory.tick(STEADY_MS + 2_000);
   expect(removed).toEqual(['e1 lapsed']);
   expect([...table.byId.keys()]).toEqual(['e0']);
 });
--- a/packages/router/src/published/__tests__/feedRelay.test.ts
+++ b/packages/router/src/published/__tests__/feedRelay.test.ts
@@ -57,6 +57,9 @@
   expect(box.listIds()).toEqual(['e-10']);
   box.nowMs += 1_600;
   box.state.tick(box.nowMs);
+  expect(box.listIds()).toEqual(['e-10']);
+  box.relay.handleNotice(createNotice({ from: 12, revision: 12 }));
+  box.state.tick(box.nowMs);
   expect(box.listIds()).toEqual([]);
 });
 
--- a/packages/router/src/published/__tests__/restoredPlatform.test.ts
+++ b/packages/router/src/published/__tests__/restoredPlatform.test.ts
@@ -119,6 +119,10 @@
     expect(box.listIds()).toContain('e-10');
     box.nowMs += 200;
     box.state.tick(box.nowMs);
+    // Its entry may have come back since the last response.
+    expect(box.listIds()).toContain('e-10');
+    applyFullRead(box, 1, 4, [createAppListing('e-new')]);
+    box.state.tick(box.nowMs);
     expect(box.listIds()).toEqual(['e-new']);
   });
 
--- a/packages/router/src/published/boxFeed.ts
+++ b/packages/router/src/published/boxFeed.ts
@@ -28,6 +28,7 @@
       mesh,
       readPosition: () => state.listPosition,
       readProvenAtMs: () => state.provenAtMs,
+      awaitsProof: () => state.awaitsProof,
       readRole: () => relay.decideRole().type,
       isFeedLost: () => relay.feedState === 'lost',
       listWatchers: () => relay.listWatchers(),
--- a/packages/router/src/published/endpointDirectory.ts
+++ b/packages/router/src/published/endpointDirectory.ts
@@ -79,9 +79,16 @@
     return { ...change, endpoints: this.restored.screen(change.endpoints, nowMs) };
   }
 
-  /** Runs once a tick: removes lapsed endpoints after the grace period. */
+  /** Whether lapsed endpoints are kept only because the list was not proven since the grace period ended. */
+  awaitsProof(nowMs: number): boolean {
+    const isOver = this.table.lapsedCount > 0 && this.connectivity.readGracePeriodMs(nowMs) === 0;
+    return isOver && !this.connectivity.isProvenAfterGracePeriod;
+  }
+
+  /** Runs once a tick: removes lapsed endpoints that a list from after the grace period still lacks. */
   tick(nowMs: number): void {
     if (this.table.lapsedCount === 0 || this.connectivity.readGracePeriodMs(nowMs) > 0) return;
+    if (!this.connectivity.isProvenAfterGracePeriod) return;
     for (const row of [...this.table.byId.values()]) {
       if (row.isLapsed) this.remove(row.listing.id, 'lapsed', nowMs);
     }
--- a/packages/router/src/published/platformConnectivity.ts
+++ b/packages/router/src/published/platformConnectivity.ts
@@ -192,6 +192,14 @@
     }
   }
 
+  /**
+   * Whether the list was proven after the grace period, so that entries that are still missing are gone. At its end a box that
+   * reads the platform may pause between two calls, and miss an entry that has just come back.
+   */
+  get isProvenAfterGracePeriod(): boolean {
+    return this.provenAtMs >= this.graceEndsAtMs;
+  }
+
   /**
    * Report of this box for its peers; undefined if it neither reads the platform nor gets all changes from a watcher.
    * Confirmations of other peers are not passed on, or boxes that are cut off would confirm each other. A box that is
--- a/packages/router/src/published/publishedLists.ts
+++ b/packages/router/src/published/publishedLists.ts
@@ -94,6 +94,11 @@
     this.measureLapsed();
   }
 
+  /** Whether a decision about endpoints whose entries are missing waits for a proof of the list. */
+  get awaitsProof(): boolean {
+    return this.directory.awaitsProof(this.options.now());
+  }
+
   /** Runs once a tick. */
   tick(nowMs: number): void {
     this.directory.tick(nowMs);
--- a/packages/router/src/published/publishedState.ts
+++ b/packages/router/src/published/publishedState.ts
@@ -113,6 +113,11 @@
     return this.contact.connectivity.provenAtMs;
   }
 
+  /** Whether a decision about endpoints whose entries are missing waits for a proof of the list. */
+  get awaitsProof(): boolean {
+    return this.lists.awaitsProof;
+  }
+
   /** Since when each single change of the list has reached this box; Infinity before the first list. */
   get unbrokenSinceMs(): number {
     return this.lists.unbrokenSinceMs;
