Sending: a request that waits for a connection is not sent to an endpoint that has gone meanwhile

What callers saw: a request chosen before its endpoint's entry went was sent there whenever its connection came, and failed. Cause: each path asks right before it sends whether the endpoint still takes requests, but only by its entry and its announcement. A row that has left the table kept its last entry, live. Change: one function says why an endpoint gets nothing new, since when and from which proof, also of a row that is no longer in the table; what chooses endpoints and what sends ask it.

--- a/packages/router/src/systems/endpointNotices.ts
+++ b/packages/router/src/systems/endpointNotices.ts
@@ -1,5 +1,6 @@
 /** Records announcements that endpoints make in their response headers. */
 import type { ResponseMetadata } from '../records.js';
+import { findDeparture } from '../tables/departure.js';
 import type { EndpointRow } from '../tables/endpointTable.js';
 
 /** An announcement that changed the recorded state of an endpoint. */
@@ -50,12 +51,12 @@
 }
 
 /**
- * Whether an endpoint is about to leave, according to its listing or to its own announcement. It gets no new requests.
+ * Whether an endpoint has left or is about to, as far as this box knows. It gets no new requests.
  *
  * @example isLeaving(row) // true although row.listing.state is still 'live'
  */
-export function isLeaving({ listing, notice }: EndpointRow): boolean {
-  return listing.state === 'leaving' || notice.isLeaving;
+export function isLeaving(row: EndpointRow): boolean {
+  return findDeparture(row) !== undefined;
 }
 
 /**
