Lists: an endpoint dropped with proof is not brought back by the doubt of a peer

What callers saw: nothing reported; found while looking for the same cause elsewhere. Cause: whole lists name the endpoints that their sender keeps in doubt. A box in a gap of its own added these, also those that it had dropped before, and sent to them until its gap was over. Change: what was dropped is added again only by an entry of a later list. Evidence: the row 'gone, then kept by a peer in doubt' failed on each of the eight paths before.

--- a/packages/router/src/published/__tests__/sendingPaths.test.ts
+++ b/packages/router/src/published/__tests__/sendingPaths.test.ts
@@ -90,6 +90,18 @@
     box.read([removed], 12);
     box.read([snapshot(leaver, other)], 11);
   },
+  'gone, then kept by a peer in doubt': (box) => {
+    box.read([removed], 11);
+    box.state.handleReadFailure('reset');
+    box.state.applyLists(
+      {
+        endpointChanges: [{ type: 'snapshot', endpoints: [other], lapsed: [leaver] }],
+        evacuationChanges: [],
+      },
+      { era: 1, revision: 12 },
+      'peer',
+    );
+  },
   'gone, then in a restored list': (box) => {
     box.read([removed], 11);
     box.read([snapshot(leaver, other)], 5, 2);
--- a/packages/router/src/published/endpointDirectory.ts
+++ b/packages/router/src/published/endpointDirectory.ts
@@ -107,12 +107,13 @@
 
   /**
    * Adds endpoints that a peer keeps as lapsed: a box that starts during an outage of the platform has no other
-   * source.
+   * source. One that this box has dropped stays so: the doubt of a peer is no proof against its own.
    */
   private addLapsed(lapsed: readonly ListedEndpoint[], nowMs: number): void {
     if (this.connectivity.readGracePeriodMs(nowMs) === 0) return;
     for (const endpoint of lapsed) {
-      if (!this.table.byId.has(endpoint.id)) this.table.upsert(endpoint, nowMs);
+      const isKnown = this.table.byId.has(endpoint.id) || this.restored.wasRemoved(endpoint.id, nowMs);
+      if (!isKnown) this.table.upsert(endpoint, nowMs);
     }
   }
 
--- a/packages/router/src/published/restoredEntries.ts
+++ b/packages/router/src/published/restoredEntries.ts
@@ -35,6 +35,11 @@
     }
   }
 
+  /** Whether an endpoint was removed within the retention period and its entry was not written since. */
+  wasRemoved(id: string, nowMs: number): boolean {
+    return nowMs - (this.removedAtMs.get(id) ?? -Infinity) < REMOVAL_RETENTION_MS;
+  }
+
   /** Stops screening an endpoint whose entry was written again. */
   stopScreening(id: string): void {
     this.removedAtMs.delete(id);
