Tunnels: none is opened to an endpoint of which the serving box knows that it leaves

What callers saw: nothing reported; found while looking for the same cause on other paths. Cause: a box that serves a tunnel asked only whether it lists the endpoint, before it connected. A box without contact, which asks for the tunnel, may lack the change. Change: the serving box asks the same rule as for its own requests, before and after it connects.

--- a/packages/router/src/tunnels/tunnelFrames.ts
+++ b/packages/router/src/tunnels/tunnelFrames.ts
@@ -12,7 +12,7 @@
   'connectBroken',
   /** It does not reach the endpoint itself. */
   'noPath',
-  /** The endpoint is not on its list. */
+  /** The endpoint is not on its list, or leaves. */
   'unknownEndpoint',
   'stopping',
   /** It serves as many tunnels as it can. */
--- a/packages/router/src/tunnels/tunnelServer.ts
+++ b/packages/router/src/tunnels/tunnelServer.ts
@@ -7,6 +7,7 @@
 import { encodePeerFrame, PeerFrameReader } from '../peers/peerFrameCodec.js';
 import type { DialFailure } from '../tables/endpointPath.js';
 import type { StopPhase } from '../systems/gracefulShutdown.js';
+import { isLeaving } from '../systems/endpointNotices.js';
 import { isClosing } from '../systems/gracefulShutdown.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { shuffle } from '../systems/shuffle.js';
@@ -80,9 +81,10 @@
       return this.refuse(request, socket, await this.findDialRefusal(row, dialed.val));
     }
     const phase = readStopPhase();
-    if (socket.destroyed || isClosing(phase)) {
+    const isStopping = socket.destroyed || isClosing(phase);
+    if (isStopping || isLeaving(row)) {
       dialed.val.destroy();
-      return this.refuse(request, socket, 'stopping');
+      return this.refuse(request, socket, isStopping ? 'stopping' : 'unknownEndpoint');
     }
     socket.setNoDelay().setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
     const remainingMs = this.options.readRemainingMs();
@@ -118,7 +120,8 @@
     if (!isEnabled()) return 'turnedOff';
     if (isClosing(readStopPhase())) return 'stopping';
     if (this.open.size + this.dialing >= MAX_TUNNELS) return 'full';
-    if (row === undefined) return 'unknownEndpoint';
+    // The other box may lack the change: its request would be sent to an endpoint that has left.
+    if (row === undefined || isLeaving(row)) return 'unknownEndpoint';
     const isDark = row.health.type === 'unreachable' && !row.health.isProcessGone;
     return isDark || row.path.type === 'tunnel' ? 'noPath' : undefined;
   }
