Proxy: a response without a length that is held back ends its request with an error, not with an assertion

While a caller does not read, the box holds the endpoint's response back. If the box then closed that connection, or the endpoint reset it, and the response had no length, the HTTP client failed with an assertion in the event of the close, outside any request: its memory was not given back, and without the last handler of the process the box would have ended with all its requests. Cause: the client takes a close, or a reset, for the end of such a response, and asserts that it is being read. Change: connections are closed with an error in mid-response, and resets reach the client without the code by which it knows them.

--- a/packages/router/src/proxy/attempt.ts
+++ b/packages/router/src/proxy/attempt.ts
@@ -11,6 +11,7 @@
 import { isTunnelLost } from '../tunnels/tunnelStream.js';
 import { isCloseDelimited } from './forwardHeaders.js';
 import type { AbortReason, AttemptEvent, BreakReason, ResponseHead, SendObstacle } from './attemptEvent.js';
+import { closeInResponse } from './endpointConnections.js';
 import type { EndpointConnection, EndpointConnections } from './endpointConnections.js';
 import { ReadPacing } from './readPacing.js';
 
@@ -157,7 +158,7 @@
     const { phase } = this;
     if (phase.type === 'over') return;
     this.close();
-    if (phase.type === 'open') phase.connection.socket.destroy();
+    if (phase.type === 'open') closeInResponse(phase.connection.socket);
   }
 
   private get isOver(): boolean {
@@ -198,7 +199,7 @@
     connection.client.dispatch(options, {
       onRequestStart: (controller) => {
         this.controller = controller;
-        if (this.isOver) connection.socket.destroy();
+        if (this.isOver) closeInResponse(connection.socket);
       },
       onResponseStart: (_controller, status, headers) => this.handleHead(request, status, headers),
       onResponseData: (_controller, chunk) => this.handleData(chunk),
@@ -267,7 +268,7 @@
     this.finish(
       notRunHead === undefined ? { type: 'broken', reason, detail } : { type: 'notRun', head: notRunHead },
     );
-    if (phase.type === 'open') phase.connection.socket.destroy();
+    if (phase.type === 'open') closeInResponse(phase.connection.socket);
   }
 
   private finish(event: AttemptEvent): void {
--- a/packages/router/src/proxy/endpointConnections.ts
+++ b/packages/router/src/proxy/endpointConnections.ts
@@ -173,6 +173,7 @@
     }
     this.options.onOpened();
     const { socket, closesInMs } = connected.val;
+    socket.prependListener('error', hideReset);
     const nowMs = this.options.now();
     const connection: EndpointConnection = {
       ...connected.val,
@@ -196,6 +197,21 @@
   }
 }
 
+/**
+ * Closes a connection whose response is not read to its end. Without an error, undici takes the close for the end of a response
+ * without a length, and fails with an assertion if the response is held back at the moment.
+ *
+ * @example closeInResponse(connection.socket) // its request ends with an error
+ */
+export function closeInResponse(socket: Duplex): void {
+  socket.destroy(new Error('closed by this box'));
+}
+
+/** The same holds for a reset by the endpoint, which undici knows by this code. */
+function hideReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') delete error.code;
+}
+
 /** Uses a connection for no further request; closes it if it is idle. */
 function retireConnection(connection: EndpointConnection, pool: EndpointPool): void {
   connection.isRetired = true;
