--- a/packages/router/src/streams/__fixtures__/storeStreams.ts
+++ b/packages/router/src/streams/__fixtures__/storeStreams.ts
@@ -109,6 +109,17 @@
     }
   }
 
+  /** Kills all boxes at once and starts them again a second later; callers then take up all streams. */
+  async restartAll(): Promise<void> {
+    const { fleet } = this;
+    for (const box of fleet.boxes) fleet.stop(box, 'killed');
+    await fleet.run(1);
+    for (const box of fleet.boxes) fleet.restart(box);
+    await fleet.run(3);
+    this.takeUp(() => true);
+    await fleet.run(1);
+  }
+
   count(kind: keyof TakenUp): number {
     return [...this.taken.values()].reduce((sum, counts) => sum + counts[kind], 0);
   }
