--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -170,19 +170,8 @@
       },
     );
     const { mesh, state, log, metrics } = this;
-    const { applyBoundMs, hall, linkMbps, readChanges, platformReadsPerS } = options;
-    this.feed = new BoxFeed({
-      mesh,
-      state,
-      log,
-      hall,
-      linkMbps,
-      hash,
-      now,
-      applyBoundMs,
-      platformReadsPerS,
-      readChanges,
-    });
+    const { hall } = options;
+    this.feed = new BoxFeed({ ...options, mesh, state, log, hash, now });
     const paceLog = new PaceLog(log, metrics);
     const paces = new EndpointPaces({
       table,
