--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -170,7 +170,7 @@
       },
     );
     const { mesh, state, log, metrics } = this;
-    const { hall } = options;
+    const { hall, linkMbps } = options;
     this.feed = new BoxFeed({ ...options, mesh, state, log, hash, now });
     const paceLog = new PaceLog(log, metrics);
     const paces = new EndpointPaces({
