Lists: a box that keeps endpoints in doubt asks its peers whether the platform was away

Cause: in a large fleet heartbeats come each few seconds, so what other boxes know arrives with the notices of the readers; a reader that has just been cut off itself knows no better than the box. Change: while a box keeps endpoints whose entries have gone, it requests the list of one peer after the other, which comes with that peer's report. In a full mesh, and without such endpoints, nothing is sent.

--- a/packages/router/src/fleetRouter.ts
+++ b/packages/router/src/fleetRouter.ts
@@ -160,7 +160,7 @@
     const { work } = this.parts;
     work.tick(nowMs);
     work.measure('timeouts', () => this.parts.state.tick(nowMs));
-    work.measure('lists', () => this.parts.feed.proofs.tick(nowMs));
+    work.measure('lists', () => this.parts.feed.tick(nowMs));
     work.measure('membership', () => this.parts.mesh.tick());
     work.measure('timeouts', () => this.tickRequests(nowMs));
     work.measure('loads', () => this.parts.loadRelay.tick());
--- a/packages/router/src/published/__tests__/departures.test.ts
+++ b/packages/router/src/published/__tests__/departures.test.ts
@@ -181,6 +181,9 @@
   ),
 );
 
+// Boxes whose own silence had ended took over the doubt of a reader that had been silent as well, though others of the hall knew.
+cases.push({ boxes: 73, halls: 4, trouble: 'someSilent', boundMs: 4_000, seed: 73_007 });
+
 test.each(cases)(
   '$boxes boxes, $trouble, bound $boundMs ms, seed $seed: an endpoint that has left gets nothing new after the bound',
   async ({ boxes, halls, trouble, boundMs, seed }) => {
--- a/packages/router/src/published/boxFeed.ts
+++ b/packages/router/src/published/boxFeed.ts
@@ -3,6 +3,7 @@
 import type { FeedRelayOptions } from './feedRelay.js';
 import { FeedRelay } from './feedRelay.js';
 import { ListProofs } from './listProofs.js';
+import { OutageInquiry } from './outageInquiry.js';
 import { PeerValueSync } from '../peers/peerValueSync.js';
 
 /** Settings and dependencies of the parts. */
@@ -18,6 +19,7 @@
   readonly valueSync: PeerValueSync;
   readonly relay: FeedRelay;
   readonly proofs: ListProofs;
+  private readonly inquiry: OutageInquiry;
 
   constructor(options: BoxFeedOptions) {
     const { mesh, state, now, hash, applyBoundMs, platformReadsPerS } = options;
@@ -41,5 +43,17 @@
       applyBoundMs,
       readsPerS: platformReadsPerS,
     });
+    this.inquiry = new OutageInquiry({
+      mesh,
+      isInDoubt: () => state.isInDoubt,
+      requestList: (address) => valueSync.requestEndpoints(address),
+      rank: hash,
+    });
+  }
+
+  /** Runs once a tick. */
+  tick(nowMs: number): void {
+    this.proofs.tick(nowMs);
+    this.inquiry.tick(nowMs);
   }
 }
--- a/packages/router/src/published/publishedState.ts
+++ b/packages/router/src/published/publishedState.ts
@@ -113,6 +113,12 @@
     return this.contact.connectivity.provenAtMs;
   }
 
+  /** Whether endpoints are kept because an outage of the platform is possible. */
+  get isInDoubt(): boolean {
+    const graceMs = this.contact.connectivity.readGracePeriodMs(this.options.now());
+    return this.options.table.lapsedCount > 0 && graceMs > 0;
+  }
+
   /** Whether a decision about endpoints whose entries are missing waits for a proof of the list. */
   get awaitsProof(): boolean {
     return this.lists.awaitsProof;
--- a/packages/router/src/streams/__fixtures__/storeProgram.ts
+++ b/packages/router/src/streams/__fixtures__/storeProgram.ts
@@ -106,7 +106,7 @@
   tick(): void {
     const nowMs = this.options.store.timeline.nowMs;
     this.state.tick(nowMs);
-    this.feed.proofs.tick(nowMs);
+    this.feed.tick(nowMs);
     this.streams.tick(nowMs);
   }
 
