Metrics: a counter that can only be 0 is taken out

It counted requests sent although their endpoint was known to leave, to tell the hypotheses of the incident apart. Since the fix the same step of the loop asks the rule and sends, so it cannot count.

--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -103,8 +103,6 @@
   );
   /** Endpoints that are kept although no longer listed: their entries may have expired while they still run. */
   readonly lapsedEndpoints = this.gauge('lapsed_endpoints', 'Endpoints kept although their entry vanished');
-  /** Requests that were sent although this box had proof that their endpoint gets nothing new, by that proof. */
-  readonly lateSends = this.counter('late_sends', 'Requests sent to endpoints known to leave', ['proof']);
   /** Requests that were stopped right before they were sent, by why their endpoint gets nothing new. */
   readonly lateStops = this.counter('late_stops', 'Requests stopped as their endpoint leaves', ['proof']);
   /** Halls that operators have ordered to be evacuated: their endpoints get no new requests. */
--- a/packages/router/src/proxy/attemptSet.ts
+++ b/packages/router/src/proxy/attemptSet.ts
@@ -219,8 +219,6 @@
   private recordSent(route: Route, attempt: Attempt): void {
     const nowMs = this.context.now();
     this.firstSentAtMs ??= nowMs;
-    const departure = findDeparture(attempt.row);
-    if (departure !== undefined) this.context.metrics.lateSends.inc({ proof: departure.proof });
     this.durations.set(attempt, this.context.durations.begin(route.name, nowMs));
   }
 
