Lists: one state of the lapsed endpoints in place of three conditions

Whether lapsed endpoints are in doubt, await a proof or are gone was decided in three places from the same two facts, one of which went through all reports of peers at each tick before it asked whether there are any such endpoints. It is one state now, asked in that order; the option of the proofs that a fixture lacked is required; a constant is no longer exported. Behaviour is unchanged. One check of a test names the state in place of a flag, as strict.

--- a/packages/router/src/published/__tests__/endpointDirectory.test.ts
+++ b/packages/router/src/published/__tests__/endpointDirectory.test.ts
@@ -42,7 +42,7 @@
   directory.tick(STEADY_MS + 2_100);
   // Its entry may have come back since the last response.
   expect(removed).toEqual([]);
-  expect(directory.awaitsProof(STEADY_MS + 2_100)).toBe(true);
+  expect(directory.readLapsedState(STEADY_MS + 2_100)).toBe('awaitingProof');
   connectivity.recordResponse(STEADY_MS + 2_100);
   directory.tick(STEADY_MS + 2_100);
   expect(removed).toEqual(['e2 lapsed']);
--- a/packages/router/src/published/answeringPeriod.ts
+++ b/packages/router/src/published/answeringPeriod.ts
@@ -5,7 +5,7 @@
  */
 
 /** Interval at which an endpoint writes its entry, where the deployment states none. */
-export const DEFAULT_ENTRY_HEARTBEAT_MS = 1_200;
+const DEFAULT_ENTRY_HEARTBEAT_MS = 1_200;
 /**
  * An entry expires after three missed heartbeats, and the last one may have been written up to one before the platform
  * stopped to answer: no entry can lapse in a shorter pause.
--- a/packages/router/src/published/boxFeed.ts
+++ b/packages/router/src/published/boxFeed.ts
@@ -30,7 +30,7 @@
       mesh,
       readPosition: () => state.listPosition,
       readProvenAtMs: () => state.provenAtMs,
-      awaitsProof: () => state.awaitsProof,
+      awaitsProof: () => state.lapsedState === 'awaitingProof',
       readRole: () => relay.decideRole().type,
       isFeedLost: () => relay.feedState === 'lost',
       listWatchers: () => relay.listWatchers(),
@@ -45,9 +45,9 @@
     });
     this.inquiry = new OutageInquiry({
       mesh,
-      isInDoubt: () => state.isInDoubt,
+      isInDoubt: () => state.lapsedState === 'inDoubt',
       requestList: (address) => valueSync.requestEndpoints(address),
-      rank: hash,
+      hash,
     });
   }
 
--- a/packages/router/src/published/endpointDirectory.ts
+++ b/packages/router/src/published/endpointDirectory.ts
@@ -23,6 +23,17 @@
       readonly lapsed?: readonly ListedEndpoint[];
     };
 
+/** What is to become of the endpoints whose entries have disappeared and that are kept. */
+export type LapsedState =
+  /** There are none. */
+  | 'none'
+  /** An outage of the platform is possible: their entries may only have lapsed. */
+  | 'inDoubt'
+  /** Those of live endpoints are listed again by now, but no list has been proven since. */
+  | 'awaitingProof'
+  /** A list proven since then lacks them. */
+  | 'gone';
+
 /** Called when an endpoint is removed or its entry lapses. */
 export interface EndpointDirectoryHandlers {
   readonly onRemoved: (id: string, reason: RemovalReason) => void;
@@ -79,16 +90,17 @@
     return { ...change, endpoints: this.restored.screen(change.endpoints, nowMs) };
   }
 
-  /** Whether lapsed endpoints are kept only because the list was not proven since the grace period ended. */
-  awaitsProof(nowMs: number): boolean {
-    const isOver = this.table.lapsedCount > 0 && this.connectivity.readGracePeriodMs(nowMs) === 0;
-    return isOver && !this.connectivity.isProvenAfterGracePeriod;
+  /** Why lapsed endpoints are kept, or that they are not. */
+  readLapsedState(nowMs: number): LapsedState {
+    const { table, connectivity } = this;
+    if (table.lapsedCount === 0) return 'none';
+    if (connectivity.readGracePeriodMs(nowMs) > 0) return 'inDoubt';
+    return connectivity.isProvenAfterGracePeriod ? 'gone' : 'awaitingProof';
   }
 
   /** Runs once a tick: removes lapsed endpoints that a list from after the grace period still lacks. */
   tick(nowMs: number): void {
-    if (this.table.lapsedCount === 0 || this.connectivity.readGracePeriodMs(nowMs) > 0) return;
-    if (!this.connectivity.isProvenAfterGracePeriod) return;
+    if (this.readLapsedState(nowMs) !== 'gone') return;
     for (const row of [...this.table.byId.values()]) {
       if (row.isLapsed) this.remove(row.listing.id, 'lapsed', nowMs);
     }
--- a/packages/router/src/published/listProofs.ts
+++ b/packages/router/src/published/listProofs.ts
@@ -44,7 +44,7 @@
   /** When the list was last proven in any way; reports of peers are dated by their arrival. */
   readonly readProvenAtMs: () => number;
   /** Whether a decision waits for a proof that is not older than a time that has passed. */
-  readonly awaitsProof?: () => boolean;
+  readonly awaitsProof: () => boolean;
   /** Whether this box reads the platform itself. */
   readonly readRole: () => FeedRole['type'];
   /** Whether the last calls of this box to the platform failed. */
@@ -209,7 +209,7 @@
     if (nowMs - this.calledAtMs < RENEWAL_RETRY_MS) return false;
     const spread = (rank(mesh.address) % MS_PER_S) / MS_PER_S;
     const ageMs = applyBoundMs * (RENEWAL_SHARE + RENEWAL_SPREAD_SHARE * spread);
-    const isDue = nowMs - readProvenAtMs() >= ageMs || this.options.awaitsProof?.() === true;
+    const isDue = nowMs - readProvenAtMs() >= ageMs || this.options.awaitsProof();
     return isDue && !isFeedLost() && readRole() === 'follow';
   }
 
--- a/packages/router/src/published/outageInquiry.ts
+++ b/packages/router/src/published/outageInquiry.ts
@@ -1,6 +1,6 @@
 /**
- * Asks peers whether the platform was away while this box had no contact, as long as it keeps endpoints only because it cannot
- * tell. In a large fleet heartbeats are rare, and the boxes that read the platform for a hall may have been cut off as well.
+ * Asks peers whether the platform was away while this box had no contact, as long as it keeps endpoints only because it does not
+ * know. In a large fleet heartbeats are rare, and the boxes that read the platform for a hall may have been cut off as well.
  */
 import type { PeerMesh } from '../peers/peerMesh.js';
 
@@ -15,7 +15,7 @@
   /** Requests the list of a peer, which comes with its report about the platform. */
   readonly requestList: (address: string) => void;
   /** Hash by which boxes ask their peers in different orders. */
-  readonly rank: (text: string) => number;
+  readonly hash: (text: string) => number;
 }
 
 /** The inquiry of one box. */
@@ -32,8 +32,8 @@
    * @example inquiry.tick(performance.now()) // nothing is sent unless endpoints are kept in doubt
    */
   tick(nowMs: number): void {
-    const { mesh, isInDoubt, requestList, rank } = this.options;
-    const order = (address: string): number => rank(`${mesh.address} ${address}`);
+    const { mesh, isInDoubt, requestList, hash } = this.options;
+    const order = (address: string): number => hash(`${mesh.address} ${address}`);
     if (!isInDoubt()) return this.asked.clear();
     // In a full mesh each box reports to every other one all the time.
     if (mesh.isFullMesh || nowMs - this.askedAtMs < ASK_INTERVAL_MS) return;
--- a/packages/router/src/published/publishedLists.ts
+++ b/packages/router/src/published/publishedLists.ts
@@ -5,7 +5,7 @@
 import type { RemovalReason } from '../tables/departure.js';
 import type { EndpointRow, EndpointTable } from '../tables/endpointTable.js';
 import { assumeCold } from '../tables/endpointTable.js';
-import type { EndpointChange } from './endpointDirectory.js';
+import type { EndpointChange, LapsedState } from './endpointDirectory.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import type { EvacuationChange } from './evacuations.js';
 import { Evacuations } from './evacuations.js';
@@ -94,9 +94,9 @@
     this.measureLapsed();
   }
 
-  /** Whether a decision about endpoints whose entries are missing waits for a proof of the list. */
-  get awaitsProof(): boolean {
-    return this.directory.awaitsProof(this.options.now());
+  /** What is to become of the endpoints whose entries have disappeared and that are kept. */
+  get lapsedState(): LapsedState {
+    return this.directory.readLapsedState(this.options.now());
   }
 
   /** Runs once a tick. */
--- a/packages/router/src/published/publishedState.ts
+++ b/packages/router/src/published/publishedState.ts
@@ -10,6 +10,7 @@
 import type { EndpointTable } from '../tables/endpointTable.js';
 import type { ChangeFailure, ConfigurationChange } from './configurationChange.js';
 import { ConfigurationHistory } from './configurationHistory.js';
+import type { LapsedState } from './endpointDirectory.js';
 import type { Evacuations } from './evacuations.js';
 import type { ListPosition } from './listPosition.js';
 import { LoggedConnectivity } from './loggedConnectivity.js';
@@ -113,15 +114,9 @@
     return this.contact.connectivity.provenAtMs;
   }
 
-  /** Whether endpoints are kept because an outage of the platform is possible. */
-  get isInDoubt(): boolean {
-    const graceMs = this.contact.connectivity.readGracePeriodMs(this.options.now());
-    return this.options.table.lapsedCount > 0 && graceMs > 0;
-  }
-
-  /** Whether a decision about endpoints whose entries are missing waits for a proof of the list. */
-  get awaitsProof(): boolean {
-    return this.lists.awaitsProof;
+  /** What is to become of the endpoints whose entries have disappeared and that are kept. */
+  get lapsedState(): LapsedState {
+    return this.lists.lapsedState;
   }
 
   /** Since when each single change of the list has reached this box; Infinity before the first list. */
--- a/packages/router/src/streams/__fixtures__/virtualStreams.ts
+++ b/packages/router/src/streams/__fixtures__/virtualStreams.ts
@@ -48,6 +48,7 @@
       mesh,
       readPosition: () => position,
       readProvenAtMs: () => now(),
+      awaitsProof: () => false,
       readRole: () => 'follow',
       isFeedLost: () => false,
       listWatchers: () => [],
